Lay out the packages, their records and the contracts between them

Cause: the roles are built side by side and need fixed interfaces first. Change: clock, error tree, blackboard cells, environment, typed records, commands and wire messages; locked dependencies; formatter, linter and layer check behind 'make test'.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Every target sets up what it needs; `make install` is the set-up alone.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install demo test format lint bench slopes report binary clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: install
+	$(BIN)/python extras/demo.py
+
+format: install
+	$(BIN)/pyink --quiet bilberryroute tests benchmarks extras
+	$(BIN)/ruff check --quiet --fix bilberryroute tests benchmarks extras
+
+lint: install
+	$(BIN)/pyink --quiet --check bilberryroute tests benchmarks extras
+	$(BIN)/ruff check bilberryroute tests benchmarks extras
+	$(BIN)/lint-imports
+
+test: install lint
+	$(BIN)/python -m pytest
+
+clean:
+	rm -rf $(VENV) build dist *.egg-info
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the project, run as modules."""
--- /dev/null
+++ b/bilberryroute/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Role beside endpoints and workers: admission, leases and starts."""
--- /dev/null
+++ b/bilberryroute/agent/board.py
@@ -0,0 +1,71 @@
+"""Blackboard of the agent role."""
+
+import dataclasses
+
+from bilberryroute import blackboard
+from bilberryroute import clock as clock_lib
+from bilberryroute.model import config
+from bilberryroute.model import jobs
+from bilberryroute.model import wire
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Lease:
+    """The agent's right to start work.
+
+    Attributes:
+      term: Term that granted it.
+      expires: Monotonic instant at which it ends, counted from the sending of
+        the renewal.
+    """
+
+    term: int = 0
+    expires: clock_lib.Millis = clock_lib.Millis(0)
+
+    def left(self, now: int) -> int:
+        """Returns the milliseconds left, 0 if it has ended."""
+        return max(0, self.expires - now)
+
+
+@dataclasses.dataclass(slots=True)
+class AgentBoard:
+    """What an agent observes and what it is asked to bring about.
+
+    Attributes:
+      lease: Present lease.
+      desired: Last desired state; its version and revision never go back.
+      services: Services by name with their limits, from `desired`.
+      endpoints: Reports on the endpoints announced here, by name.
+      workers: Workers announced here, by name.
+      tasks: Reports on tasks, by worker, job id and attempt.
+      draining: True once the process was asked to leave.
+    """
+
+    lease: blackboard.Cell[Lease]
+    desired: blackboard.Cell[wire.Desired]
+    services: blackboard.Cell[dict[str, config.Service]]
+    endpoints: blackboard.Cell[dict[str, wire.EndpointReport]]
+    workers: blackboard.Cell[dict[str, jobs.Worker]]
+    tasks: blackboard.Cell[dict[tuple[str, str, int], wire.TaskReport]]
+    draining: blackboard.Cell[bool]
+
+
+def new_board() -> AgentBoard:
+    """Returns the board of an agent that has just started."""
+    return AgentBoard(
+        lease=blackboard.Cell(Lease()),
+        desired=blackboard.Cell(
+            wire.Desired(
+                version=0,
+                revision=0,
+                domains_in_service=(),
+                services=(),
+                tasks=(),
+            )
+        ),
+        services=blackboard.Cell({}),
+        endpoints=blackboard.Cell({}),
+        workers=blackboard.Cell({}),
+        tasks=blackboard.Cell({}),
+        draining=blackboard.Cell(False),
+    )
--- /dev/null
+++ b/bilberryroute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: arguments in, printed results out."""
--- /dev/null
+++ b/bilberryroute/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: election, commitment, storage and membership."""
--- /dev/null
+++ b/bilberryroute/context.py
@@ -0,0 +1,43 @@
+"""Environment: all that the program takes from its surroundings."""
+
+import os
+import random
+import sys
+from collections.abc import Mapping
+from typing import TextIO
+
+from bilberryroute import clock as clock_lib
+
+
+class Environment:
+    """Streams, variables, clock and random source of one run.
+
+    Tests override single attributes by keyword.
+
+    Attributes:
+      program_name: Name shown in messages.
+      stdout: Where results go.
+      stderr: Where messages and logs go.
+      variables: Environment variables.
+      clock: Source of time.
+      rng: Source of randomness.
+    """
+
+    def __init__(self, **overrides: object):
+        self.program_name: str = "bilberryroute"
+        self.stdin: TextIO = sys.stdin
+        self.stdout: TextIO = sys.stdout
+        self.stderr: TextIO = sys.stderr
+        self.variables: Mapping[str, str] = os.environ
+        self.clock: clock_lib.Clock = clock_lib.SystemClock()
+        self.rng: random.Random = random.Random(
+            int.from_bytes(os.urandom(8), "big")
+        )
+        for name, value in overrides.items():
+            if not hasattr(self, name):
+                raise AttributeError(f"Environment has no {name!r}")
+            setattr(self, name, value)
+
+    def print_error(self, message: str) -> None:
+        """Writes one `prog: error: …` line to stderr."""
+        self.stderr.write(f"{self.program_name}: error: {message}\n")
--- /dev/null
+++ b/bilberryroute/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Role on the entry hosts: callers' and operators' HTTP."""
--- /dev/null
+++ b/bilberryroute/model/__init__.py
@@ -0,0 +1,1 @@
+"""Typed records shared by every role."""
--- /dev/null
+++ b/bilberryroute/model/wire.py
@@ -0,0 +1,175 @@
+"""Datagrams between agents and replicas, and the entry's watch.
+
+An agent renews its lease with a `Renewal`; the leader answers with a `Grant`,
+which carries the agent's whole desired state whenever its version differs
+from the one that the agent reported. Both are idempotent, so loss,
+duplication and reordering need no more than the next renewal.
+"""
+
+import dataclasses
+
+from bilberryroute.model import config
+from bilberryroute.model import jobs
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointReport:
+    """One endpoint as its agent sees it.
+
+    Attributes:
+      leaving: True once the endpoint has announced that it leaves.
+      healthy: False while the agent ejects it.
+    """
+
+    name: str
+    service: str
+    slots: int
+    in_flight: int
+    leaving: bool = False
+    healthy: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TaskReport:
+    """One task as its worker reports it.
+
+    Attributes:
+      state: `reserved`, `running`, or a `TaskResult` once it ended.
+      progress_ms: Work done and kept so far, in milliseconds of run time.
+    """
+
+    job_id: str
+    attempt: int
+    worker: str
+    state: str
+    progress_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Renewal:
+    """An agent asks for its lease again and reports what it sees.
+
+    Attributes:
+      sent_ms: The agent's monotonic clock at sending; echoed in the grant.
+      desired_version: Version of the desired state the agent holds.
+      revision: Configuration revision in force at the agent.
+      http: Address of the agent's HTTP server, `ip:port`.
+      draining: True once the agent leaves.
+    """
+
+    agent: str
+    incarnation: str
+    failure_domain: str
+    sent_ms: int
+    term: int
+    desired_version: int
+    revision: int
+    http: str
+    draining: bool
+    endpoints: tuple[EndpointReport, ...]
+    workers: tuple[jobs.Worker, ...]
+    tasks: tuple[TaskReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DesiredTask:
+    """What one task on one worker should be.
+
+    Attributes:
+      state: `reserved`, `running` or `stopped`.
+      checkpoint: Whether to save progress before stopping.
+      progress_ms: Work kept by earlier attempts, to start from.
+    """
+
+    job_id: str
+    attempt: int
+    worker: str
+    accelerators: tuple[int, ...]
+    state: str
+    checkpoint: bool = False
+    progress_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Desired:
+    """The whole desired state of one agent.
+
+    Attributes:
+      version: Rises with every change, within and across terms.
+      revision: Configuration revision that it was made from.
+      domains_in_service: Failure domains where work may start.
+      services: Services with their limits.
+      tasks: Tasks on the agent's workers; any other task is to stop.
+    """
+
+    version: int
+    revision: int
+    domains_in_service: tuple[str, ...]
+    services: tuple[config.Service, ...]
+    tasks: tuple[DesiredTask, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Grant:
+    """The leader's answer to a renewal.
+
+    Attributes:
+      term: Term of the leader; an agent refuses a lower one than it has seen.
+      echo_ms: `sent_ms` of the renewal; the lease counts from it. 0 in a push
+        that renews nothing.
+      lease_ms: Length of the lease in milliseconds; 0 grants none.
+      leader_id: The leading replica, as far as the sender knows.
+      replicas: Datagram addresses of all replicas.
+      desired: Whole desired state, or None if the agent's is current.
+    """
+
+    term: int
+    echo_ms: int
+    lease_ms: int
+    leader_id: str
+    replicas: tuple[str, ...]
+    desired: Desired | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointView:
+    """One endpoint as the leader shows it to entries."""
+
+    name: str
+    service: str
+    agent: str
+    incarnation: str
+    http: str
+    failure_domain: str
+    slots: int
+    in_flight: int
+    leaving: bool
+    healthy: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WatchRequest:
+    """An entry asks to be told of changes.
+
+    Attributes:
+      revision: Configuration revision the entry holds.
+    """
+
+    entry: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WatchEvent:
+    """One message of the watch stream.
+
+    Attributes:
+      term: Term of the leader; an entry ignores a lower one than it has seen.
+      configuration: Whole configuration, or None if the entry's is current.
+      endpoints: All endpoints, or None if they have not changed.
+    """
+
+    term: int
+    leader_id: str
+    configuration: config.Configuration | None
+    endpoints: tuple[EndpointView, ...] | None
--- /dev/null
+++ b/bilberryroute/replica/__init__.py
@@ -0,0 +1,1 @@
+"""Role on the hosts with disks: log, state and leader's controllers."""
--- /dev/null
+++ b/bilberryroute/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on endpoints, retries, queues and outcomes."""
--- /dev/null
+++ b/bilberryroute/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on placement, queueing and guarantees."""
--- /dev/null
+++ b/bilberryroute/settings.py
@@ -0,0 +1,108 @@
+"""Settings of one process: validated models at the border.
+
+Addresses are `ip:port`; durations are milliseconds.
+"""
+
+import enum
+
+import msgspec
+
+
+class Role(enum.StrEnum):
+    """What a process does; one process may hold several roles."""
+
+    ENTRY = "entry"
+    REPLICA = "replica"
+    AGENT = "agent"
+
+
+class ReplicaAddress(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where one replica listens.
+
+    Attributes:
+      id: Identity within the group of replicas.
+      grpc: Address of its gRPC server.
+      datagram: Address of its datagram socket.
+    """
+
+    id: str
+    grpc: str
+    datagram: str
+    failure_domain: str = ""
+
+
+class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Addresses that this process listens on; empty where not used."""
+
+    http: str = "127.0.0.1:0"
+    grpc: str = ""
+    datagram: str = ""
+
+
+class Timing(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Intervals and bounds, in milliseconds."""
+
+    raft_heartbeat_ms: int = 100
+    election_ms: int = 600
+    leader_lease_ms: int = 500
+    renewal_ms: int = 700
+    agent_lease_ms: int = 2_200
+    task_lease_ms: int = 10_000
+    worker_lease_ms: int = 2_200
+    decide_ms: int = 100
+    balancer_lag_ms: int = 500
+    probe_ms: int = 500
+    probe_timeout_ms: int = 1_500
+
+
+class Log(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of the replicated log."""
+
+    snapshot_entries: int = 2_000
+    segment_bytes: int = 8_388_608
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds on what callers may send."""
+
+    body_bytes: int = 1_048_576
+    header_bytes: int = 16_384
+    ticket_bytes: int = 4_194_304
+
+
+class Tokens(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Files of bearer tokens; with none set, loopback callers only.
+
+    Attributes:
+      operators: File with one operator token a line.
+      callers: File with `account token` on each line.
+    """
+
+    operators: str = ""
+    callers: str = ""
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one process.
+
+    Attributes:
+      host: Name of this process in logs, leases and status.
+      failure_domain: Failure domain that this process runs in.
+      roles: What it does.
+      data_folder: Where a replica keeps its state.
+      replica_id: Which of `replicas` this process is, or empty.
+    """
+
+    host: str
+    failure_domain: str
+    roles: tuple[Role, ...]
+    region: str = ""
+    data_folder: str = ""
+    replica_id: str = ""
+    log_level: str = "INFO"
+    listen: Listen = Listen()
+    replicas: tuple[ReplicaAddress, ...] = ()
+    timing: Timing = Timing()
+    log: Log = Log()
+    limits: Limits = Limits()
+    tokens: Tokens = Tokens()
--- /dev/null
+++ b/bilberryroute/state/__init__.py
@@ -0,0 +1,1 @@
+"""State machine that the replicated log drives."""
--- /dev/null
+++ b/bilberryroute/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Carriers between our own processes."""
