--- /dev/null
+++ b/bilberryroute/metrics.py
@@ -0,0 +1,100 @@
+"""Counters and gauges of one process, rendered for `/metrics`.
+
+A process creates one `Metrics` and hands it to each of its services.
+"""
+
+from collections.abc import Callable
+
+import aioprometheus
+from aiohttp import web
+
+PREFIX = "bilberryroute"
+
+Refresher = Callable[["Metrics"], None]
+
+
+class Metrics:
+    """All metrics of one process in one registry.
+
+    Gauges that would cost work on each change are refreshed by the functions
+    given to `refresh_with`, which run before each rendering.
+
+    Attributes:
+      registry: What `/metrics` renders.
+      refusals: Refusals, by `reason` (kind of the error).
+      retries: Retries, by `reason`.
+      drops: Messages ignored, by `reason` (late, stale term, mismatched id).
+      errors: Errors that are no refusals, by `reason` (kind of the error).
+      requests: Requests that ended, by `service` and `outcome`.
+      decisions: Decisions of the scheduler, by `kind`.
+      elections: Elections that this replica has started.
+      in_flight: Requests being run, by `service`.
+      queue_length: Requests or jobs waiting, by `queue`.
+      lease_left_ms: Milliseconds left of a lease, by `lease`.
+      log_index: Indexes of the replicated log, by `point` (`last`,
+        `committed`, `applied`, `snapshot`).
+      term: Highest term seen.
+      revision: Configuration revision in force in this process.
+      draining: 1 once the process was asked to leave.
+    """
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self._refreshers: list[Refresher] = []
+
+        self.refusals = self._counter("refusals_total", "Refusals.")
+        self.retries = self._counter("retries_total", "Retries.")
+        self.drops = self._counter("drops_total", "Messages ignored.")
+        self.errors = self._counter("errors_total", "Errors.")
+        self.requests = self._counter("requests_total", "Requests ended.")
+        self.decisions = self._counter("decisions_total", "Decisions.")
+        self.elections = self._counter("elections_total", "Elections.")
+
+        self.in_flight = self._gauge("in_flight", "Requests being run.")
+        self.queue_length = self._gauge("queue_length", "Waiting.")
+        self.lease_left_ms = self._gauge("lease_left_ms", "Lease left.")
+        self.log_index = self._gauge("log_index", "Replicated log.")
+        self.term = self._gauge("term", "Highest term seen.")
+        self.revision = self._gauge("revision", "Revision in force.")
+        self.draining = self._gauge("draining", "1 while leaving.")
+
+    def refused(self, reason: str) -> None:
+        """Counts one refusal."""
+        self.refusals.inc({"reason": reason})
+
+    def retried(self, reason: str) -> None:
+        """Counts one retry."""
+        self.retries.inc({"reason": reason})
+
+    def dropped(self, reason: str) -> None:
+        """Counts one ignored message."""
+        self.drops.inc({"reason": reason})
+
+    def failed(self, reason: str) -> None:
+        """Counts one error that is no refusal."""
+        self.errors.inc({"reason": reason})
+
+    def refresh_with(self, refresher: Refresher) -> None:
+        """Runs `refresher` before each rendering."""
+        self._refreshers.append(refresher)
+
+    def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
+        """Returns body and headers of one `/metrics` answer."""
+        for refresher in self._refreshers:
+            refresher(self)
+        return aioprometheus.render(self.registry, [accept] if accept else [])
+
+    async def handler(self, req: web.Request) -> web.Response:
+        """Answers `GET /metrics`."""
+        body, headers = self.render(req.headers.get("Accept", ""))
+        return web.Response(body=body, headers=headers)
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            f"{PREFIX}_{name}", doc, registry=self.registry
+        )
+
+    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(
+            f"{PREFIX}_{name}", doc, registry=self.registry
+        )
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,59 @@
+import io
+import json
+import logging
+
+import pytest
+
+from bilberryroute import logs
+
+
+@pytest.fixture
+def lines():
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    stream = io.StringIO()
+    logs.configure(
+        stream=stream,
+        level="INFO",
+        role="entry+agent",
+        host="e1",
+        failure_domain="apapa",
+    )
+    yield lambda: [json.loads(x) for x in stream.getvalue().splitlines()]
+    root.handlers[:] = handlers
+    root.setLevel(level)
+    logs.clear_process_fields()
+
+
+def test_line_carries_process_and_context(lines):
+    log = logging.getLogger("bilberryroute.test")
+    logs.set_process_fields(term=3, revision=17)
+    with logs.fields(request_id="r1", account="trust"):
+        log.info("accepted", extra={"job_id": "j1"})
+    log.debug("not written")
+    log.warning("second")
+    first, second = lines()
+    assert first.pop("time")
+    assert first == {
+        "level": "INFO",
+        "logger": "bilberryroute.test",
+        "message": "accepted",
+        "role": "entry+agent",
+        "host": "e1",
+        "failure_domain": "apapa",
+        "term": 3,
+        "revision": 17,
+        "request_id": "r1",
+        "account": "trust",
+        "job_id": "j1",
+    }
+    assert "request_id" not in second
+
+
+def test_traceback_stays_on_one_line(lines):
+    try:
+        raise ValueError("x")
+    except ValueError:
+        logging.getLogger("bilberryroute.test").exception("failed")
+    (line,) = lines()
+    assert "ValueError: x" in line["traceback"]
