Add the state machine, the leader's controllers and the entry's control client

Cause: accepted tickets, jobs and claims need one ordered, replicated home, and agents and entries need to learn of them. Change: commands applied by a deterministic state machine; the leader grants leases by datagram, pushes whole desired states by version, joins and loses workers, and runs the scheduler; entries propose, query and watch over gRPC. A leader acts only after it has applied all that was committed before its term, so no lease is granted from an outdated view of failure domains.

--- a/bilberryroute/api.py
+++ b/bilberryroute/api.py
@@ -23,7 +23,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 
-ACCOUNT_HEADER = "Client-Account"
+ACCOUNT_HEADER = "Bilberryroute-Account"
 PROBLEM_TYPE = "application/problem+json"
 PROBLEM_PREFIX = "urn:bilberryroute:problem:"
 MIN_TOKEN_CHARS = 16
--- /dev/null
+++ b/bilberryroute/entry/service.py
@@ -0,0 +1,70 @@
+"""The entry role: callers' and operators' HTTP over the control client."""
+
+import asyncio
+
+import mode
+from aiohttp import web
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import context
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import control as control_lib
+from bilberryroute.entry import operators as operator_lib
+from bilberryroute.entry import requests as request_lib
+
+
+class EntryRole(mode.Service):
+    """Joins the services of one entry.
+
+    Attributes:
+      board: What this entry knows.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        metrics: metrics_lib.Metrics,
+    ):
+        super().__init__()
+        self._cfg = cfg
+        self.board = board_lib.new_board()
+        self.control = control_lib.ControlClient(
+            cfg, self.board, env.clock, env.rng
+        )
+        self.requests = request_lib.RequestService(
+            cfg, self.board, self.control, env.clock, env.rng, metrics
+        )
+        self.operators = operator_lib.OperatorService(
+            cfg, self.board, self.control, env.clock, env.rng, metrics
+        )
+        metrics.refresh_with(self._refresh)
+
+    def register(self, app: web.Application) -> None:
+        """Adds the routes under `/v1`."""
+        self.requests.register(app)
+        self.operators.register(app)
+
+    def ready(self) -> bool:
+        """Says whether the balancer may send callers here."""
+        if self.board.draining.get():
+            return False
+        return self.board.configuration.get().revision > 0
+
+    async def drain(self) -> None:
+        """Takes new requests for the balancer's lag, then finishes all."""
+        self.board.draining.set(True)
+        lag = clock_lib.seconds(self._cfg.timing.balancer_lag_ms)
+        await asyncio.sleep(lag)
+        await self.requests.drain()
+
+    async def on_start(self) -> None:
+        """Starts the control client, then what uses it."""
+        for service in (self.control, self.operators, self.requests):
+            await self.add_runtime_dependency(service)
+
+    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
+        metrics.term.set({}, self.board.term.get())
+        metrics.revision.set({}, self.board.configuration.get().revision)
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -269,3 +269,21 @@
         "Move the data folder away and let the host rejoin as a new replica;"
         " see docs/operations/replace-a-host.md."
     )
+
+
+def by_kind(kind: str) -> type[BilberryrouteError]:
+    """Returns the error class of a kind, or the base for an unknown one.
+
+    Only classes that take a message as their one positional argument qualify.
+    """
+    return _KINDS.get(kind, BilberryrouteError)
+
+
+def _tree(base: type[BilberryrouteError]) -> dict[str, type]:
+    found = {base.kind: base}
+    for sub in base.__subclasses__():
+        found.update(_tree(sub))
+    return found
+
+
+_KINDS = {k: c for k, c in _tree(BilberryrouteError).items() if c != NotLeader}
--- a/bilberryroute/model/commands.py
+++ b/bilberryroute/model/commands.py
@@ -43,11 +43,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RefuseJob(Command):
-    """Ends a queued job that can never run."""
+    """Ends a queued job that can never run, or fails wherever it runs."""
 
     job_id: str
     reason: str
     at_ms: int
+    result: jobs.JobResult = jobs.JobResult.REFUSED
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -194,6 +195,23 @@
     message: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class JobAccepted:
+    """The job is durable; `first` is False for a resend."""
+
+    job_id: str
+    first: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class JobRefused:
+    """The job was not taken; `kind` names the error that the caller gets."""
+
+    job_id: str
+    kind: str
+    message: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Changed:
     """The command changed the state; `revision` counts all such changes."""
@@ -213,6 +231,8 @@
     | TicketRefused
     | ClaimHeld
     | ClaimRefused
+    | JobAccepted
+    | JobRefused
     | Changed
     | Unchanged
 )
--- /dev/null
+++ b/bilberryroute/model/control.py
@@ -0,0 +1,32 @@
+"""Replies of the leading replica to entries."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ErrorReply:
+    """A typed error on its way between two of our processes.
+
+    Attributes:
+      kind: Kind of the error, see `errors`.
+      leader_id: The leading replica, as far as the sender knows, or empty.
+      retry_after_ms: When a new try makes sense, in milliseconds, or None.
+    """
+
+    kind: str
+    message: str
+    remedy: str
+    leader_id: str = ""
+    retry_after_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """Either the encoded result or answer, or an error.
+
+    Attributes:
+      payload: Encoded by the codec of the method asked; empty with an error.
+    """
+
+    payload: bytes = b""
+    error: ErrorReply | None = None
--- a/bilberryroute/model/jobs.py
+++ b/bilberryroute/model/jobs.py
@@ -120,6 +120,7 @@
       progress_ms: Work kept by checkpoints, in milliseconds of run time.
       phase_since_ms: Unix time of the last change of phase, milliseconds.
       requeue: Whether a stopping job goes back to the queue.
+      checkpoint: Whether a stopping job's members save their progress.
     """
 
     job: Job
@@ -131,3 +132,4 @@
     progress_ms: int = 0
     phase_since_ms: int = 0
     requeue: bool = False
+    checkpoint: bool = False
--- /dev/null
+++ b/bilberryroute/process.py
@@ -0,0 +1,109 @@
+"""Joins the roles of one process behind one HTTP server."""
+
+import asyncio
+from typing import Protocol
+
+import mode
+from aiohttp import web
+
+from bilberryroute import api
+from bilberryroute import context
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.transport import http as http_lib
+
+
+class RoleService(Protocol):
+    """What every role offers besides being a `mode.Service`."""
+
+    def register(self, app: web.Application) -> None:
+        """Adds the role's routes."""
+
+    def ready(self) -> bool:
+        """Says whether the role can do its work now."""
+
+    async def drain(self) -> None:
+        """Returns once nothing in flight would be cut off by a stop."""
+
+
+class Process(mode.Service):
+    """One process with the roles that its settings name.
+
+    Attributes:
+      roles: The roles, in the order of starting.
+    """
+
+    def __init__(self, cfg: settings.Settings, env: context.Environment):
+        super().__init__()
+        self.metrics = metrics_lib.Metrics()
+        self.roles = [_role(r, cfg, env, self.metrics) for r in _ordered(cfg)]
+        app = self._application(cfg)
+        self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
+
+    def _application(self, cfg: settings.Settings) -> web.Application:
+        app = api.new_application(cfg.limits, self.metrics, _rights(cfg))
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        for role in self.roles:
+            role.register(app)
+        return app
+
+    async def on_start(self) -> None:
+        """Starts the roles, then listens."""
+        for role in self.roles:
+            await self.add_runtime_dependency(role)
+        await self.add_runtime_dependency(self.http)
+
+    async def drain(self) -> None:
+        """Prepares a stop that cuts off nothing in flight."""
+        await asyncio.gather(*(role.drain() for role in self.roles))
+
+    async def _healthz(self, req: web.Request) -> web.Response:
+        del req
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, req: web.Request) -> web.Response:
+        del req
+        if all(role.ready() for role in self.roles):
+            return web.Response(text="ready\n")
+        return web.Response(text="not ready\n", status=503)
+
+
+def build(cfg: settings.Settings, env: context.Environment) -> Process:
+    """Returns the process that the settings describe, not yet started."""
+    return Process(cfg, env)
+
+
+def _rights(cfg: settings.Settings) -> api.Rights | None:
+    """Returns the rights to check, where callers and operators come in."""
+    if settings.Role.ENTRY not in cfg.roles:
+        return None
+    return api.load_rights(cfg.tokens)
+
+
+def _ordered(cfg: settings.Settings) -> list[settings.Role]:
+    """Returns the roles with those first that others depend on."""
+    order = (settings.Role.REPLICA, settings.Role.AGENT, settings.Role.ENTRY)
+    return [role for role in order if role in cfg.roles]
+
+
+def _role(
+    role: settings.Role,
+    cfg: settings.Settings,
+    env: context.Environment,
+    metrics: metrics_lib.Metrics,
+) -> RoleService:
+    """Builds one role; imports it here, so that others cost no memory."""
+    match role:
+        case settings.Role.REPLICA:
+            from bilberryroute.replica import service as replica_service
+
+            return replica_service.ReplicaRole(cfg, env, metrics)
+        case settings.Role.AGENT:
+            from bilberryroute.agent import service as agent_service
+
+            return agent_service.AgentRole(cfg, env, metrics)
+        case settings.Role.ENTRY:
+            from bilberryroute.entry import service as entry_service
+
+            return entry_service.EntryRole(cfg, env, metrics)
--- /dev/null
+++ b/bilberryroute/replica/control.py
@@ -0,0 +1,181 @@
+"""gRPC service for entries: proposals, queries and the watch."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import grpc
+import mode
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.consensus import group as group_lib
+from bilberryroute.model import commands
+from bilberryroute.model import control
+from bilberryroute.model import wire
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import leadership as leadership_lib
+from bilberryroute.replica import proposer as proposer_lib
+from bilberryroute.replica import queries as query_lib
+from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import codec
+from bilberryroute.transport import control as methods
+
+WATCH_BEAT_MS = clock_lib.Millis(500)
+
+# What entries may propose; all else is the leader's own to decide.
+OPEN_COMMANDS = (
+    commands.ApplyTicket,
+    commands.SubmitJob,
+    commands.CancelJobs,
+    commands.ClaimRequest,
+)
+
+
+class ControlService(mode.Service):
+    """Serves entries while this replica leads; refers them otherwise."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        board: board_lib.ReplicaBoard,
+        group: group_lib.ReplicaGroup,
+        leadership: leadership_lib.Leadership,
+        machine: machine_lib.StateMachine,
+        proposer: proposer_lib.Proposer,
+        desk: query_lib.QueryDesk,
+        clock: clock_lib.Clock,
+    ):
+        super().__init__()
+        self._cfg = cfg
+        self._board = board
+        self._group = group
+        self._leadership = leadership
+        self._machine = machine
+        self._proposer = proposer
+        self._desk = desk
+        self._clock = clock
+
+    def register(self, server: grpc.aio.Server) -> None:
+        """Adds the methods to a server that has not started yet."""
+        handlers = {
+            methods.PROPOSE: grpc.unary_unary_rpc_method_handler(self._propose),
+            methods.QUERY: grpc.unary_unary_rpc_method_handler(self._query),
+            methods.WATCH: grpc.stream_stream_rpc_method_handler(self._watch),
+        }
+        handler = grpc.method_handlers_generic_handler(
+            methods.SERVICE, handlers
+        )
+        server.add_generic_rpc_handlers((handler,))
+
+    async def _propose(
+        self, payload: bytes, context: grpc.aio.ServicerContext
+    ) -> bytes:
+        del context
+        try:
+            command = machine_lib.COMMANDS.decode(payload)
+            self._check_open(command)
+            self._check_leading()
+            result = await self._proposer.propose(command)
+        except errors.BilberryrouteError as exc:
+            return self._error(exc)
+        encoded = machine_lib.RESULTS.encode(result)
+        return codec.encode(control.Reply(payload=encoded))
+
+    async def _query(
+        self, payload: bytes, context: grpc.aio.ServicerContext
+    ) -> bytes:
+        del context
+        try:
+            query = methods.QUERIES.decode(payload)
+            self._check_leading()
+            answer = self._desk.answer(query)
+        except errors.BilberryrouteError as exc:
+            return self._error(exc)
+        encoded = methods.ANSWERS.encode(answer)
+        return codec.encode(control.Reply(payload=encoded))
+
+    def _check_open(self, command: commands.Command) -> None:
+        if not isinstance(command, OPEN_COMMANDS):
+            raise errors.Forbidden(
+                f"{type(command).__name__} is the leader's own to propose"
+            )
+
+    def _check_leading(self) -> None:
+        if not self._leadership.active():
+            raise errors.NotLeader(self._group.leader_id)
+
+    def _error(self, exc: errors.BilberryrouteError) -> bytes:
+        reply = control.ErrorReply(
+            kind=exc.kind,
+            message=exc.message,
+            remedy=exc.remedy,
+            leader_id=self._group.leader_id or "",
+            retry_after_ms=exc.retry_after_ms,
+        )
+        return codec.encode(control.Reply(error=reply))
+
+    async def _watch(
+        self,
+        requests: AsyncIterator[bytes],
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[bytes]:
+        """Sends the configuration and endpoints whenever they change."""
+        del context
+        first = methods.WATCH_REQUESTS.decode(await anext(aiter(requests)))
+        reader = asyncio.create_task(self._read_reports(first, requests))
+        revision = first.revision
+        table = -1
+        try:
+            while self._leadership.active() and not self.should_stop:
+                event = self._event(revision, table)
+                yield codec.encode(event)
+                revision = self._machine.state.configuration.revision
+                table = self._board.endpoints.version
+                await self._wait_for_news(table)
+        finally:
+            reader.cancel()
+
+    def _event(self, revision: int, table: int) -> wire.WatchEvent:
+        cfg = self._machine.state.configuration
+        fresh = table != self._board.endpoints.version
+        return wire.WatchEvent(
+            term=self._group.term,
+            leader_id=self._cfg.replica_id,
+            configuration=cfg if cfg.revision != revision else None,
+            endpoints=self._board.endpoints.get() if fresh else None,
+        )
+
+    async def _wait_for_news(self, table: int) -> None:
+        """Waits for a change, or until a sign of life is due."""
+        waits = [
+            asyncio.ensure_future(self._board.endpoints.changed(table)),
+            asyncio.ensure_future(self._new_revision()),
+        ]
+        await asyncio.wait(
+            waits,
+            timeout=clock_lib.seconds(WATCH_BEAT_MS),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for fut in waits:
+            fut.cancel()
+
+    async def _new_revision(self) -> None:
+        present = self._machine.state.configuration.revision
+        while self._machine.state.configuration.revision == present:
+            await self._board.applied.changed(self._board.applied.version)
+
+    async def _read_reports(
+        self, first: wire.WatchRequest, requests: AsyncIterator[bytes]
+    ) -> None:
+        """Records which revision the entry has in force."""
+        self._note_entry(first)
+        async for payload in requests:
+            self._note_entry(methods.WATCH_REQUESTS.decode(payload))
+
+    def _note_entry(self, report: wire.WatchRequest) -> None:
+        entries = self._board.entries.get()
+        entries[report.entry] = board_lib.EntryView(
+            revision=report.revision, heard_ms=self._clock.now()
+        )
+        self._board.entries.touch()
--- /dev/null
+++ b/bilberryroute/replica/endpoints.py
@@ -0,0 +1,83 @@
+"""Collects the endpoints that agents report, for the entries' watch."""
+
+import mode
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import settings
+from bilberryroute.model import wire
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import leadership as leadership_lib
+
+CHECK_MS = clock_lib.Millis(100)
+
+
+class EndpointController(mode.Service):
+    """Keeps the table of endpoints whose agents hold a lease."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        board: board_lib.ReplicaBoard,
+        leadership: leadership_lib.Leadership,
+        clock: clock_lib.Clock,
+    ):
+        super().__init__()
+        self._lease_ms = cfg.timing.agent_lease_ms
+        self._board = board
+        self._leadership = leadership
+        self._clock = clock
+
+    @mode.Service.task
+    async def _collect(self) -> None:
+        while not self.should_stop:
+            await self.sleep(clock_lib.seconds(CHECK_MS))
+            if self._leadership.active():
+                self._publish()
+
+    def _publish(self) -> None:
+        """Replaces the table when more than the load has changed."""
+        table = self._table()
+        known = self._board.endpoints.get()
+        if list(map(_identity, table)) != list(map(_identity, known)):
+            self._board.endpoints.set(table)
+
+    def _table(self) -> tuple[wire.EndpointView, ...]:
+        now = self._clock.now()
+        views = [
+            endpoint_view(view.renewal, report)
+            for view in self._board.agents.get().values()
+            if now - view.heard_ms <= self._lease_ms
+            for report in view.renewal.endpoints
+        ]
+        return tuple(sorted(views, key=lambda v: (v.agent, v.name)))
+
+
+def endpoint_view(
+    renewal: wire.Renewal, report: wire.EndpointReport
+) -> wire.EndpointView:
+    """Joins an endpoint's report with what is known of its agent."""
+    return wire.EndpointView(
+        name=report.name,
+        service=report.service,
+        agent=renewal.agent,
+        incarnation=renewal.incarnation,
+        http=renewal.http,
+        failure_domain=renewal.failure_domain,
+        slots=report.slots,
+        in_flight=report.in_flight,
+        leaving=report.leaving or renewal.draining,
+        healthy=report.healthy,
+    )
+
+
+def _identity(view: wire.EndpointView) -> tuple:
+    return (
+        view.name,
+        view.service,
+        view.agent,
+        view.incarnation,
+        view.http,
+        view.slots,
+        view.leaving,
+        view.healthy,
+    )
--- /dev/null
+++ b/bilberryroute/replica/events.py
@@ -0,0 +1,98 @@
+"""Translates applied commands into the scheduler's events. Pure."""
+
+from bilberryroute.model import commands
+from bilberryroute.model import jobs
+from bilberryroute.scheduling import events
+from bilberryroute.state import records
+
+
+def events_of(
+    command: commands.Command, result: commands.Result, state: records.State
+) -> list[events.Event]:
+    """Returns what the scheduler must know of one applied command.
+
+    Args:
+      command: The command.
+      result: Its result.
+      state: The state right after it.
+    """
+    match command, result:
+        case commands.PlaceJob(), commands.Unchanged():
+            return _not_placed(command, state)
+        case _, commands.Unchanged():
+            return []
+        case commands.ApplyTicket(), commands.TicketAccepted():
+            return [
+                events.ConfigurationChanged(configuration=state.configuration)
+            ]
+        case commands.SubmitJob(job=job), commands.JobAccepted(first=True):
+            return [events.JobQueued(record=state.jobs[job.id])]
+        case commands.CancelJobs(job_ids=ids), _:
+            return _removed(ids, state)
+        case commands.StartJob(job_id=job_id, attempt=attempt), _:
+            return [events.JobStarted(job_id=job_id, attempt=attempt)]
+        case commands.ReleaseJob(), _:
+            return [_released(command)]
+        case commands.JoinWorker(worker=worker), _:
+            return [events.WorkerJoined(worker=worker)]
+        case commands.LoseWorker(name=name), _:
+            return [events.WorkerLost(name=name)]
+    return []
+
+
+def placed_jobs(command: commands.Command) -> set[str]:
+    """Returns the jobs whose members a command makes change their state."""
+    match command:
+        case commands.PlaceJob(job_id=job_id) | commands.StopJob(job_id=job_id):
+            return {job_id}
+        case commands.CancelJobs(job_ids=job_ids):
+            return set(job_ids)
+    return set()
+
+
+def restoring_events(state: records.State) -> list[events.Event]:
+    """Returns the events that rebuild a scheduler after a change of leader."""
+    restored: list[events.Event] = [
+        events.ConfigurationChanged(configuration=state.configuration)
+    ]
+    for worker in state.workers.values():
+        restored.append(events.WorkerJoined(worker=worker))
+    for record in state.jobs.values():
+        if record.phase != jobs.JobPhase.ENDED:
+            restored.append(events.JobRestored(record=record))
+    return restored
+
+
+def _not_placed(
+    command: commands.PlaceJob, state: records.State
+) -> list[events.Event]:
+    record = state.jobs.get(command.job_id)
+    queued = record is not None and record.phase == jobs.JobPhase.QUEUED
+    return [
+        events.JobReleased(
+            job_id=command.job_id,
+            attempt=command.attempt,
+            progress_ms=record.progress_ms if queued else 0,
+            requeued=queued,
+        )
+    ]
+
+
+def _removed(
+    job_ids: tuple[str, ...], state: records.State
+) -> list[events.Event]:
+    ended = [
+        job_id
+        for job_id in job_ids
+        if state.jobs[job_id].phase == jobs.JobPhase.ENDED
+    ]
+    return [events.JobRemoved(job_id=job_id) for job_id in ended]
+
+
+def _released(command: commands.ReleaseJob) -> events.JobReleased:
+    return events.JobReleased(
+        job_id=command.job_id,
+        attempt=command.attempt,
+        progress_ms=command.progress_ms,
+        requeued=command.result is None,
+    )
--- /dev/null
+++ b/bilberryroute/replica/leases.py
@@ -0,0 +1,207 @@
+"""Answers agents' renewals by datagram and pushes changes to them."""
+
+import asyncio
+import logging
+
+import mode
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.consensus import group as group_lib
+from bilberryroute.model import wire
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import desired as desired_lib
+from bilberryroute.replica import leadership as leadership_lib
+from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import codec
+
+logger = logging.getLogger(__name__)
+
+_renewals = codec.Decoder(wire.Renewal)
+
+
+class LeaseService(mode.Service):
+    """Grants leases to agents while this replica leads.
+
+    A lease starts when the agent sent the renewal, which was before this
+    replica checked that it leads; so no later leader can have accepted a
+    change before that instant.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        board: board_lib.ReplicaBoard,
+        group: group_lib.ReplicaGroup,
+        leadership: leadership_lib.Leadership,
+        machine: machine_lib.StateMachine,
+        desired: desired_lib.DesiredStates,
+        clock: clock_lib.Clock,
+    ):
+        super().__init__()
+        self._cfg = cfg
+        self._board = board
+        self._group = group
+        self._machine = machine
+        self._clock = clock
+        self._desired = desired
+        self._leadership = leadership
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def on_start(self) -> None:
+        """Opens the datagram socket."""
+        ip, port = self._cfg.listen.datagram.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self.on_datagram), local_addr=(ip, int(port))
+        )
+
+    async def on_stop(self) -> None:
+        """Closes the datagram socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def on_datagram(
+        self, payload: bytes, address: board_lib.DatagramAddress
+    ) -> None:
+        """Handles one datagram of an agent."""
+        try:
+            renewal = _renewals.decode(payload)
+        except errors.MalformedInput as exc:
+            logger.warning("malformed renewal from %s: %s", address[0], exc)
+            return
+        if not self._leadership.active():
+            self._send(self._referral(renewal), address)
+            return
+        if not self._record(renewal, address):
+            return
+        self._send(self._grant(renewal), address)
+
+    def _record(
+        self, renewal: wire.Renewal, address: board_lib.DatagramAddress
+    ) -> bool:
+        """Stores the report; returns False for one that arrived late."""
+        agents = self._board.agents.get()
+        known = agents.get(renewal.agent)
+        if known is not None and _is_older(renewal, known.renewal):
+            return False
+        now = self._clock.now()
+        restarted = (
+            known is None or known.renewal.incarnation != renewal.incarnation
+        )
+        agents[renewal.agent] = board_lib.AgentView(
+            renewal=renewal,
+            address=address,
+            heard_ms=now,
+            since_ms=now if restarted else known.since_ms,
+            tasks={(t.job_id, t.attempt, t.worker): t for t in renewal.tasks},
+        )
+        for worker in renewal.workers:
+            self._board.worker_heard[worker.name] = now
+            self._board.worker_agent[worker.name] = renewal.agent
+        if known is None or _differs(renewal, known.renewal):
+            self._board.changed_agents.add(renewal.agent)
+            self._board.agents.touch()
+        return True
+
+    def _grant(self, renewal: wire.Renewal) -> wire.Grant:
+        wanted = self._wanted(renewal)
+        current = wanted.version == renewal.desired_version
+        return wire.Grant(
+            term=self._group.term,
+            echo_ms=renewal.sent_ms,
+            lease_ms=self._cfg.timing.agent_lease_ms,
+            leader_id=self._cfg.replica_id,
+            replicas=self._replica_addresses(),
+            desired=None if current else wanted,
+        )
+
+    def _referral(self, renewal: wire.Renewal) -> wire.Grant:
+        """Tells an agent where the leader is, granting nothing."""
+        return wire.Grant(
+            term=self._group.term,
+            echo_ms=renewal.sent_ms,
+            lease_ms=0,
+            leader_id=self._group.leader_id or "",
+            replicas=self._replica_addresses(),
+            desired=None,
+        )
+
+    def _wanted(self, renewal: wire.Renewal) -> wire.Desired:
+        names = tuple(w.name for w in renewal.workers)
+        return self._desired.desired(
+            self._machine.state, self._group.applied_index, renewal.agent, names
+        )
+
+    def _replica_addresses(self) -> tuple[str, ...]:
+        return tuple(m.datagram for m in self._group.members())
+
+    @mode.Service.task
+    async def _push_changes(self) -> None:
+        """Sends changed desired states at once, without waiting for renewals."""
+        seen = -1
+        while not self.should_stop:
+            seen = await self._board.applied.changed(seen)
+            if self._leadership.active():
+                self._push_all()
+
+    def _push_all(self) -> None:
+        for view in self._board.agents.get().values():
+            wanted = self._wanted(view.renewal)
+            if wanted.version == view.renewal.desired_version:
+                continue
+            push = wire.Grant(
+                term=self._group.term,
+                echo_ms=0,
+                lease_ms=0,
+                leader_id=self._cfg.replica_id,
+                replicas=(),
+                desired=wanted,
+            )
+            self._send(push, view.address)
+
+    def _send(
+        self, grant: wire.Grant, address: board_lib.DatagramAddress
+    ) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(codec.encode(grant), address)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams to a callback."""
+
+    def __init__(self, callback):
+        self._callback = callback
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        self._callback(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        logger.debug("datagram error: %s", exc)
+
+
+def _is_older(renewal: wire.Renewal, known: wire.Renewal) -> bool:
+    same = renewal.incarnation == known.incarnation
+    return same and renewal.sent_ms < known.sent_ms
+
+
+def _differs(renewal: wire.Renewal, known: wire.Renewal) -> bool:
+    """Says whether a report changed in more than load and progress."""
+    return _essence(renewal) != _essence(known)
+
+
+def _essence(renewal: wire.Renewal) -> tuple:
+    return (
+        renewal.incarnation,
+        renewal.desired_version,
+        renewal.revision,
+        renewal.http,
+        renewal.draining,
+        renewal.workers,
+        [
+            (e.name, e.service, e.slots, e.leaving, e.healthy)
+            for e in renewal.endpoints
+        ],
+        [(t.job_id, t.attempt, t.worker, t.state) for t in renewal.tasks],
+    )
--- /dev/null
+++ b/bilberryroute/replica/queries.py
@@ -0,0 +1,217 @@
+"""Answers to queries, from the replicated state and the leader's board."""
+
+import collections
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.consensus import group as group_lib
+from bilberryroute.model import jobs
+from bilberryroute.model import queries
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import desired as desired_lib
+from bilberryroute.replica import jobs as job_controller
+from bilberryroute.state import jobs as job_rules
+from bilberryroute.state import machine as machine_lib
+
+
+class QueryDesk:
+    """Answers the queries that entries pass on."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        board: board_lib.ReplicaBoard,
+        group: group_lib.ReplicaGroup,
+        machine: machine_lib.StateMachine,
+        controller: job_controller.JobController,
+        clock: clock_lib.Clock,
+    ):
+        self._cfg = cfg
+        self._board = board
+        self._group = group
+        self._machine = machine
+        self._controller = controller
+        self._clock = clock
+
+    def answer(self, query: queries.Query) -> queries.Answer:
+        """Returns the answer; only a leader may call this.
+
+        Raises:
+          errors.NotFound: If the object asked for does not exist.
+        """
+        match query:
+            case queries.GetTicket(number=number):
+                return self._ticket(number)
+            case queries.GetJob(job_id=job_id):
+                return self._job(job_id)
+            case queries.ListJobs(account=account):
+                return self._jobs(account)
+            case queries.GetStatus():
+                return self._status()
+        raise errors.MalformedInput(f"unknown query {query!r}")
+
+    def _ticket(self, number: int) -> queries.TicketView:
+        record = self._machine.state.tickets.get(number)
+        if record is None:
+            raise errors.NotFound(f"there is no ticket {number}")
+        revisions = self._revisions()
+        return queries.TicketView(
+            number=number,
+            digest=record.digest,
+            ticket=record.ticket,
+            accepted_at_ms=record.accepted_ms,
+            applied_by=tuple(n for n, r in revisions if r >= number),
+            pending=tuple(n for n, r in revisions if r < number),
+        )
+
+    def _revisions(self) -> list[tuple[str, int]]:
+        """Returns the revision in force in every process heard lately."""
+        bound = self._cfg.timing.agent_lease_ms
+        now = self._clock.now()
+        agents = [
+            (f"agent {name}", view.renewal.revision)
+            for name, view in self._board.agents.get().items()
+            if now - view.heard_ms <= bound
+        ]
+        entries = [
+            (f"entry {name}", view.revision)
+            for name, view in self._board.entries.get().items()
+            if now - view.heard_ms <= bound
+        ]
+        return sorted(agents + entries)
+
+    def _job(self, job_id: str) -> queries.JobView:
+        record = self._machine.state.jobs.get(job_id)
+        if record is None:
+            raise errors.NotFound(f"there is no job {job_id!r}")
+        return queries.JobView(record=record, explanation=self._explain(record))
+
+    def _explain(self, record: jobs.JobRecord) -> str:
+        scheduler = self._controller.scheduler
+        if scheduler is None or record.phase != jobs.JobPhase.QUEUED:
+            return record.reason
+        explanation = scheduler.explain(record.job.id, self._clock.wall())
+        return explanation.text if explanation else record.reason
+
+    def _jobs(self, account: str) -> queries.JobList:
+        records = self._machine.state.jobs.values()
+        chosen = [r for r in records if account in ("", r.job.account)]
+        return queries.JobList(records=tuple(chosen))
+
+    def _status(self) -> queries.StatusView:
+        state = self._machine.state
+        last = state.tickets.get(state.configuration.revision)
+        counts = collections.Counter(r.phase for r in state.jobs.values())
+        scheduler = self._controller.scheduler
+        return queries.StatusView(
+            term=self._group.term,
+            leader_id=self._cfg.replica_id,
+            revision=state.configuration.revision,
+            now_ms=self._clock.wall(),
+            revision_since_ms=last.accepted_ms if last else 0,
+            replicas=self._replicas(),
+            agents=self._agents(),
+            entries=tuple(
+                queries.EntryView(name=name, revision=view.revision)
+                for name, view in sorted(self._board.entries.get().items())
+            ),
+            failure_domains=self._domains(),
+            workers=self._workers(),
+            jobs=tuple(
+                queries.PhaseCount(phase=phase, jobs=counts[phase])
+                for phase in jobs.JobPhase
+            ),
+            gangs=self._gangs(),
+            shortfalls=tuple(map(str, scheduler.shortfalls()))
+            if scheduler
+            else (),
+            violations=tuple(map(str, scheduler.check())) if scheduler else (),
+        )
+
+    def _replicas(self) -> tuple[queries.ReplicaView, ...]:
+        return tuple(
+            queries.ReplicaView(
+                id=member.id,
+                grpc=member.grpc,
+                role="leader" if member.id == self._cfg.replica_id else "voter",
+            )
+            for member in self._group.members()
+        )
+
+    def _agents(self) -> tuple[queries.AgentView, ...]:
+        now = self._clock.now()
+        lease_ms = self._cfg.timing.agent_lease_ms
+        return tuple(
+            queries.AgentView(
+                name=name,
+                incarnation=view.renewal.incarnation,
+                failure_domain=view.renewal.failure_domain,
+                revision=view.renewal.revision,
+                lease_left_ms=max(0, view.heard_ms + lease_ms - now),
+                draining=view.renewal.draining,
+                endpoints=len(view.renewal.endpoints),
+                workers=len(view.renewal.workers),
+            )
+            for name, view in sorted(self._board.agents.get().items())
+        )
+
+    def _domains(self) -> tuple[queries.DomainView, ...]:
+        state = self._machine.state
+        since = {
+            domain.name: record.accepted_ms
+            for record in state.tickets.values()
+            for domain in record.ticket.failure_domains
+        }
+        domains = state.configuration.failure_domains.values()
+        return tuple(
+            queries.DomainView(
+                name=domain.name,
+                in_service=domain.in_service,
+                since_ms=since.get(domain.name, 0),
+            )
+            for domain in domains
+        )
+
+    def _workers(self) -> tuple[queries.WorkerView, ...]:
+        state = self._machine.state
+        return tuple(
+            queries.WorkerView(
+                worker=worker,
+                free=worker.accelerators - len(state.held.get(name, {})),
+                in_service=job_rules.worker_in_service(state, name),
+            )
+            for name, worker in sorted(state.workers.items())
+        )
+
+    def _gangs(self) -> tuple[queries.GangView, ...]:
+        active = desired_lib.active_records(self._machine.state)
+        return tuple(self._gang(record) for record in active)
+
+    def _gang(self, record: jobs.JobRecord) -> queries.GangView:
+        workers = self._machine.state.workers
+        names = [p.worker for p in record.assignments if p.worker in workers]
+        states = collections.Counter(self._task_states(record))
+        ended = sum(states[r.value] for r in jobs.TaskResult)
+        return queries.GangView(
+            job_id=record.job.id,
+            account=record.job.account,
+            attempt=record.attempt,
+            phase=record.phase,
+            phase_since_ms=record.phase_since_ms,
+            failure_domains=tuple(
+                sorted({workers[name].failure_domain for name in names})
+            ),
+            tasks=len(record.assignments),
+            running=states["running"],
+            ended=ended,
+        )
+
+    def _task_states(self, record: jobs.JobRecord) -> list[str]:
+        found = []
+        for part in record.assignments:
+            view = self._board.agent_of(part.worker)
+            key = (record.job.id, record.attempt, part.worker)
+            if view is not None and key in view.tasks:
+                found.append(view.tasks[key].state)
+        return found
--- /dev/null
+++ b/bilberryroute/replica/workers.py
@@ -0,0 +1,72 @@
+"""Commits which workers are present."""
+
+import asyncio
+
+import mode
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import settings
+from bilberryroute.model import commands
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import leadership as leadership_lib
+from bilberryroute.replica import proposer as proposer_lib
+from bilberryroute.state import machine as machine_lib
+
+LOST_RENEWALS = 3
+CHECK_MS = clock_lib.Millis(250)
+
+
+class WorkerController(mode.Service):
+    """Turns reports, and their absence, into `JoinWorker` and `LoseWorker`."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        board: board_lib.ReplicaBoard,
+        leadership: leadership_lib.Leadership,
+        machine: machine_lib.StateMachine,
+        proposer: proposer_lib.Proposer,
+        clock: clock_lib.Clock,
+    ):
+        super().__init__()
+        self._board = board
+        self._leadership = leadership
+        self._machine = machine
+        self._proposer = proposer
+        self._clock = clock
+        self._silence_ms = LOST_RENEWALS * cfg.timing.renewal_ms
+
+    @mode.Service.task
+    async def _check_presence(self) -> None:
+        while not self.should_stop:
+            await self.sleep(clock_lib.seconds(CHECK_MS))
+            if not self._leadership.active():
+                continue
+            changes = [*self._joined(), *self._lost()]
+            await asyncio.gather(*map(self._proposer.try_propose, changes))
+
+    def _joined(self) -> list[commands.Command]:
+        known = self._machine.state.workers
+        at_ms = self._clock.wall()
+        return [
+            commands.JoinWorker(worker=worker, at_ms=at_ms)
+            for view in self._board.agents.get().values()
+            for worker in view.renewal.workers
+            if known.get(worker.name) != worker and self._is_fresh(worker.name)
+        ]
+
+    def _lost(self) -> list[commands.Command]:
+        at_ms = self._clock.wall()
+        return [
+            commands.LoseWorker(
+                name=worker.name, incarnation=worker.incarnation, at_ms=at_ms
+            )
+            for worker in self._machine.state.workers.values()
+            if not self._is_fresh(worker.name)
+        ]
+
+    def _is_fresh(self, worker: str) -> bool:
+        """Says whether the worker was heard lately; a new leader waits first."""
+        began = self._board.term.get().began
+        heard = max(self._board.worker_heard.get(worker, began), began)
+        return self._clock.now() - heard < self._silence_ms
--- /dev/null
+++ b/bilberryroute/state/machine.py
@@ -0,0 +1,130 @@
+"""State machine of the replicated log.
+
+Deterministic: what a command does depends on the state and the command only.
+"""
+
+import dataclasses
+import hashlib
+from collections.abc import Callable
+
+from bilberryroute import errors
+from bilberryroute.model import commands
+from bilberryroute.model import jobs
+from bilberryroute.state import claims
+from bilberryroute.state import jobs as job_rules
+from bilberryroute.state import records
+from bilberryroute.state import tickets
+from bilberryroute.transport import codec
+
+COMMANDS = codec.Union(
+    commands.ApplyTicket,
+    commands.SubmitJob,
+    commands.CancelJobs,
+    commands.RefuseJob,
+    commands.PlaceJob,
+    commands.StartJob,
+    commands.StopJob,
+    commands.ReleaseJob,
+    commands.JoinWorker,
+    commands.LoseWorker,
+    commands.ClaimRequest,
+)
+
+RESULTS = codec.Union(
+    commands.TicketAccepted,
+    commands.TicketRefused,
+    commands.ClaimHeld,
+    commands.ClaimRefused,
+    commands.JobAccepted,
+    commands.JobRefused,
+    commands.Changed,
+    commands.Unchanged,
+)
+
+Listener = Callable[[commands.Command, commands.Result], None]
+
+_snapshots = codec.Decoder(records.State)
+
+
+class StateMachine:
+    """Applies committed commands; implements `consensus` `Applier`.
+
+    Attributes:
+      state: Present state; read it, change it through commands only.
+      listeners: Called after each command, in log order.
+    """
+
+    def __init__(self):
+        self.state = records.State()
+        self.listeners: list[Listener] = []
+
+    def apply(self, index: int, term: int, payload: bytes) -> commands.Result:
+        """Applies one committed command and returns its result."""
+        del term
+        command = COMMANDS.decode(payload)
+        self.state.at_ms = max(self.state.at_ms, command.at_ms)
+        result = self._dispatch(command)
+        self.state.index = index
+        match result:
+            case commands.Changed():
+                result = commands.Changed(revision=index)
+                self.state.scheduling_index = index
+            case commands.TicketAccepted() | commands.JobAccepted():
+                self.state.scheduling_index = index
+        for listener in self.listeners:
+            listener(command, result)
+        return result
+
+    def _dispatch(self, command: commands.Command) -> commands.Result:
+        state = self.state
+        match command:
+            case commands.ApplyTicket():
+                return tickets.apply_ticket(state, command)
+            case commands.SubmitJob():
+                return job_rules.submit(state, command)
+            case commands.CancelJobs():
+                return job_rules.cancel(state, command)
+            case commands.RefuseJob():
+                return job_rules.refuse(state, command)
+            case commands.PlaceJob():
+                return job_rules.place(state, command)
+            case commands.StartJob():
+                return job_rules.start(state, command)
+            case commands.StopJob():
+                return job_rules.stop(state, command)
+            case commands.ReleaseJob():
+                return job_rules.release(state, command)
+            case commands.JoinWorker(worker=worker):
+                return self._join(worker)
+            case commands.LoseWorker(name=name, incarnation=incarnation):
+                return self._lose(name, incarnation)
+            case commands.ClaimRequest():
+                return claims.claim_request(state, command)
+        raise errors.MalformedInput(f"unknown command {command!r}")
+
+    def _join(self, worker: jobs.Worker) -> commands.Result:
+        if self.state.workers.get(worker.name) == worker:
+            return commands.Unchanged(reason="the worker is known")
+        self.state.workers[worker.name] = worker
+        return commands.Changed(revision=0)
+
+    def _lose(self, name: str, incarnation: str) -> commands.Result:
+        known = self.state.workers.get(name)
+        if known is None or known.incarnation != incarnation:
+            return commands.Unchanged(reason="another incarnation is present")
+        del self.state.workers[name]
+        return commands.Changed(revision=0)
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state in binary form."""
+        return codec.encode(self.state)
+
+    def restore(self, payload: bytes) -> None:
+        """Replaces the state by a snapshot's."""
+        self.state = _snapshots.decode(payload)
+
+
+def digest_of(state: records.State) -> str:
+    """Returns a digest that equal states share, to compare replicas."""
+    plain = dataclasses.replace(state, index=0)
+    return hashlib.sha256(codec.encode(plain)).hexdigest()
--- /dev/null
+++ b/bilberryroute/state/records.py
@@ -0,0 +1,70 @@
+"""Everything that the replicated log has brought about."""
+
+import dataclasses
+
+from bilberryroute.model import config
+from bilberryroute.model import jobs as job_model
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TicketRecord:
+    """An accepted ticket.
+
+    Attributes:
+      accepted_ms: Unix time of acceptance in milliseconds.
+      short_guarantees: Accounts whose guarantees the change left short.
+    """
+
+    ticket: config.Ticket
+    digest: str
+    accepted_ms: int
+    short_guarantees: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """The agent that alone may run one request.
+
+    Attributes:
+      expires_ms: Unix time in milliseconds until which it is remembered.
+    """
+
+    request_id: str
+    account: str
+    service: str
+    fingerprint: str
+    agent: str
+    incarnation: str
+    endpoint: str
+    expires_ms: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class State:
+    """State of the whole system, equal on every replica at one log index.
+
+    Attributes:
+      index: Log index of the last command applied.
+      scheduling_index: Log index of the last command that changed anything
+        but claims.
+      at_ms: Highest `at_ms` applied; time as far as the state knows it.
+      tickets: Accepted tickets by number; the oldest are dropped.
+      workers: Workers that are present, by name.
+      jobs: Jobs by id; the oldest ended ones are dropped.
+      ended: Ids of ended jobs, oldest first.
+      held: Job that holds each accelerator, by worker and index.
+      claims: Claims by account and request id, oldest first.
+    """
+
+    index: int = 0
+    scheduling_index: int = 0
+    at_ms: int = 0
+    configuration: config.Configuration = dataclasses.field(
+        default_factory=config.Configuration
+    )
+    tickets: dict[int, TicketRecord] = dataclasses.field(default_factory=dict)
+    workers: dict[str, job_model.Worker] = dataclasses.field(default_factory=dict)
+    jobs: dict[str, job_model.JobRecord] = dataclasses.field(default_factory=dict)
+    ended: list[str] = dataclasses.field(default_factory=list)
+    held: dict[str, dict[int, str]] = dataclasses.field(default_factory=dict)
+    claims: dict[str, Claim] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/bilberryroute/transport/control.py
@@ -0,0 +1,28 @@
+"""Methods that the leading replica serves to entries over gRPC."""
+
+from bilberryroute.model import control
+from bilberryroute.model import queries
+from bilberryroute.model import wire
+from bilberryroute.transport import codec
+
+SERVICE = "bilberryroute.Control"
+PROPOSE = "Propose"
+QUERY = "Query"
+WATCH = "Watch"
+
+QUERIES = codec.Union(
+    queries.GetTicket, queries.GetJob, queries.ListJobs, queries.GetStatus
+)
+
+ANSWERS = codec.Union(
+    queries.TicketView, queries.JobView, queries.JobList, queries.StatusView
+)
+
+REPLIES = codec.Decoder(control.Reply)
+WATCH_REQUESTS = codec.Decoder(wire.WatchRequest)
+WATCH_EVENTS = codec.Decoder(wire.WatchEvent)
+
+
+def path(method: str) -> str:
+    """Returns the full gRPC name of a method."""
+    return f"/{SERVICE}/{method}"
