--- /dev/null
+++ b/bilberryroute/consensus/records.py
@@ -0,0 +1,134 @@
+"""What the replicated log holds: entries, membership, snapshots, hard state."""
+
+import enum
+from dataclasses import dataclass
+from dataclasses import replace
+
+from bilberryroute import settings
+from bilberryroute.transport import codec
+
+_ID_SEPARATOR = "#"
+
+
+class EntryKind(enum.StrEnum):
+    """Who reads an entry: the state machine, or consensus itself."""
+
+    COMMAND = "command"
+    NOOP = "noop"
+    MEMBERSHIP = "membership"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """One entry of the log.
+
+    Attributes:
+      index: Position, from 1.
+      term: Term of the leader that appended it.
+      kind: Who reads it.
+      payload: A command, an encoded `Membership`, or nothing.
+    """
+
+    index: int
+    term: int
+    kind: EntryKind = EntryKind.COMMAND
+    payload: bytes = b""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """One replica of the group.
+
+    Attributes:
+      id: Identity of its data folder: replica id, `#`, token.
+      address: Where it listens.
+      voter: Whether it counts in majorities; a learner does not.
+    """
+
+    id: str
+    address: settings.ReplicaAddress
+    voter: bool = True
+
+    @property
+    def replica_id(self) -> str:
+        """Name of the replica in the settings."""
+        return replica_id(self.id)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Membership:
+    """All replicas of the group from one entry on."""
+
+    members: tuple[Member, ...] = ()
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Identities that count in majorities."""
+        return tuple(m.id for m in self.members if m.voter)
+
+    @property
+    def quorum(self) -> int:
+        """Size of a majority of the voters."""
+        return len(self.voters) // 2 + 1
+
+    def find(self, member_id: str) -> Member | None:
+        """Returns the member of that identity, if there is one."""
+        return next((m for m in self.members if m.id == member_id), None)
+
+    def with_member(self, member: Member) -> "Membership":
+        """Returns the membership with a member added or replaced."""
+        kept = tuple(m for m in self.members if m.id != member.id)
+        return replace(self, members=(*kept, member))
+
+    def without(self, member_id: str) -> "Membership":
+        """Returns the membership without a member."""
+        kept = tuple(m for m in self.members if m.id != member_id)
+        return replace(self, members=kept)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HardState:
+    """What a replica must not forget.
+
+    Attributes:
+      term: Highest term seen.
+      vote: Identity voted for in that term, or empty.
+      group: Group that the data folder is bound to, or empty.
+    """
+
+    term: int = 0
+    vote: str = ""
+    group: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """State after an entry, in place of all entries up to it."""
+
+    index: int = 0
+    term: int = 0
+    membership: Membership = Membership()
+    payload: bytes = b""
+
+
+_membership_decoder = codec.Decoder(Membership)
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Returns the payload of a membership entry."""
+    return codec.encode(membership)
+
+
+def decode_membership(payload: bytes) -> Membership:
+    """Returns the membership in a membership entry's payload."""
+    return _membership_decoder.decode(payload)
+
+
+def identity(replica: str, token: str) -> str:
+    """Returns the identity of one data folder of a replica."""
+    return f"{replica}{_ID_SEPARATOR}{token}"
+
+
+def replica_id(member_id: str) -> str:
+    """Returns the replica's name without the token of its data folder."""
+    return member_id.partition(_ID_SEPARATOR)[0]
--- /dev/null
+++ b/bilberryroute/consensus/storage.py
@@ -0,0 +1,276 @@
+"""Durable log of one replica: segments of frames, snapshots and an identity.
+
+A failed write or sync ends the use of the folder until it is opened again,
+because what the file then holds is not known.
+"""
+
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bilberryroute import errors
+from bilberryroute.consensus import files as files_lib
+from bilberryroute.consensus import frames
+from bilberryroute.consensus import messages
+from bilberryroute.consensus import records
+from bilberryroute.transport import codec
+
+_LOCK = "lock"
+_IDENTITY = "identity"
+_SEGMENT = "log-"
+_SNAPSHOT = "snapshot-"
+_TEMPORARY = ".new"
+_TOKEN_BYTES = 6
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Content of the identity file."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Record:
+    """One frame of a segment.
+
+    Attributes:
+      checkpoint: Index of the snapshot that, with these entries, stands for
+        everything before this record; None for a plain record.
+      hard_state: New hard state, or None if unchanged.
+      entries: Replace the log from the first one's index on.
+    """
+
+    checkpoint: int | None = None
+    hard_state: records.HardState | None = None
+    entries: tuple[records.Entry, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True)
+class Recovered:
+    """What the folder held when it was opened."""
+
+    id: str
+    hard_state: records.HardState
+    snapshot: records.Snapshot
+    entries: list[records.Entry]
+
+
+_record_decoder = codec.Decoder(Record)
+_identity_decoder = codec.Decoder(Identity)
+_snapshot_decoder = codec.Decoder(records.Snapshot)
+
+
+class LogStorage:
+    """The log in one folder; calls block and belong on one thread."""
+
+    def __init__(self, files: files_lib.Files, segment_bytes: int):
+        self._files = files
+        self._segment_bytes = segment_bytes
+        self._failure: OSError | None = None
+        self._lock: int | None = None
+        self._segment: int | None = None
+        self._number = 0
+        self._size = 0
+
+    def open(self, replica: str) -> Recovered:
+        """Takes the folder, recovers the log and cuts a torn tail.
+
+        Args:
+          replica: Replica id, for the identity of an empty folder.
+
+        Raises:
+          errors.LogDamaged: If anything but the tail is damaged.
+          errors.StorageError: If the folder cannot be used.
+        """
+        try:
+            self._lock = self._files.lock(_LOCK)
+            if _IDENTITY not in self._files.names():
+                self._create(replica)
+            return self._recover()
+        except errors.LogDamaged:
+            self.close()
+            raise
+        except OSError as exc:
+            self.close()
+            raise errors.StorageError(f"cannot open the log: {exc}") from exc
+
+    def write(self, writes: Sequence[messages.Write]) -> None:
+        """Makes writes durable with one sync.
+
+        Raises:
+          errors.StorageError: If that fails, now or at any time before.
+        """
+        if self._failure is not None:
+            raise errors.StorageError(f"log failed before: {self._failure}")
+        try:
+            self._write(writes)
+        except OSError as exc:
+            self._failure = exc
+            raise errors.StorageError(f"cannot write the log: {exc}") from exc
+
+    def close(self) -> None:
+        """Gives the folder back."""
+        for descriptor in (self._segment, self._lock):
+            if descriptor is not None:
+                self._files.close(descriptor)
+        self._segment = None
+        self._lock = None
+
+    def _write(self, writes: Sequence[messages.Write]) -> None:
+        buffer = bytearray()
+        for write in writes:
+            if write.snapshot is not None:
+                self._append(bytes(buffer))
+                buffer.clear()
+                self._checkpoint(write)
+                continue
+            record = Record(hard_state=write.hard_state, entries=write.entries)
+            buffer += frames.frame(codec.encode(record))
+        self._append(bytes(buffer))
+
+    def _append(self, content: bytes) -> None:
+        if not content:
+            return
+        if self._size >= self._segment_bytes:
+            self._start_segment()
+        self._files.write(self._segment, content)
+        self._files.sync(self._segment)
+        self._size += len(content)
+
+    def _checkpoint(self, write: messages.Write) -> None:
+        name = f"{_SNAPSHOT}{write.snapshot.index:020d}"
+        self._write_file(name, codec.encode(write.snapshot))
+        record = Record(
+            checkpoint=write.snapshot.index,
+            hard_state=write.hard_state,
+            entries=write.tail,
+        )
+        self._start_segment()
+        self._append(frames.frame(codec.encode(record)))
+        self._remove_before(self._number, name)
+
+    def _start_segment(self) -> None:
+        if self._segment is not None:
+            self._files.close(self._segment)
+            self._segment = None
+        self._number += 1
+        self._segment = self._files.open_append(_segment_name(self._number))
+        self._files.sync_folder()
+        self._size = 0
+
+    def _remove_before(self, number: int, snapshot: str) -> None:
+        for name in self._files.names():
+            old_segment = name.startswith(_SEGMENT) and (
+                name < _segment_name(number)
+            )
+            old_snapshot = name.startswith(_SNAPSHOT) and name < snapshot
+            if old_segment or old_snapshot:
+                self._files.remove(name)
+
+    def _write_file(self, name: str, payload: bytes) -> None:
+        temporary = name + _TEMPORARY
+        self._files.remove(temporary)
+        descriptor = self._files.open_append(temporary)
+        try:
+            self._files.write(descriptor, frames.frame(payload))
+            self._files.sync(descriptor)
+        finally:
+            self._files.close(descriptor)
+        self._files.rename(temporary, name)
+        self._files.sync_folder()
+
+    def _create(self, replica: str) -> None:
+        leftover = [n for n in self._files.names() if n.startswith(_SNAPSHOT)]
+        if leftover or len(self._segments()) > 1:
+            raise errors.LogDamaged("the identity file is missing")
+        for name in self._segments():
+            self._files.remove(name)
+        self._start_segment()
+        empty = Record(checkpoint=0, hard_state=records.HardState())
+        self._append(frames.frame(codec.encode(empty)))
+        token = secrets.token_hex(_TOKEN_BYTES)
+        identity = Identity(id=records.identity(replica, token))
+        self._write_file(_IDENTITY, codec.encode(identity))
+
+    def _segments(self) -> list[str]:
+        return [n for n in self._files.names() if n.startswith(_SEGMENT)]
+
+    def _recover(self) -> Recovered:
+        identity = _identity_decoder.decode(self._single(_IDENTITY))
+        recovered = Recovered(
+            id=identity.id,
+            hard_state=records.HardState(),
+            snapshot=records.Snapshot(),
+            entries=[],
+        )
+        checkpoint = self._replay(recovered)
+        if checkpoint:
+            name = f"{_SNAPSHOT}{checkpoint:020d}"
+            payload = self._single(name)
+            recovered.snapshot = _snapshot_decoder.decode(payload)
+        return recovered
+
+    def _single(self, name: str) -> bytes:
+        if name not in self._files.names():
+            raise errors.LogDamaged(f"{name} is missing")
+        found = frames.scan(self._files.read(name))
+        if len(found.payloads) != 1 or found.damaged:
+            raise errors.LogDamaged(f"{name} fails its checksum")
+        return found.payloads[0]
+
+    def _replay(self, recovered: Recovered) -> int:
+        checkpoint = None
+        segments = self._segments()
+        for position, name in enumerate(segments):
+            last = position == len(segments) - 1
+            for payload in self._payloads(name, last=last):
+                record = _decode(payload, name)
+                if record.checkpoint is not None:
+                    checkpoint = record.checkpoint
+                    recovered.entries = []
+                _extend(recovered, record, name)
+        if checkpoint is None:
+            raise errors.LogDamaged("the log has no beginning")
+        entries = recovered.entries
+        if entries and entries[0].index > checkpoint + 1:
+            raise errors.LogDamaged("the log lacks its first entries")
+        return checkpoint
+
+    def _payloads(self, name: str, *, last: bool) -> tuple[bytes, ...]:
+        content = self._files.read(name)
+        found = frames.scan(content)
+        torn = found.size < len(content)
+        if found.damaged or (torn and not last):
+            raise errors.LogDamaged(f"{name} is damaged at byte {found.size}")
+        if last:
+            self._number = int(name.removeprefix(_SEGMENT))
+            self._segment = self._files.open_append(name)
+            self._size = found.size
+            if torn:
+                self._files.truncate(self._segment, found.size)
+                self._files.sync(self._segment)
+        return found.payloads
+
+
+def _segment_name(number: int) -> str:
+    return f"{_SEGMENT}{number:012d}"
+
+
+def _decode(payload: bytes, name: str) -> Record:
+    try:
+        return _record_decoder.decode(payload)
+    except errors.MalformedInput as exc:
+        raise errors.LogDamaged(f"{name}: {exc.message}") from exc
+
+
+def _extend(recovered: Recovered, record: Record, name: str) -> None:
+    if record.hard_state is not None:
+        recovered.hard_state = record.hard_state
+    for entry in record.entries:
+        entries = recovered.entries
+        if entries and entry.index > entries[-1].index + 1:
+            raise errors.LogDamaged(f"{name} lacks entries")
+        while entries and entries[-1].index >= entry.index:
+            entries.pop()
+        entries.append(entry)
