Decide placement, gangs and reclaim of guarantees

The leader's controllers need decisions to integrate with. Every guaranteed block is bound to accelerators on definite workers, and blocks never overlap; a job is protected while it lies within its own account's blocks. So stopping only unprotected jobs always frees each block in place.

Ruled out for now: binding accelerators by index, because adjacency ends at the worker and counts per worker say the same.

Queue order, reservations, learned run times, quarantine and defragmentation are still to come.

--- /dev/null
+++ b/bilberryroute/scheduling/capacity.py
@@ -0,0 +1,189 @@
+"""Capacity as a tree: accelerator, aligned block, worker, rack, domain.
+
+Room is counted in accelerators. A task that needs more processors or memory
+than its accelerators' share of the worker also uses up the share of others,
+called its padding, so that room on a worker is never short of either.
+"""
+
+import dataclasses
+
+from bilberryroute.model import jobs
+
+RackKey = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One worker and what is held on it.
+
+    Attributes:
+      free: Indexes of free accelerators, ascending.
+      padding: Accelerators left idle beside tasks that use their processors
+        or memory.
+      promised: Accelerators kept for a reclaimed guarantee, free or not yet.
+      reserved: Accelerators kept for a large job, free or not yet.
+      in_service: Whether operators have it and its failure domain in service.
+      quarantined: Whether it fails every task, and is left out.
+      probing: Whether it is tried with one task after a quarantine.
+      opens_ms: Clock reading from which jobs beyond guarantees may start.
+    """
+
+    worker: jobs.Worker
+    free: list[int]
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
+    padding: int = 0
+    promised: int = 0
+    reserved: int = 0
+    in_service: bool = True
+    quarantined: bool = False
+    probing: bool = False
+    opens_ms: int = 0
+
+    @property
+    def room(self) -> int:
+        """Accelerators free and not left idle as padding."""
+        return len(self.free) - self.padding
+
+    @property
+    def sound(self) -> bool:
+        """Whether guarantees may be bound here."""
+        return self.in_service and not self.quarantined and not self.probing
+
+    @property
+    def used(self) -> int:
+        """Accelerators held, with padding."""
+        return self.worker.accelerators - self.room
+
+    @property
+    def rack(self) -> RackKey:
+        """The rack, unique over failure domains."""
+        return (self.worker.failure_domain, self.worker.rack)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What one accelerator of a job needs beside it."""
+
+    cores: int = 0
+    memory_mb: int = 0
+
+    def most(self, worker: jobs.Worker, room: int) -> int:
+        """Returns how many of the job's accelerators fit into `room`."""
+        count = room
+        if self.cores:
+            share = worker.accelerators * self.cores
+            count = min(count, room * worker.cores // share)
+        if self.memory_mb:
+            share = worker.accelerators * self.memory_mb
+            count = min(count, room * worker.memory_mb // share)
+        return count
+
+    def units(self, worker: jobs.Worker, count: int) -> int:
+        """Returns the room that `count` accelerators use, with padding."""
+        units = count
+        if self.cores:
+            used = count * self.cores * worker.accelerators
+            units = max(units, -(-used // worker.cores))
+        if self.memory_mb:
+            used = count * self.memory_mb * worker.accelerators
+            units = max(units, -(-used // worker.memory_mb))
+        return units
+
+
+class Capacity:
+    """All known workers, grouped by rack and failure domain."""
+
+    def __init__(self):
+        self.nodes: dict[str, Node] = {}
+        self.racks: dict[RackKey, list[str]] = {}
+        self.domains: dict[str, list[RackKey]] = {}
+
+    def join(self, worker: jobs.Worker) -> Node:
+        """Adds an empty worker, replacing one of the same name."""
+        self.lose(worker.name)
+        node = Node(worker, list(range(worker.accelerators)))
+        self.nodes[worker.name] = node
+        if node.rack not in self.racks:
+            self.racks[node.rack] = []
+            racks = self.domains.setdefault(worker.failure_domain, [])
+            racks.append(node.rack)
+            racks.sort()
+        self.racks[node.rack].append(worker.name)
+        self.racks[node.rack].sort()
+        return node
+
+    def lose(self, name: str) -> None:
+        """Removes a worker with all that it held, if it is known."""
+        node = self.nodes.pop(name, None)
+        if node is None:
+            return
+        names = self.racks[node.rack]
+        names.remove(name)
+        if not names:
+            del self.racks[node.rack]
+            self.domains[node.worker.failure_domain].remove(node.rack)
+
+    def hold(self, name: str, job_id: str, count: int, units: int):
+        """Takes accelerators for a job and returns their indexes."""
+        node = self.nodes[name]
+        taken = pick(node.free, count)
+        self.hold_exact(name, job_id, taken, units)
+        return taken
+
+    def hold_exact(self, name, job_id, taken, units) -> None:
+        """Takes the accelerators named for a job."""
+        node = self.nodes[name]
+        node.free = [index for index in node.free if index not in taken]
+        node.padding += units - len(taken)
+        node.held[job_id] = units
+
+    def release(self, name: str, job_id: str, taken: tuple[int, ...]) -> None:
+        """Frees what a job held on one worker, if it still holds it."""
+        node = self.nodes.get(name)
+        if node is None or job_id not in node.held:
+            return
+        node.padding -= node.held.pop(job_id) - len(taken)
+        node.free = sorted(set(node.free) | set(taken))
+
+
+def pick(free: list[int], count: int) -> tuple[int, ...]:
+    """Chooses indexes: an aligned block, else a run, else the scattered ones.
+
+    Among aligned blocks it takes the one inside the smallest free aligned
+    block, so that larger ones stay whole.
+    """
+    size = 1
+    while size < count:
+        size *= 2
+    present = set(free)
+    best: tuple[int, int] | None = None
+    for start in free:
+        if start % size:
+            continue
+        if not present.issuperset(range(start, start + count)):
+            continue
+        around = _free_around(present, start, size)
+        if best is None or (around, start) < best:
+            best = (around, start)
+    if best is not None:
+        return tuple(range(best[1], best[1] + count))
+    for start in free:
+        if present.issuperset(range(start, start + count)):
+            return tuple(range(start, start + count))
+    return tuple(_scattered(free, count))
+
+
+def _free_around(present: set[int], start: int, size: int) -> int:
+    """Returns the size of the largest free aligned block around a start."""
+    while True:
+        parent = start - start % (2 * size)
+        if not present.issuperset(range(parent, parent + 2 * size)):
+            return size
+        start, size = parent, 2 * size
+
+
+def _scattered(free: list[int], count: int) -> list[int]:
+    """Returns the free indexes whose neighbours are least free, ascending."""
+    present = set(free)
+    ranked = sorted(free, key=lambda index: ((index ^ 1) in present, index))
+    return sorted(ranked[:count])
--- /dev/null
+++ b/bilberryroute/scheduling/checks.py
@@ -0,0 +1,136 @@
+"""Invariants of the scheduler's state, checked from scratch."""
+
+import collections
+
+from bilberryroute.scheduling import decisions
+from bilberryroute.scheduling import guarantees
+from bilberryroute.scheduling import reclaim
+from bilberryroute.scheduling import state as states
+
+
+def check(state: states.State) -> list[decisions.Violation]:
+    """Returns every invariant that the state breaks."""
+    return [
+        *_conservation(state),
+        *_whole_gangs(state),
+        *_bindings(state),
+        *_protection(state),
+        *_shortfalls(state),
+    ]
+
+
+def _violation(invariant: str, message: str) -> decisions.Violation:
+    return decisions.Violation(invariant=invariant, message=message)
+
+
+def _conservation(state: states.State):
+    """Each accelerator is free or held by exactly one job."""
+    held: dict[str, list[int]] = collections.defaultdict(list)
+    for entry in state.entries.values():
+        for each in entry.assignments:
+            node = state.tree.nodes.get(each.worker)
+            if node is not None and entry.job.id in node.held:
+                held[each.worker] += each.accelerators
+    for name, node in state.tree.nodes.items():
+        known = sorted(node.free + held[name])
+        if known != list(range(node.worker.accelerators)):
+            yield _violation(
+                "conservation", f"worker {name} accounts for {known}"
+            )
+        if node.room < 0:
+            yield _violation("conservation", f"worker {name} is overfull")
+
+
+def _whole_gangs(state: states.State):
+    """A placed job holds all its accelerators, adjacent as asked."""
+    for entry in state.entries.values():
+        if not entry.placed:
+            continue
+        count = sum(len(each.accelerators) for each in entry.assignments)
+        names = [each.worker for each in entry.assignments]
+        missing = [
+            name
+            for name in names
+            if name not in state.tree.nodes
+            or entry.job.id not in state.tree.nodes[name].held
+        ]
+        if count != entry.job.shape.accelerators or missing:
+            yield _violation(
+                "whole gangs",
+                f"job {entry.job.id} holds {count} accelerators, none on"
+                f" {missing}",
+            )
+        elif not adjacent(state, entry.job.shape, names):
+            yield _violation(
+                "adjacency", f"job {entry.job.id} is spread over {names}"
+            )
+        if any(not state.tree.nodes[name].in_service for name in names):
+            yield _violation(
+                "out of service", f"job {entry.job.id} runs out of service"
+            )
+
+
+def adjacent(state: states.State, shape, names) -> bool:
+    """Returns whether workers lie within the part that a shape asks for."""
+    groups = reclaim.parts(state.tree, shape, names)
+    return len(groups) <= 1 and sum(map(len, groups)) == len(names)
+
+
+def _bindings(state: states.State):
+    """Bound blocks are whole, adjacent, in service and do not overlap."""
+    bound: collections.Counter[str] = collections.Counter()
+    for cell in state.guarantees.cells:
+        if cell.fit is None:
+            continue
+        bound.update(cell.fit)
+        names = [name for name, count in cell.fit.items() if count]
+        if sum(cell.fit.values()) != cell.shape.accelerators:
+            yield _violation("guarantees", f"{cell} is bound in part")
+        if any(not _sound(state, name) for name in names):
+            yield _violation("guarantees", f"{cell} is bound out of service")
+        elif not adjacent(state, cell.shape, names):
+            yield _violation("guarantees", f"{cell} is not adjacent")
+    for name, count in bound.items():
+        node = state.tree.nodes.get(name)
+        if node is None or count > node.worker.accelerators:
+            yield _violation(
+                "guarantees", f"{count} accelerators are bound on {name}"
+            )
+
+
+def _sound(state: states.State, name: str) -> bool:
+    node = state.tree.nodes.get(name)
+    return node is not None and node.sound
+
+
+def _protection(state: states.State):
+    """Stopping only unprotected jobs frees all that is bound, in place."""
+    shares: dict[str, collections.Counter[str]] = {}
+    for cell in state.guarantees.cells:
+        if cell.fit is not None:
+            share = shares.setdefault(cell.account, collections.Counter())
+            share.update(cell.fit)
+    used: dict[str, collections.Counter[str]] = {}
+    for entry in state.entries.values():
+        if entry.protected:
+            counts = used.setdefault(entry.job.account, collections.Counter())
+            counts.update(entry.units)
+    for account, counts in used.items():
+        share = shares.get(account, collections.Counter())
+        for name, count in counts.items():
+            if count > share[name]:
+                yield _violation(
+                    "guarantees",
+                    f"protected jobs of {account} use {count} of"
+                    f" {share[name]} accelerators on {name}",
+                )
+
+
+def _shortfalls(state: states.State):
+    """No guarantee is short that packing from scratch would hold."""
+    short = state.guarantees.shortfalls()
+    if not short:
+        return
+    packed = guarantees.pack(state.tree, state.guarantees.cells)
+    if not guarantees.shortfalls_of(packed):
+        yield _violation("guarantees", f"{short} could be held")
--- /dev/null
+++ b/bilberryroute/scheduling/placing.py
@@ -0,0 +1,186 @@
+"""Where one waiting job goes: free room, or room to be reclaimed."""
+
+from bilberryroute.model import jobs
+from bilberryroute.scheduling import capacity
+from bilberryroute.scheduling import fitting
+from bilberryroute.scheduling import policy as policies
+from bilberryroute.scheduling import reclaim
+from bilberryroute.scheduling import state as states
+from bilberryroute.scheduling import table
+
+
+class Placer:
+    """Finds places and holds them in the state."""
+
+    def __init__(self, policy: policies.Policy, state: states.State):
+        self._policy = policy
+        self._state = state
+
+    def place_free(self, entry: table.Entry, now_ms: int) -> bool:
+        """Holds free room for a job, in its own share if it can.
+
+        Returns:
+          Whether the job now holds all its accelerators.
+        """
+        fit = self._find_free(entry, now_ms)
+        if fit is None:
+            return False
+        self._state.hold(entry, fit)
+        protected = self._state.protect(entry)
+        if not protected and self._policy.rebinding:
+            self._follow(entry)
+        return True
+
+    def place_set_aside(self, entry: table.Entry) -> bool:
+        """Holds the room set aside for a job once all of it is free."""
+        state = self._state
+        aside = state.set_asides.get(entry.job.id)
+        if aside is None:
+            return False
+        nodes = state.tree.nodes
+        if any(nodes[name].room < n for name, n in aside.units.items()):
+            return False
+        state.drop_set_aside(entry.job.id)
+        state.hold(entry, aside.fit)
+        state.protect(entry)
+        return True
+
+    def _find_free(self, entry, now_ms: int) -> fitting.Fit | None:
+        """Finds free room: own share first, then common, then borrowed."""
+        anywhere = self._find(entry, self._room(entry, now_ms))
+        own = self._find(entry, self._own_room(entry))
+        if own is not None:
+            return own
+        if anywhere is None:
+            return None
+        common = self._find(entry, self._common_room(entry, now_ms))
+        if common is not None or not self._policy.borrowing:
+            return common
+        return anywhere
+
+    def _find(self, entry, room) -> fitting.Fit | None:
+        return fitting.find(
+            self._state.tree,
+            entry.job.shape,
+            entry.need,
+            room,
+            best=self._policy.best_fit,
+        )
+
+    def _room(self, entry: table.Entry, now_ms: int) -> fitting.Room:
+        """Counts free room that nobody has set aside."""
+
+        def room(node: capacity.Node) -> int:
+            if node.opens_ms > now_ms or node.worker.name in entry.failed_on:
+                return 0
+            if node.probing and not _may_probe(node, entry):
+                return 0
+            return node.room - node.promised - node.reserved
+
+        return room
+
+    def _own_room(self, entry: table.Entry) -> fitting.Room:
+        """Counts free room within the job's own guarantee."""
+        left = self._state.guarantees.left
+
+        def room(node: capacity.Node) -> int:
+            name = node.worker.name
+            if name in entry.failed_on or not node.sound:
+                return 0
+            return min(node.room - node.promised, left(entry.job.account, name))
+
+        return room
+
+    def _common_room(self, entry: table.Entry, now_ms: int) -> fitting.Room:
+        """Counts free room that is bound for nobody."""
+        free = self._room(entry, now_ms)
+        bound = self._state.guarantees.bound
+        protected = self._state.guarantees.protected_on
+
+        def room(node: capacity.Node) -> int:
+            name = node.worker.name
+            others = node.used - protected(name) + node.promised
+            common = node.worker.accelerators - bound[name] - others
+            return min(free(node), common)
+
+        return room
+
+    def _follow(self, entry: table.Entry) -> None:
+        """Binds an idle block of the account to where the job now lies."""
+        if self._state.guarantees.follow(entry.job.account, entry.units):
+            self._state.protect(entry)
+
+    def plan_reclaim(
+        self, entry: table.Entry, now_ms: int
+    ) -> reclaim.Plan | None:
+        """Plans which jobs to stop so that the job gets its own guarantee."""
+        state = self._state
+        account = entry.job.account
+        share = {
+            name: state.guarantees.left(account, name)
+            for name in state.guarantees.share(account)
+            if name not in entry.failed_on
+        }
+        nodes = state.tree.nodes
+        room = {name: nodes[name].room - nodes[name].promised for name in share}
+        victims = self._victims(share, now_ms, entry)
+        block = reclaim.Block(
+            shape=entry.job.shape, need=entry.need, room=room, share=share
+        )
+        return reclaim.cheapest(state.tree, block, victims)
+
+    def _victims(
+        self, names, now_ms: int, owner: table.Entry
+    ) -> list[reclaim.Victim]:
+        """Lists the jobs on some workers that the owner may have stopped."""
+        found: dict[str, reclaim.Victim] = {}
+        for name in names:
+            for job_id in self._state.tree.nodes[name].held:
+                if job_id in found:
+                    continue
+                entry = self._state.entries[job_id]
+                own = entry.protected and _yields(entry, owner)
+                if entry.protected and not own:
+                    continue
+                found[job_id] = reclaim.Victim(
+                    job_id=job_id,
+                    units=entry.units,
+                    cost=self.work_lost(entry, now_ms),
+                    own=own,
+                )
+        return list(found.values())
+
+    def work_lost(self, entry: table.Entry, now_ms: int) -> int:
+        """Returns what stopping costs, in accelerator-milliseconds.
+
+        A checkpoint keeps the progress; lost are the restart and, if the
+        checkpoint is young, what the present start itself has cost.
+        """
+        if entry.phase == jobs.JobPhase.STOPPING:
+            return 0
+        weight = _KIND_WEIGHTS[entry.job.kind]
+        width = sum(entry.units.values())
+        return width * RESTART_MS * weight * (1 + entry.stops)
+
+
+def _yields(entry: table.Entry, owner: table.Entry) -> bool:
+    """Returns whether a protected job gives way to one of its own account."""
+    if entry.job.account != owner.job.account:
+        return False
+    return states.kind_rank(entry.job.kind) > states.kind_rank(owner.job.kind)
+
+
+def _may_probe(node: capacity.Node, entry: table.Entry) -> bool:
+    """Returns whether a job may try a worker that failed every task."""
+    if node.held or entry.failed_on:
+        return False
+    return entry.job.shape.accelerators <= node.worker.accelerators
+
+
+RESTART_MS = 30_000
+
+_KIND_WEIGHTS = {
+    jobs.JobKind.URGENT: 50,
+    jobs.JobKind.PLANNED: 2,
+    jobs.JobKind.NIGHTLY: 1,
+}
--- /dev/null
+++ b/bilberryroute/scheduling/state.py
@@ -0,0 +1,227 @@
+"""What the scheduler knows: capacity, guarantees, jobs and set-asides."""
+
+import dataclasses
+
+from bilberryroute.model import config
+from bilberryroute.model import jobs
+from bilberryroute.scheduling import admission
+from bilberryroute.scheduling import capacity
+from bilberryroute.scheduling import fitting
+from bilberryroute.scheduling import guarantees
+from bilberryroute.scheduling import table
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SetAside:
+    """Room kept for a job that waits until others have left it.
+
+    Attributes:
+      fit: Accelerators by worker that the job will get.
+      units: Room by worker, with padding.
+      guaranteed: Whether it counts against its account's guarantee.
+      since_ms: Clock reading at which it was made.
+      ready_ms: Clock reading at which it is expected to be free.
+    """
+
+    fit: fitting.Fit
+    units: dict[str, int]
+    guaranteed: bool
+    since_ms: int
+    ready_ms: int = 0
+
+
+class State:
+    """The scheduler's whole state, changed by small steps only.
+
+    Attributes:
+      version: Changes whenever room may have grown anywhere.
+    """
+
+    def __init__(self):
+        self.configuration = config.Configuration()
+        self.tree = capacity.Capacity()
+        self.guarantees = guarantees.Guarantees(self.tree)
+        self.entries: dict[str, table.Entry] = {}
+        self.set_asides: dict[str, SetAside] = {}
+        self.version = 0
+
+    def room_grew(self) -> None:
+        """Notes that jobs which did not fit may fit now."""
+        self.version += 1
+
+    def units(self, entry: table.Entry, fit: fitting.Fit) -> dict[str, int]:
+        """Returns the room that a placement uses, by worker."""
+        need = entry.need
+        nodes = self.tree.nodes
+        return {
+            name: need.units(nodes[name].worker, count)
+            for name, count in fit.items()
+        }
+
+    def hold(self, entry: table.Entry, fit: fitting.Fit) -> None:
+        """Takes the accelerators of a new attempt."""
+        entry.units = self.units(entry, fit)
+        entry.assignments = tuple(
+            jobs.Assignment(
+                worker=name,
+                accelerators=self.tree.hold(
+                    name, entry.job.id, count, entry.units[name]
+                ),
+            )
+            for name, count in sorted(fit.items())
+        )
+        entry.attempt += 1
+        entry.phase = jobs.JobPhase.RESERVED
+
+    def restore_hold(self, entry: table.Entry) -> bool:
+        """Takes the accelerators that a restored record names.
+
+        Returns:
+          Whether all its workers are known.
+        """
+        known = [
+            each for each in entry.assignments if each.worker in self.tree.nodes
+        ]
+        fit = {each.worker: len(each.accelerators) for each in known}
+        entry.units = self.units(entry, fit)
+        for each in known:
+            self.tree.hold_exact(
+                each.worker,
+                entry.job.id,
+                each.accelerators,
+                entry.units[each.worker],
+            )
+        return len(known) == len(entry.assignments)
+
+    def release(self, entry: table.Entry) -> None:
+        """Frees all that an attempt still holds."""
+        self.unprotect(entry)
+        for each in entry.assignments:
+            self.tree.release(each.worker, entry.job.id, each.accelerators)
+        entry.assignments = ()
+        entry.units = {}
+        self.room_grew()
+
+    def protect(self, entry: table.Entry) -> bool:
+        """Counts a job against its guarantee if it lies within it."""
+        account = entry.job.account
+        if entry.protected or not entry.units:
+            return entry.protected
+        if self.guarantees.covers(account, entry.units):
+            self.guarantees.use(account, entry.units)
+            entry.protected = True
+        return entry.protected
+
+    def unprotect(self, entry: table.Entry) -> None:
+        """Counts a job out of its guarantee."""
+        if entry.protected:
+            self.guarantees.unuse(entry.job.account, entry.units)
+            entry.protected = False
+
+    def recount_protection(self) -> None:
+        """Protects anew after bindings changed: urgent and long-running first.
+
+        Set-asides under guarantees come before running jobs; those that no
+        longer lie within a guarantee are dropped.
+        """
+        self.guarantees.clear_use()
+        for job_id, aside in list(self.set_asides.items()):
+            if aside.guaranteed and not self._reuse(job_id, aside):
+                self._forget(job_id)
+        holding = [entry for entry in self.entries.values() if entry.units]
+        for entry in holding:
+            entry.protected = False
+        for entry in sorted(holding, key=_protection_order):
+            self.protect(entry)
+        self.room_grew()
+
+    def _reuse(self, job_id: str, aside: SetAside) -> bool:
+        account = self.entries[job_id].job.account
+        if not self.guarantees.covers(account, aside.units):
+            return False
+        self.guarantees.use(account, aside.units)
+        return True
+
+    def set_aside(self, entry: table.Entry, aside: SetAside) -> None:
+        """Keeps room for a job that waits, instead of what it had kept."""
+        self.drop_set_aside(entry.job.id)
+        self.set_asides[entry.job.id] = aside
+        if aside.guaranteed:
+            self.guarantees.use(entry.job.account, aside.units)
+        for name, units in aside.units.items():
+            node = self.tree.nodes[name]
+            if aside.guaranteed:
+                node.promised += units
+            else:
+                node.reserved += units
+
+    def drop_set_aside(self, job_id: str) -> None:
+        """Gives up what was kept for a job, if anything was."""
+        aside = self.set_asides.get(job_id)
+        if aside is None:
+            return
+        if aside.guaranteed:
+            account = self.entries[job_id].job.account
+            self.guarantees.unuse(account, aside.units)
+        self._forget(job_id)
+
+    def _forget(self, job_id: str) -> None:
+        aside = self.set_asides.pop(job_id)
+        for name, units in aside.units.items():
+            node = self.tree.nodes.get(name)
+            if node is None:
+                continue
+            if aside.guaranteed:
+                node.promised -= units
+            else:
+                node.reserved -= units
+        self.room_grew()
+
+    def lose_worker(self, name: str) -> list[table.Entry]:
+        """Removes a worker and returns the jobs that had a member on it."""
+        node = self.tree.nodes.get(name)
+        if node is None:
+            return []
+        for job_id in list(self.set_asides):
+            if name in self.set_asides[job_id].units:
+                self.drop_set_aside(job_id)
+        hit = [self.entries[job_id] for job_id in node.held]
+        for entry in hit:
+            self.unprotect(entry)
+            del entry.units[name]
+        self.tree.lose(name)
+        return hit
+
+    def refresh_service(self, now_ms: int, ramp_ms: int) -> None:
+        """Takes over from the configuration which workers are in service."""
+        returned: dict[str, list[capacity.Node]] = {}
+        for node in self.tree.nodes.values():
+            wanted = admission.in_service(self.configuration, node.worker)
+            if wanted and not node.in_service:
+                domain = node.worker.failure_domain
+                returned.setdefault(domain, []).append(node)
+            node.in_service = wanted
+        for nodes in returned.values():
+            for position, node in enumerate(nodes):
+                node.opens_ms = now_ms + ramp_ms * position // len(nodes)
+        for job_id in list(self.set_asides):
+            units = self.set_asides[job_id].units
+            if not all(self.tree.nodes[name].in_service for name in units):
+                self.drop_set_aside(job_id)
+        self.room_grew()
+
+
+_KIND_RANK = {
+    jobs.JobKind.URGENT: 0,
+    jobs.JobKind.PLANNED: 1,
+    jobs.JobKind.NIGHTLY: 2,
+}
+
+
+def kind_rank(kind: jobs.JobKind) -> int:
+    """Returns how soon a kind is wanted: 0 for the soonest."""
+    return _KIND_RANK[kind]
+
+
+def _protection_order(entry: table.Entry):
+    return (kind_rank(entry.job.kind), entry.started_ms or 0, entry.job.id)
--- /dev/null
+++ b/tests/scheduling/test_guarantees.py
@@ -0,0 +1,83 @@
+import pytest
+
+from bilberryroute.scheduling import admission
+from bilberryroute.scheduling import decisions
+from bilberryroute.scheduling import events
+from bilberryroute.scheduling import policy as policies
+from tests.scheduling import session as sessions
+
+PROMISED = sessions.account("a", sessions.shape(16))
+TWO_WORKERS = (sessions.worker("w1"), sessions.worker("w2"))
+
+
+@pytest.fixture(name="pair")
+def fixture_pair():
+    return sessions.Session(
+        cfg=sessions.configuration([PROMISED, sessions.account("b")]),
+        workers=TWO_WORKERS,
+    )
+
+
+def test_owner_reclaims_in_place_by_stopping_the_borrower(pair):
+    pair.run("borrower", 4, owner="b")
+    pair.submit("owner", 16, kind="urgent")
+    (stop,) = pair.decide()
+    assert (stop.job_id, stop.checkpoint) == ("borrower", True)
+    pair.confirm_stops()
+    pair.decide()
+    assert pair.workers_of("owner") == {"w1": 8, "w2": 8}
+
+
+def test_without_preemption_the_owner_waits():
+    pair = sessions.Session(
+        policy=policies.Policy(preemption=False),
+        cfg=sessions.configuration([PROMISED, sessions.account("b")]),
+        workers=TWO_WORKERS,
+    )
+    pair.run("borrower", 4, owner="b")
+    pair.submit("owner", 16, kind="urgent")
+    assert pair.decide() == []
+
+
+def test_borrowers_do_not_take_room_that_is_being_reclaimed(pair):
+    pair.run("borrower", 16, owner="b")
+    pair.submit("owner", 16)
+    pair.decide()
+    pair.confirm_stops()
+    pair.submit("late", 4, owner="b")
+    taken = pair.decide()
+    assert [each.job_id for each in taken] == ["owner"]
+
+
+def test_guarantee_follows_its_job_to_common_room():
+    session = sessions.Session(
+        cfg=sessions.configuration(
+            [
+                sessions.account("a", sessions.shape(8)),
+                sessions.account("b", sessions.shape(8)),
+            ]
+        ),
+        workers=[*TWO_WORKERS, sessions.worker("w3")],
+    )
+    session.run("first", 8, owner="b")
+    session.run("second", 8, owner="b")
+    session.submit("owner", 8, kind="urgent")
+    assert [type(each) for each in session.decide()] == [decisions.Place]
+
+
+def test_shortfalls_name_what_does_not_fit():
+    cfg = sessions.configuration([PROMISED, sessions.account("b")])
+    assert admission.shortfalls(cfg, TWO_WORKERS) == ()
+    (short,) = admission.shortfalls(cfg, TWO_WORKERS[:1])
+    assert (short.account, short.shape.accelerators) == ("a", 16)
+
+
+def test_short_guarantees_come_back_first(pair):
+    pair.observe(events.WorkerLost(name="w2"))
+    pair.decide()
+    (short,) = pair.scheduler.shortfalls()
+    assert short.account == "a"
+    pair.run("other", 8, owner="b")
+    pair.observe(events.WorkerJoined(worker=sessions.worker("w2")))
+    pair.decide()
+    assert pair.scheduler.shortfalls() == ()
