--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -135,7 +135,7 @@
         )
 
     def _replica_addresses(self) -> tuple[str, ...]:
-        return tuple(m.datagram for m in self._group.members())
+        return tuple(m.address.datagram for m in self._group.members())
 
     @mode.Service.task
     async def _push_changes(self) -> None:
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -6,6 +6,7 @@
 from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
+from bilberryroute.consensus import records
 from bilberryroute.model import jobs
 from bilberryroute.model import queries
 from bilberryroute.replica import board as board_lib
@@ -91,8 +92,10 @@
         scheduler = self._controller.scheduler
         if scheduler is None or record.phase != jobs.JobPhase.QUEUED:
             return record.reason
-        explanation = scheduler.explain(record.job.id, self._clock.wall())
-        return explanation.text if explanation else record.reason
+        found = scheduler.explain(record.job.id, self._clock.wall())
+        waited_ms = self._clock.wall() - found.since_ms
+        waited = clock_lib.seconds(max(0, waited_ms))
+        return f"waits {waited:.0f} s for {found.waits_for}; {found.freed_by}"
 
     def _jobs(self, account: str) -> queries.JobList:
         records = self._machine.state.jobs.values()
@@ -133,12 +136,17 @@
         return tuple(
             queries.ReplicaView(
                 id=member.id,
-                grpc=member.grpc,
-                role="leader" if member.id == self._cfg.replica_id else "voter",
+                grpc=member.address.grpc,
+                role=self._replica_role(member),
             )
             for member in self._group.members()
         )
 
+    def _replica_role(self, member: records.Member) -> str:
+        if member.id == self._group.id:
+            return "leader"
+        return "voter" if member.voter else "learner"
+
     def _agents(self) -> tuple[queries.AgentView, ...]:
         now = self._clock.now()
         lease_ms = self._cfg.timing.agent_lease_ms
