Serve requests from entry to agent to endpoint, claimed ones at most once

One that is not is first bound to an agent's incarnation by a claim in the log; any entry that gets the same id then joins the same run. Resending the whole dispatch under one key replaces a separate re-attach for the first exchange: the agent runs a key once, whoever asks.

Ruled out: reused connections to endpoints, where an answer sent twice would be read as the answer to the next request; one connection serves one request.

--- /dev/null
+++ b/bilberryroute/agent/admission.py
@@ -0,0 +1,50 @@
+"""Pure decision whether an agent may start one more request."""
+
+import dataclasses
+
+from bilberryroute.agent import board as board_lib
+from bilberryroute.model import config
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """Why nothing was started.
+
+    Attributes:
+      reason: Label of the counter.
+    """
+
+    reason: str
+
+
+def check_start(
+    board: board_lib.AgentBoard,
+    failure_domain: str,
+    endpoint: str,
+    now: int,
+) -> Refusal | None:
+    """Returns why no request may start on an endpoint now, or None."""
+    if board.lease.get().left(now) == 0:
+        return Refusal(reason="no_lease")
+    if failure_domain not in board.desired.get().domains_in_service:
+        return Refusal(reason="domain_out")
+    announced = board.announcements.get().get(endpoint)
+    if announced is None:
+        return Refusal(reason="endpoint_gone")
+    if announced.leaving:
+        return Refusal(reason="endpoint_leaving")
+    return None
+
+
+def slots_of(board: board_lib.AgentBoard, endpoint: str) -> int:
+    """Returns how many requests an endpoint may run at once."""
+    announced = board.announcements.get().get(endpoint)
+    if announced is None:
+        return 1
+    service = service_of(board, announced.service)
+    return min(announced.slots, service.slots_per_endpoint)
+
+
+def service_of(board: board_lib.AgentBoard, name: str) -> config.Service:
+    """Returns a service with its limits, by default those of the model."""
+    return board.services.get().get(name) or config.Service(name=name)
--- a/bilberryroute/agent/board.py
+++ b/bilberryroute/agent/board.py
@@ -5,6 +5,7 @@
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute.model import config
+from bilberryroute.model import endpoints
 from bilberryroute.model import jobs
 from bilberryroute.model import wire
 
@@ -36,6 +37,9 @@
       desired: Last desired state; its version and revision never go back.
       services: Services by name with their limits, from `desired`.
       endpoints: Reports on the endpoints announced here, by name.
+      announcements: What each endpoint announced last, by name; an endpoint
+        whose lease ended is not in it.
+      running: Requests that each endpoint runs now, by its name.
       workers: Workers announced here, by name.
       tasks: Reports on tasks, by worker, job id and attempt.
       draining: True once the process was asked to leave.
@@ -45,6 +49,8 @@
     desired: blackboard.Cell[wire.Desired]
     services: blackboard.Cell[dict[str, config.Service]]
     endpoints: blackboard.Cell[dict[str, wire.EndpointReport]]
+    announcements: blackboard.Cell[dict[str, endpoints.Announcement]]
+    running: blackboard.Cell[dict[str, int]]
     workers: blackboard.Cell[dict[str, jobs.Worker]]
     tasks: blackboard.Cell[dict[tuple[str, str, int], wire.TaskReport]]
     draining: blackboard.Cell[bool]
@@ -65,6 +71,8 @@
         ),
         services=blackboard.Cell({}),
         endpoints=blackboard.Cell({}),
+        announcements=blackboard.Cell({}),
+        running=blackboard.Cell({}),
         workers=blackboard.Cell({}),
         tasks=blackboard.Cell({}),
         draining=blackboard.Cell(False),
--- /dev/null
+++ b/bilberryroute/agent/memory.py
@@ -0,0 +1,101 @@
+"""What an agent remembers of the keys that it ran, refused or fenced.
+
+Pure: keeps records, reads no clock and does no I/O. An answer is kept for its
+service's time; after that the key alone is kept for as long as it may come
+again, so that it is never taken for a new one.
+"""
+
+import dataclasses
+import heapq
+
+from bilberryroute.routing import protocol
+
+BYTES_MAX = 64 * 1_024 * 1_024
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Record:
+    """One key.
+
+    Attributes:
+      reply: What is known; its state is `RUNNING` until the run ends.
+      body: The endpoint's whole answer.
+      answer_until: Monotonic instant until which the answer is kept.
+      key_until: Monotonic instant until which the key is kept.
+    """
+
+    reply: protocol.Reply
+    body: bytes = b""
+    answer_until: int = 0
+    key_until: int = 0
+
+
+class Memory:
+    """Records by key, with a bound on the bytes of answers."""
+
+    def __init__(self, bytes_max: int = BYTES_MAX):
+        self.bytes = 0
+        self._bytes_max = bytes_max
+        self._records: dict[str, Record] = {}
+        self._due: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def is_full(self) -> bool:
+        """Returns whether no further answer should be taken on."""
+        return self.bytes >= self._bytes_max
+
+    def get(self, key: str, now: int) -> Record | None:
+        """Returns the record of a key, or None if it was never seen."""
+        self.expire(now)
+        return self._records.get(key)
+
+    def start(self, key: str) -> Record:
+        """Records that a key is being run."""
+        reply = protocol.Reply(key=key, state=protocol.State.RUNNING)
+        record = Record(reply=reply)
+        self._records[key] = record
+        return record
+
+    def end(
+        self,
+        key: str,
+        reply: protocol.Reply,
+        body: bytes,
+        *,
+        answer_until: int,
+        key_until: int,
+    ) -> Record:
+        """Records how a key ended, or that it is fenced."""
+        record = self._records.setdefault(key, Record(reply=reply))
+        record.reply = reply
+        record.body = body
+        record.answer_until = answer_until
+        record.key_until = max(key_until, answer_until)
+        self.bytes += len(body)
+        heapq.heappush(self._due, (answer_until, key))
+        return record
+
+    def expire(self, now: int) -> None:
+        """Drops answers, and later keys, whose time has passed."""
+        while self._due and self._due[0][0] <= now:
+            _, key = heapq.heappop(self._due)
+            self._expire_one(key, now)
+
+    def _expire_one(self, key: str, now: int) -> None:
+        record = self._records.get(key)
+        if record is None:
+            return
+        if record.key_until <= now:
+            self.bytes -= len(record.body)
+            del self._records[key]
+            return
+        if record.reply.state is not protocol.State.NOT_RUN:
+            self._drop_answer(key, record)
+        heapq.heappush(self._due, (record.key_until, key))
+
+    def _drop_answer(self, key: str, record: Record) -> None:
+        self.bytes -= len(record.body)
+        record.body = b""
+        record.reply = protocol.Reply(key=key, state=protocol.State.EXPIRED)
--- /dev/null
+++ b/bilberryroute/entry/requests.py
@@ -0,0 +1,223 @@
+"""Callers' requests: `POST /v1/services/{service}/requests`."""
+
+import asyncio
+import random
+
+from aiohttp import web
+from mode import Service
+
+from bilberryroute import api
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.entry import attempts
+from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import calls
+from bilberryroute.entry import claims as claims_lib
+from bilberryroute.entry import dispatching
+from bilberryroute.model import config
+from bilberryroute.routing import outcomes
+from bilberryroute.routing import protocol
+
+DEADLINE_DEFAULT_MS = 30_000
+DEADLINE_MAX_MS = 300_000
+IDEMPOTENT_KEPT_MS = 60_000
+
+
+class RequestService(Service):
+    """Takes callers' requests and answers each with its outcome.
+
+    Attributes:
+      metrics: Counters of the process.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        board: board_lib.EntryBoard,
+        claims: claims_lib.Proposer,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        metrics: metrics_lib.Metrics | None = None,
+    ):
+        super().__init__()
+        self._cfg = cfg
+        self._board = board
+        self._clock = clock
+        self._rng = rng
+        self.metrics = metrics or metrics_lib.Metrics()
+        self._dispatcher = dispatching.Dispatcher(
+            cfg, board, clock, rng, self.metrics
+        )
+        token = f"{cfg.host}.{rng.getrandbits(64):x}"
+        self._attempts = attempts.IdempotentRunner(self._dispatcher, token, rng)
+        self._claims = claims_lib.ClaimRunner(self._dispatcher, claims, rng)
+        self._accepting = True
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def register(self, app: web.Application) -> None:
+        """Adds the route."""
+        app.router.add_post("/v1/services/{service}/requests", self._handle)
+
+    async def drain(self) -> None:
+        """Reports not ready, accepts for the balancer's lag, then finishes."""
+        self._board.draining.set(True)
+        lag_ms = self._cfg.timing.balancer_lag_ms
+        await asyncio.sleep(clock_lib.seconds(lag_ms))
+        self._accepting = False
+        await self._idle.wait()
+
+    async def on_stop(self) -> None:
+        """Closes the connections to agents."""
+        await self._dispatcher.agents.close()
+
+    @Service.task
+    async def _follow_endpoints(self) -> None:
+        cell = self._board.endpoints
+        while not self.should_stop:
+            seen = cell.version
+            self._dispatcher.refresh()
+            await cell.changed(seen)
+
+    @Service.task
+    async def _follow_configuration(self) -> None:
+        cell = self._board.configuration
+        while not self.should_stop:
+            await cell.changed(cell.version)
+            self._dispatcher.refresh()
+
+    async def _handle(self, req: web.Request) -> web.StreamResponse:
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await self._answer(await self._read(req))
+        except errors.BilberryrouteError as exc:
+            api.count_error(self.metrics, exc)
+            resp = api.problem_response(exc)
+            resp.headers[protocol.OUTCOME_HEADER] = str(exc.outcome)
+            return resp
+        finally:
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
+
+    async def _read(self, req: web.Request) -> calls.Call:
+        service = req.match_info["service"]
+        headers = req.headers
+        account = outcomes.check_id(
+            "account",
+            api.require_account(req, headers.get(protocol.ACCOUNT_HEADER, "")),
+        )
+        given = headers.get(protocol.REQUEST_ID_HEADER)
+        request_id = given or self._new_id()
+        deadline_ms = _read_deadline(headers.get(protocol.DEADLINE_HEADER))
+        deadline = self._clock.now() + deadline_ms
+        content_type = headers.get("Content-Type", "application/octet-stream")
+        resend = _read_flag(headers, protocol.RESEND_HEADER, True)
+        limits = self._limits(service)
+        body = await api.read_body(req, self._cfg.limits.body_bytes)
+        idempotent = _read_flag(headers, protocol.IDEMPOTENT_HEADER, False)
+        kept_ms = IDEMPOTENT_KEPT_MS
+        if not idempotent:
+            kept_ms = outcomes.claim_kept_ms(request_id, limits.answer_kept_ms)
+        return calls.Call(
+            id=outcomes.check_id(protocol.REQUEST_ID_HEADER, request_id),
+            account=account,
+            service=outcomes.check_id("service", service),
+            idempotent=idempotent,
+            only_send=given is None or not resend,
+            deadline=deadline,
+            kept_ms=kept_ms,
+            content_type=content_type,
+            fingerprint=outcomes.fingerprint(service, content_type, body),
+            body=body,
+        )
+
+    async def _answer(self, call: calls.Call) -> web.StreamResponse:
+        try:
+            answered = await self._run(call)
+            resp = _answer_response(answered)
+            outcome = errors.Outcome.ANSWERED
+        except errors.BilberryrouteError as exc:
+            exc.outcome = _outcome_of(exc, call)
+            api.count_error(self.metrics, exc)
+            resp = api.problem_response(exc)
+            outcome = exc.outcome
+        labels = {"service": call.service, "outcome": str(outcome)}
+        self.metrics.requests.inc(labels)
+        resp.headers[protocol.OUTCOME_HEADER] = str(outcome)
+        resp.headers[protocol.REQUEST_ID_HEADER] = call.id
+        resp.headers[protocol.ATTEMPTS_HEADER] = str(call.attempts)
+        return resp
+
+    async def _run(self, call: calls.Call) -> calls.Answered:
+        if not self._accepting:
+            raise errors.Draining("this entry is leaving")
+        limits = self._limits(call.service)
+        if call.idempotent:
+            return await self._attempts.run(call, limits)
+        if outcomes.is_expired(
+            call.id, limits.answer_kept_ms, self._clock.wall()
+        ):
+            raise errors.AnswerExpired("the request id is too old")
+        return await self._claims.run(call, limits)
+
+    def _limits(self, service: str) -> config.Service:
+        services = self._board.configuration.get().services
+        found = services.get(service)
+        if found is None or found.removed:
+            raise errors.NotFound(f"there is no service {service!r}")
+        return found
+
+    def _new_id(self) -> str:
+        return outcomes.new_id(self._clock.wall(), self._rng.getrandbits(74))
+
+
+def _outcome_of(
+    exc: errors.BilberryrouteError, call: calls.Call
+) -> errors.Outcome:
+    if exc.outcome is errors.Outcome.UNKNOWN:
+        return exc.outcome
+    evidence = outcomes.Evidence(
+        only_send=call.only_send,
+        may_have_run=call.may_have_run,
+        unspent=call.unspent,
+    )
+    return outcomes.refusal_outcome(evidence)
+
+
+def _answer_response(answered: calls.Answered) -> web.Response:
+    reply = answered.reply
+    headers = {}
+    if reply.content_type:
+        headers["Content-Type"] = reply.content_type
+    if reply.content_encoding:
+        headers["Content-Encoding"] = reply.content_encoding
+    return web.Response(
+        body=answered.body, status=reply.status, headers=headers
+    )
+
+
+def _read_flag(headers, name: str, default: bool) -> bool:
+    match headers.get(name):
+        case None:
+            return default
+        case "true":
+            return True
+        case "false":
+            return False
+        case value:
+            raise errors.MalformedInput(f"{name} is {value!r}")
+
+
+def _read_deadline(value: str | None) -> int:
+    if value is None:
+        return DEADLINE_DEFAULT_MS
+    if not value.isdecimal() or not 0 < int(value) <= DEADLINE_MAX_MS:
+        raise errors.MalformedInput(
+            f"{protocol.DEADLINE_HEADER} must be 1 to {DEADLINE_MAX_MS}"
+        )
+    return int(value)
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -34,7 +34,7 @@
     kind: ClassVar[str] = "internal"
     remedy: str = "Report it with the log lines of this request."
     http_status: ClassVar[int] = http.HTTPStatus.INTERNAL_SERVER_ERROR
-    outcome: ClassVar[Outcome] = Outcome.UNKNOWN
+    outcome: Outcome = Outcome.UNKNOWN
     exit_status: ClassVar[status.ExitStatus] = status.ExitStatus.ERROR
 
     def __init__(
@@ -43,12 +43,15 @@
         *,
         remedy: str | None = None,
         retry_after_ms: int | None = None,
+        outcome: Outcome | None = None,
     ):
         super().__init__(message)
         self.message = message
         self.retry_after_ms = retry_after_ms
         if remedy is not None:
             self.remedy = remedy
+        if outcome is not None:
+            self.outcome = outcome
 
     def __str__(self) -> str:
         return f"{self.message} ({self.remedy})"
--- /dev/null
+++ b/bilberryroute/model/endpoints.py
@@ -0,0 +1,29 @@
+"""What an endpoint announces to the agent beside it."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Announcement:
+    """One endpoint in its own words, renewed as a lease.
+
+    Attributes:
+      name: Unique name.
+      service: Service that it serves.
+      address: Where it takes requests, `ip:port`.
+      slots: Requests that it runs at once.
+      connections: Connections that it accepts at once.
+      leaving: True once it takes nothing new.
+      running: Ids of the requests that it runs now, if it reports them.
+      answers_probes: Whether it serves `GET /requests/{id}` (see
+        docs/design/outcomes.md).
+    """
+
+    name: str
+    service: str
+    address: str
+    slots: int = 8
+    connections: int = 60
+    leaving: bool = False
+    running: tuple[str, ...] | None = None
+    answers_probes: bool = False
--- /dev/null
+++ b/bilberryroute/routing/protocol.py
@@ -0,0 +1,133 @@
+"""Messages between entry and agent, carried in one HTTP header each.
+
+An entry posts a `Dispatch` with the request's body, or an `Attach` with none;
+the agent answers either with a `Reply`, after at most `wait_ms`. The answer's
+body, if there is one, is the body of the HTTP response.
+"""
+
+import dataclasses
+import enum
+from typing import TypeVar
+
+import msgspec
+
+from bilberryroute import errors
+
+DISPATCH_HEADER = "Bilberryroute-Dispatch"
+REPLY_HEADER = "Bilberryroute-Reply"
+REQUEST_ID_HEADER = "Bilberryroute-Request-Id"
+ATTEMPT_HEADER = "Bilberryroute-Attempt"
+ATTEMPTS_HEADER = "Bilberryroute-Attempts"
+ACCOUNT_HEADER = "Bilberryroute-Account"
+IDEMPOTENT_HEADER = "Bilberryroute-Idempotent"
+DEADLINE_HEADER = "Bilberryroute-Deadline-Ms"
+RESEND_HEADER = "Bilberryroute-Resend"
+OUTCOME_HEADER = "Bilberryroute-Outcome"
+
+DISPATCH_PATH = "/internal/v1/requests"
+
+T = TypeVar("T")
+
+
+class State(enum.StrEnum):
+    """What an agent knows about one key."""
+
+    RUNNING = "running"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    EXPIRED = "expired"
+    STALE = "stale"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Dispatch:
+    """Asks an agent to run a request, or to join the run of the same key.
+
+    Attributes:
+      key: Unique for one run: a claim, or one attempt of one entry.
+      request_id: The caller's id.
+      attempt: Counts the runs that the entry has asked for; starts at 1.
+      incarnation: Incarnation of the agent that the claim names; empty for
+        an idempotent request.
+      term: Highest term that the entry has seen.
+      time_left_ms: Milliseconds until the caller's deadline.
+      kept_ms: How long the key can come again, in milliseconds.
+      wait_ms: Longest time until the reply, in milliseconds.
+    """
+
+    key: str
+    request_id: str
+    attempt: int
+    account: str
+    service: str
+    endpoint: str
+    incarnation: str
+    term: int
+    idempotent: bool
+    time_left_ms: int
+    kept_ms: int
+    wait_ms: int
+    content_type: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attach:
+    """Asks an agent what became of a key.
+
+    Attributes:
+      fence: Whether a key never seen is closed for good.
+      offset: First byte of the answer that is wanted.
+    """
+
+    key: str
+    incarnation: str
+    fence: bool
+    wait_ms: int
+    kept_ms: int
+    offset: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What an agent says about a key.
+
+    Attributes:
+      reason: Why it did not run, or is not known to have run.
+      incarnation: Incarnation of the agent that replies.
+      up_ms: How long that incarnation has been up, in milliseconds.
+      status: HTTP status of the endpoint's answer.
+      length: Bytes of the whole answer.
+      content_type: Of the endpoint's answer.
+      retry_after_ms: When a slot may be free, in milliseconds.
+    """
+
+    key: str
+    state: State
+    reason: str = ""
+    incarnation: str = ""
+    up_ms: int = 0
+    status: int = 0
+    length: int = 0
+    content_type: str = ""
+    content_encoding: str = ""
+    retry_after_ms: int = 0
+
+
+def encode(message: Dispatch | Attach | Reply) -> str:
+    """Returns the header value of a message."""
+    return msgspec.json.encode(message).decode()
+
+
+def decode(value: str | None, kind: type[T]) -> T:
+    """Returns the message in a header value.
+
+    Raises:
+      errors.MalformedInput: If it is missing or no such message.
+    """
+    if value is None:
+        raise errors.MalformedInput(f"no {kind.__name__} in the headers")
+    try:
+        return msgspec.json.decode(value.encode(), type=kind)
+    except (msgspec.MsgspecError, UnicodeError) as exc:
+        raise errors.MalformedInput(f"malformed message: {exc}") from exc
--- /dev/null
+++ b/tests/requests/fakes.py
@@ -0,0 +1,274 @@
+"""Recording endpoint, log of claims, and whole stacks on loopback."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+import aiohttp
+from aiohttp import web
+
+from bilberryroute import api
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.agent import board as agent_board
+from bilberryroute.agent import endpoints as agent_endpoints
+from bilberryroute.agent import requests as agent_requests
+from bilberryroute.entry import board as entry_board
+from bilberryroute.entry import requests as entry_requests
+from bilberryroute.model import commands
+from bilberryroute.model import config
+from bilberryroute.model import endpoints
+from bilberryroute.model import wire
+
+DOMAIN = "apapa"
+SERVICE = "gang-alloc"
+LEASE_MS = 3_600_000
+
+
+class FakeLog:
+    """Claims as the replicated log would bind them."""
+
+    def __init__(self):
+        self.claims: dict[tuple[str, str], commands.ClaimRequest] = {}
+        self.failures: list[Exception] = []
+        self.delay_ms = 0
+        self.proposals = 0
+
+    async def propose(self, command: commands.ClaimRequest) -> commands.Result:
+        """Binds a claim, or fails as told."""
+        self.proposals += 1
+        await asyncio.sleep(clock_lib.seconds(self.delay_ms))
+        failure = self.failures.pop() if self.failures else None
+        if isinstance(failure, errors.Unavailable):
+            raise failure
+        key = (command.account, command.request_id)
+        held = self.claims.setdefault(key, command)
+        if failure is not None:
+            raise failure
+        if held.fingerprint != command.fingerprint:
+            return commands.ClaimRefused(
+                request_id=command.request_id, message="other content"
+            )
+        return commands.ClaimHeld(
+            request_id=held.request_id,
+            fingerprint=held.fingerprint,
+            agent=held.agent,
+            incarnation=held.incarnation,
+            endpoint=held.endpoint,
+            first=held is command,
+        )
+
+
+class Served:
+    """One aiohttp application on a free port."""
+
+    def __init__(self, app: web.Application):
+        self.app = app
+        self.address = ""
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, port: int = 0) -> str:
+        """Listens; returns the address."""
+        self._runner = web.AppRunner(
+            self.app, access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Stops what runs."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+
+class RecordingEndpoint:
+    """Endpoint that writes down each execution."""
+
+    def __init__(self, name: str, ran: collections.Counter, run_ms: int = 0):
+        self.name = name
+        self.ran = ran
+        self.run_ms = run_ms
+        self.status = 200
+        self.active = 0
+        self.peak = 0
+        app = web.Application(client_max_size=1 << 24)
+        app.router.add_post("/", self.handle)
+        self.served = Served(app)
+
+    async def handle(self, req: web.Request) -> web.StreamResponse:
+        """Runs one request and writes it down."""
+        request_id = req.headers["Bilberryroute-Request-Id"]
+        body = await req.read()
+        self.ran[request_id] += 1
+        self.active += 1
+        self.peak = max(self.peak, self.active)
+        try:
+            await asyncio.sleep(clock_lib.seconds(self.run_ms))
+        finally:
+            self.active -= 1
+        return web.Response(
+            body=b"%s:%s" % (request_id.encode(), body),
+            status=self.status,
+            headers={"Bilberryroute-Request-Id": request_id},
+        )
+
+
+def make_settings(host: str, **timing: int) -> settings.Settings:
+    return settings.Settings(
+        host=host,
+        failure_domain=DOMAIN,
+        roles=(),
+        timing=settings.Timing(**timing),
+    )
+
+
+class AgentProcess:
+    """An agent's request path with its own blackboard."""
+
+    def __init__(self, name: str, incarnation: str = "1", **timing: int):
+        cfg = make_settings(name, **timing)
+        clock = clock_lib.SystemClock()
+        self.name = name
+        self.incarnation = incarnation
+        self.board = agent_board.new_board()
+        expires = clock_lib.Millis(clock.now() + LEASE_MS)
+        self.board.lease.set(agent_board.Lease(term=1, expires=expires))
+        self.board.desired.set(
+            dataclasses.replace(
+                self.board.desired.get(), domains_in_service=(DOMAIN,)
+            )
+        )
+        self.endpoints = agent_endpoints.EndpointService(cfg, self.board, clock)
+        self.requests = agent_requests.RequestService(
+            cfg, self.board, clock, incarnation
+        )
+        app = api.new_application(cfg.limits, self.requests.metrics)
+        self.endpoints.register(app)
+        self.requests.register(app)
+        self.served = Served(app)
+
+    def announce(self, endpoint: RecordingEndpoint, **fields: object) -> None:
+        """Announces an endpoint as if it had posted."""
+        announced = endpoints.Announcement(
+            name=endpoint.name,
+            service=SERVICE,
+            address=endpoint.served.address,
+            **fields,
+        )
+        known = self.board.announcements.get()
+        self.board.announcements.set(known | {endpoint.name: announced})
+
+    def views(self, address: str = "") -> list[wire.EndpointView]:
+        """Returns what the leader would show to entries."""
+        return [
+            wire.EndpointView(
+                name=announced.name,
+                service=announced.service,
+                agent=self.name,
+                incarnation=self.incarnation,
+                http=address or self.served.address,
+                failure_domain=DOMAIN,
+                slots=announced.slots,
+                in_flight=0,
+                leaving=announced.leaving,
+                healthy=True,
+            )
+            for announced in self.board.announcements.get().values()
+        ]
+
+    async def stop(self) -> None:
+        """Stops what runs."""
+        await self.served.stop()
+        await self.requests.stop()
+
+
+class EntryProcess:
+    """An entry's request path with its own blackboard."""
+
+    def __init__(self, name: str, log: FakeLog, seed: int, **timing: int):
+        cfg = make_settings(name, **timing)
+        self.board = entry_board.new_board()
+        self.service = config.Service(name=SERVICE)
+        self.configure(self.service)
+        self.requests = entry_requests.RequestService(
+            cfg,
+            self.board,
+            log,
+            clock_lib.SystemClock(),
+            random.Random(seed),
+        )
+        app = api.new_application(
+            cfg.limits, self.requests.metrics, api.Rights()
+        )
+        self.requests.register(app)
+        self.served = Served(app)
+
+    def configure(self, service: config.Service) -> None:
+        """Puts a service in force."""
+        self.board.configuration.set(
+            config.Configuration(services={SERVICE: service})
+        )
+
+    def see(self, *views: wire.EndpointView) -> None:
+        """Puts endpoints on the blackboard."""
+        self.board.endpoints.set(tuple(views))
+
+    async def start(self) -> None:
+        """Starts the service and its server."""
+        await self.requests.start()
+        await self.served.start()
+
+    async def stop(self) -> None:
+        """Stops what runs."""
+        await self.served.stop()
+        await self.requests.stop()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Told:
+    """What a caller was told."""
+
+    status: int
+    outcome: str
+    request_id: str
+    attempts: int
+    body: bytes
+    headers: dict[str, str]
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    entry: EntryProcess,
+    request_id: str = "",
+    body: bytes = b"x",
+    idempotent: bool = False,
+    account: str = "trust",
+    **headers: str,
+) -> Told:
+    """Sends one request; `deadline_ms="5"` sets Bilberryroute-Deadline-Ms."""
+    sent = {
+        "Bilberryroute-Account": account,
+        "Bilberryroute-Idempotent": str(idempotent).lower(),
+    }
+    if request_id:
+        sent["Bilberryroute-Request-Id"] = request_id
+    for name, value in headers.items():
+        title = name.replace("_", "-").title()
+        sent[f"Bilberryroute-{title}"] = value
+    url = f"http://{entry.served.address}/v1/services/{SERVICE}/requests"
+    async with session.post(url, data=body, headers=sent) as resp:
+        return Told(
+            status=resp.status,
+            outcome=resp.headers["Bilberryroute-Outcome"],
+            request_id=resp.headers.get("Bilberryroute-Request-Id", ""),
+            attempts=int(resp.headers.get("Bilberryroute-Attempts", "0")),
+            body=await resp.read(),
+            headers=dict(resp.headers),
+        )
