Keep the agent's lease, workers and tasks

A lease counts from the sending of the renewal and is bound to the incarnation by a random epoch in the echo; a push renews nothing and is refused before the first own grant. A start is planned from desired state, lease and reservation, checked again right before the call, and carries its deadline on the worker's own clock (from its announcements), since a relative time left would not refuse a call that waited in a frozen process. Ruled out: wall-clock deadlines (need synchronised clocks).

--- /dev/null
+++ b/bilberryroute/agent/renewal.py
@@ -0,0 +1,385 @@
+"""Renewal of the agent's lease by datagram.
+
+`LeaseKeeper` decides what a grant changes and does no I/O; `RenewalService`
+carries renewals to the leader and writes the decisions on the blackboard.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import logging
+from collections.abc import Callable
+from typing import TypeVar
+
+from mode import Service
+
+from bilberryroute import blackboard
+from bilberryroute import clock as clock_lib
+from bilberryroute import context
+from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.agent import board as board_lib
+from bilberryroute.model import wire
+from bilberryroute.transport import codec
+
+COALESCE_MS = 10
+UNANSWERED_DIVISOR = 3
+DATAGRAM_BYTES = 65_507
+EPOCH_BITS = 50
+
+T = TypeVar("T")
+
+logger = logging.getLogger(__name__)
+
+
+class Ignored(enum.StrEnum):
+    """Why a grant changed nothing."""
+
+    LOWER_TERM = "lower_term"
+    FOREIGN_ECHO = "foreign_echo"
+    UNPROVED_PUSH = "unproved_push"
+    REVISION_BACK = "revision_back"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Who this agent is, for as long as its process lives.
+
+    Attributes:
+      incarnation: Differs at every start of the process.
+    """
+
+    agent: str
+    incarnation: str
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Renewed:
+    """The lease holds until `lease.expires`.
+
+    Attributes:
+      desired: Newer desired state, or None.
+    """
+
+    lease: board_lib.Lease
+    desired: wire.Desired | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Pushed:
+    """The leader sent newer desired state and renewed nothing."""
+
+    desired: wire.Desired | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Redirected:
+    """The sender does not lead.
+
+    Attributes:
+      leader_id: The replica that leads, as far as the sender knows, or empty.
+    """
+
+    leader_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Dropped:
+    """The grant changed nothing."""
+
+    reason: Ignored
+
+
+Verdict = Renewed | Pushed | Redirected | Dropped
+
+
+class LeaseKeeper:
+    """Decides what each grant changes; never goes back.
+
+    The echo of a renewal is the clock reading shifted by a random epoch, so
+    that a grant meant for an earlier incarnation names no renewal of this one.
+
+    Attributes:
+      term: Highest term seen.
+      lease: Present lease.
+      desired: Desired state held.
+    """
+
+    def __init__(self, epoch: int, desired: wire.Desired, keep_ms: int):
+        self.term = 0
+        self.lease = board_lib.Lease()
+        self.desired = desired
+        self._desired_term = 0
+        self._epoch = epoch
+        self._keep_ms = keep_ms
+        self._sent: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        self._proved = False
+
+    def stamp(self, now: int) -> int:
+        """Returns the echo of a renewal that is sent at `now`."""
+        echo_ms = self._epoch + now
+        self._sent[echo_ms] = now
+        while next(iter(self._sent.values())) < now - self._keep_ms:
+            self._sent.popitem(last=False)
+        return echo_ms
+
+    def accept(self, grant: wire.Grant) -> Verdict:
+        """Returns what the grant changes, after changing it."""
+        if grant.term < self.term:
+            return Dropped(reason=Ignored.LOWER_TERM)
+        if grant.echo_ms == 0:
+            return self._accept_push(grant)
+        sent = self._sent.get(grant.echo_ms)
+        if sent is None:
+            return Dropped(reason=Ignored.FOREIGN_ECHO)
+        if grant.lease_ms <= 0:
+            return Redirected(leader_id=grant.leader_id)
+        return self._renew(grant, sent)
+
+    def _accept_push(self, grant: wire.Grant) -> Verdict:
+        if not self._proved:
+            return Dropped(reason=Ignored.UNPROVED_PUSH)
+        if self._goes_back(grant.desired):
+            return Dropped(reason=Ignored.REVISION_BACK)
+        self.term = grant.term
+        return Pushed(desired=self._take(grant))
+
+    def _renew(self, grant: wire.Grant, sent: int) -> Verdict:
+        if self._goes_back(grant.desired):
+            return Dropped(reason=Ignored.REVISION_BACK)
+        self.term = grant.term
+        self._proved = True
+        expires = max(self.lease.expires, sent + grant.lease_ms)
+        self.lease = board_lib.Lease(
+            term=grant.term, expires=clock_lib.Millis(expires)
+        )
+        return Renewed(lease=self.lease, desired=self._take(grant))
+
+    def _goes_back(self, desired: wire.Desired | None) -> bool:
+        return desired is not None and desired.revision < self.desired.revision
+
+    def _take(self, grant: wire.Grant) -> wire.Desired | None:
+        desired = grant.desired
+        if desired is None:
+            return None
+        held = (self._desired_term, self.desired.version)
+        if (grant.term, desired.version) <= held:
+            return None
+        self._desired_term = grant.term
+        self.desired = desired
+        return desired
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams to the service."""
+
+    def __init__(self, service: "RenewalService"):
+        self._service = service
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._service.receive(data)
+
+    def error_received(self, exc: OSError) -> None:
+        logger.debug("datagram was not delivered: %s", exc)
+
+
+class RenewalService(Service):
+    """Keeps the lease renewed and the desired state current.
+
+    Attributes:
+      board: The agent's blackboard.
+      http: Address of the agent's HTTP server; set before start.
+      ignored: Grants that changed nothing, by reason.
+      sent: Renewals sent.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        board: board_lib.AgentBoard,
+        identity: Identity,
+    ):
+        super().__init__()
+        self.http = cfg.listen.http
+        self.ignored: collections.Counter[str] = collections.Counter()
+        self.sent = 0
+        self._cfg = cfg
+        self._clock = env.clock
+        self.board = board
+        self._identity = identity
+        self._keeper = LeaseKeeper(
+            epoch=(1 << EPOCH_BITS) + env.rng.getrandbits(EPOCH_BITS),
+            desired=board.desired.get(),
+            keep_ms=2 * cfg.timing.agent_lease_ms,
+        )
+        self._decoder = codec.Decoder(wire.Grant)
+        self._addresses = {r.id: r.datagram for r in cfg.replicas}
+        self._targets = [r.datagram for r in cfg.replicas]
+        self._target = 0
+        self._answered = True
+        self._wake = asyncio.Event()
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def on_start(self) -> None:
+        """Opens the datagram socket."""
+        host, port = split_address(self._cfg.listen.datagram or "0.0.0.0:0")
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), local_addr=(host, port)
+        )
+
+    async def on_stop(self) -> None:
+        """Closes the datagram socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    @Service.task
+    async def _renew(self) -> None:
+        renewal_ms = self._cfg.timing.renewal_ms
+        answer_ms = renewal_ms // UNANSWERED_DIVISOR
+        while not self.should_stop:
+            self._wake.clear()
+            self._send()
+            woken = await self._woken(answer_ms)
+            if not woken and not self._answered:
+                self._target += 1
+                continue
+            if not woken:
+                woken = await self._woken(renewal_ms - answer_ms)
+            if woken:
+                await asyncio.sleep(clock_lib.seconds(COALESCE_MS))
+
+    async def _woken(self, timeout_ms: int) -> bool:
+        try:
+            async with asyncio.timeout(clock_lib.seconds(timeout_ms)):
+                return await self._wake.wait()
+        except TimeoutError:
+            return False
+
+    @Service.task
+    async def _watch_endpoints(self) -> None:
+        await self._watch(self.board.endpoints, _without_load)
+
+    @Service.task
+    async def _watch_workers(self) -> None:
+        await self._watch(self.board.workers, dict)
+
+    @Service.task
+    async def _watch_tasks(self) -> None:
+        await self._watch(self.board.tasks, _without_progress)
+
+    @Service.task
+    async def _watch_draining(self) -> None:
+        await self._watch(self.board.draining, bool)
+
+    async def _watch(
+        self, cell: blackboard.Cell[T], view: Callable[[T], object]
+    ) -> None:
+        """Renews at once when the view of a cell changes."""
+        seen = cell.version
+        told = view(cell.get())
+        while not self.should_stop:
+            seen = await cell.changed(seen)
+            present = view(cell.get())
+            if present != told:
+                told = present
+                self._wake.set()
+
+    def _send(self) -> None:
+        payload = codec.encode(self.renewal())
+        if len(payload) > DATAGRAM_BYTES:
+            logger.error("renewal of %d bytes exceeds a datagram", len(payload))
+            return
+        target = self._targets[self._target % len(self._targets)]
+        self._answered = False
+        self.sent += 1
+        self._transport.sendto(payload, split_address(target))
+
+    def renewal(self) -> wire.Renewal:
+        """Returns the renewal to send now; its echo is remembered."""
+        board = self.board
+        return wire.Renewal(
+            agent=self._identity.agent,
+            incarnation=self._identity.incarnation,
+            failure_domain=self._identity.failure_domain,
+            sent_ms=self._keeper.stamp(self._clock.now()),
+            term=self._keeper.term,
+            desired_version=self._keeper.desired.version,
+            revision=self._keeper.desired.revision,
+            http=self.http,
+            draining=board.draining.get(),
+            endpoints=tuple(board.endpoints.get().values()),
+            workers=tuple(board.workers.get().values()),
+            tasks=tuple(board.tasks.get().values()),
+        )
+
+    def receive(self, payload: bytes) -> None:
+        """Takes one datagram in."""
+        try:
+            grant = self._decoder.decode(payload)
+        except errors.MalformedInput:
+            self.ignored[Ignored.MALFORMED] += 1
+            return
+        verdict = self._keeper.accept(grant)
+        match verdict:
+            case Renewed(lease=lease, desired=desired):
+                self._answered = True
+                self._learn_replicas(grant)
+                self._take_desired(desired)
+                self.board.lease.set(lease)
+            case Pushed(desired=desired):
+                self._take_desired(desired)
+            case Redirected(leader_id=leader_id):
+                self._redirect(leader_id)
+            case Dropped(reason=reason):
+                self.ignored[reason] += 1
+
+    def _take_desired(self, desired: wire.Desired | None) -> None:
+        if desired is None:
+            return
+        self.board.desired.set(desired)
+        self.board.services.set({s.name: s for s in desired.services})
+        self._wake.set()
+
+    def _learn_replicas(self, grant: wire.Grant) -> None:
+        current = self._targets[self._target % len(self._targets)]
+        known = set(self._targets)
+        self._targets += [a for a in grant.replicas if a not in known]
+        self._target = self._targets.index(current)
+
+    def _redirect(self, leader_id: str) -> None:
+        address = self._addresses.get(leader_id)
+        if address is None:
+            return
+        if address not in self._targets:
+            self._targets.append(address)
+        target = self._targets.index(address)
+        if target == self._target % len(self._targets):
+            return
+        self._target = target
+        self._answered = True
+        self._wake.set()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of `ip:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _without_load(
+    endpoints: dict[str, wire.EndpointReport],
+) -> list[wire.EndpointReport]:
+    return [dataclasses.replace(e, in_flight=0) for e in endpoints.values()]
+
+
+def _without_progress(
+    tasks: dict[tuple[str, str, int], wire.TaskReport],
+) -> list[wire.TaskReport]:
+    return [dataclasses.replace(t, progress_ms=0) for t in tasks.values()]
--- /dev/null
+++ b/bilberryroute/agent/task_plan.py
@@ -0,0 +1,278 @@
+"""Pure decisions on the tasks of one agent.
+
+What is desired, what is held and what the workers said go in; the steps that
+bring the desired state about come out.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+from bilberryroute.agent import worker_api
+from bilberryroute.model import jobs
+from bilberryroute.model import wire
+
+Key = tuple[str, str, int]
+
+RESERVED = "reserved"
+RUNNING = "running"
+STOPPED = "stopped"
+
+
+class Phase(enum.Enum):
+    """Where a held task stands in its life."""
+
+    RESERVED = enum.auto()
+    STARTING = enum.auto()
+    RUNNING = enum.auto()
+    STOPPING = enum.auto()
+    ENDED = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Held:
+    """A task that this agent is responsible for.
+
+    Attributes:
+      key: Worker, job id and attempt.
+      result: How it ended, or is going to be reported once it has stopped.
+      fenced: Agent's clock after which the worker has killed the task.
+    """
+
+    key: Key
+    accelerators: tuple[int, ...]
+    phase: Phase
+    result: jobs.TaskResult | None = None
+    progress_ms: int = 0
+    fenced: int = 0
+
+    def report(self) -> wire.TaskReport:
+        """Returns the report on the task."""
+        worker, job_id, attempt = self.key
+        return wire.TaskReport(
+            job_id=job_id,
+            attempt=attempt,
+            worker=worker,
+            state=self._state(),
+            progress_ms=self.progress_ms,
+        )
+
+    def _state(self) -> str:
+        match self.phase:
+            case Phase.RESERVED | Phase.STARTING:
+                return RESERVED
+            case Phase.RUNNING | Phase.STOPPING:
+                return RUNNING
+            case Phase.ENDED:
+                return str(self.result)
+
+    def end(self, result: jobs.TaskResult) -> None:
+        """Marks the task as ended; the first result stays."""
+        if self.phase is not Phase.ENDED:
+            self.phase = Phase.ENDED
+            self.result = result
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class View:
+    """What a plan is made from.
+
+    Attributes:
+      desired: Desired state.
+      held: Tasks held, by key.
+      workers: Workers announced here, by name.
+      surveys: Tasks that each worker listed, by worker; a worker that has not
+        been asked yet is missing.
+      lease_left_ms: Time left of the agent's lease.
+      started: Agent's clock when the process started.
+      now: Agent's clock.
+      task_lease_ms: Length of a task's lease.
+    """
+
+    desired: wire.Desired
+    held: Mapping[Key, Held]
+    workers: Mapping[str, jobs.Worker]
+    surveys: Mapping[str, Mapping[Key, worker_api.Task]]
+    lease_left_ms: int
+    started: int
+    now: int
+    task_lease_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reserve:
+    """Hold these accelerators for the task."""
+
+    task: wire.DesiredTask
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Start:
+    """Start a reserved task."""
+
+    key: Key
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Adopt:
+    """Take over a task that an earlier incarnation started."""
+
+    key: Key
+    found: worker_api.Task
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Stop:
+    """Stop a running task."""
+
+    key: Key
+    checkpoint: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class End:
+    """Report a task as ended that does not run."""
+
+    key: Key
+    result: jobs.TaskResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Fence:
+    """Have the worker refuse a task that it does not know, then report it.
+
+    A start sent by an earlier incarnation of the agent may still arrive.
+    """
+
+    key: Key
+    result: jobs.TaskResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Forget:
+    """Drop a task that the leader no longer asks about."""
+
+    key: Key
+
+
+Step = Reserve | Start | Adopt | Stop | End | Fence | Forget
+
+
+def key_of(task: wire.DesiredTask) -> Key:
+    """Returns the key of a desired task."""
+    return (task.worker, task.job_id, task.attempt)
+
+
+def plan(view: View) -> list[Step]:
+    """Returns the steps from what is held to what is desired."""
+    wanted = {key_of(task): task for task in view.desired.tasks}
+    steps: list[Step] = []
+    steps += _drop_unwanted(view, wanted)
+    taken = _taken(view)
+    for key, task in wanted.items():
+        held = view.held.get(key)
+        if held is None:
+            step = _take_up(view, key, task, taken)
+        else:
+            step = _advance(view, held, task)
+        if step is not None:
+            steps.append(step)
+    return steps
+
+
+def may_start(view: View, key: Key) -> bool:
+    """Returns whether a reserved task may start at this very moment."""
+    worker = view.workers.get(key[0])
+    if worker is None or view.lease_left_ms <= 0:
+        return False
+    if worker.failure_domain not in view.desired.domains_in_service:
+        return False
+    held = view.held.get(key)
+    if held is None or held.phase not in (Phase.RESERVED, Phase.STARTING):
+        return False
+    return any(
+        key_of(task) == key and task.state == RUNNING
+        for task in view.desired.tasks
+    )
+
+
+def _drop_unwanted(
+    view: View, wanted: Mapping[Key, wire.DesiredTask]
+) -> list[Step]:
+    steps: list[Step] = []
+    for key, held in view.held.items():
+        if key in wanted:
+            continue
+        match held.phase:
+            case Phase.RESERVED | Phase.ENDED:
+                steps.append(Forget(key=key))
+            case Phase.RUNNING:
+                steps.append(Stop(key=key, checkpoint=False))
+    for survey in view.surveys.values():
+        for key, task in survey.items():
+            unknown = key not in wanted and key not in view.held
+            if unknown and task.state == worker_api.TaskState.RUNNING:
+                steps.append(Adopt(key=key, found=task))
+    return steps
+
+
+def _taken(view: View) -> set[tuple[str, int]]:
+    return {
+        (held.key[0], index)
+        for held in view.held.values()
+        if held.phase is not Phase.ENDED
+        for index in held.accelerators
+    }
+
+
+def _take_up(
+    view: View,
+    key: Key,
+    task: wire.DesiredTask,
+    taken: set[tuple[str, int]],
+) -> Step | None:
+    """Returns the step for a task that is not held yet."""
+    found = view.surveys.get(task.worker, {}).get(key)
+    if found is not None:
+        return Adopt(key=key, found=found)
+    if task.state == RESERVED:
+        return _reserve(view, task, taken)
+    if task.worker in view.surveys:
+        return Fence(key=key, result=_absent_result(task))
+    if view.now - view.started >= view.task_lease_ms:
+        return End(key=key, result=jobs.TaskResult.LOST)
+    return None
+
+
+def _absent_result(task: wire.DesiredTask) -> jobs.TaskResult:
+    if task.state == STOPPED:
+        return jobs.TaskResult.STOPPED
+    return jobs.TaskResult.LOST
+
+
+def _reserve(
+    view: View, task: wire.DesiredTask, taken: set[tuple[str, int]]
+) -> Reserve | None:
+    worker = view.workers.get(task.worker)
+    if worker is None or task.worker not in view.surveys:
+        return None
+    if worker.failure_domain not in view.desired.domains_in_service:
+        return None
+    indexes = {(task.worker, index) for index in task.accelerators}
+    if indexes & taken or max(task.accelerators) >= worker.accelerators:
+        return None
+    taken |= indexes
+    return Reserve(task=task)
+
+
+def _advance(view: View, held: Held, task: wire.DesiredTask) -> Step | None:
+    """Returns the step for a task that is held."""
+    match held.phase, task.state:
+        case Phase.RESERVED, "running":
+            if may_start(view, held.key):
+                return Start(key=held.key)
+        case Phase.RESERVED, "stopped":
+            return End(key=held.key, result=jobs.TaskResult.STOPPED)
+        case Phase.RUNNING, "stopped":
+            return Stop(key=held.key, checkpoint=task.checkpoint)
+    return None
--- /dev/null
+++ b/bilberryroute/agent/tasks.py
@@ -0,0 +1,379 @@
+"""Brings the desired tasks about on the workers."""
+
+import asyncio
+import collections
+import dataclasses
+import logging
+
+from mode import Service
+
+from bilberryroute import blackboard
+from bilberryroute import clock as clock_lib
+from bilberryroute import context
+from bilberryroute import settings
+from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import task_plan
+from bilberryroute.agent import worker_api
+from bilberryroute.agent import workers as workers_lib
+from bilberryroute.model import jobs
+
+POLL_MS = 500
+PLAN_MS = 1_000
+START_RETRY_MS = 200
+STOP_RETRY_MS = 200
+
+logger = logging.getLogger(__name__)
+
+
+class TaskService(Service):
+    """Reserves, starts, renews and stops the tasks on this agent's workers.
+
+    Attributes:
+      board: The agent's blackboard.
+      refusals: Starts that did not happen, by reason.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        board: board_lib.AgentBoard,
+        workers: workers_lib.WorkerService,
+    ):
+        super().__init__()
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self._cfg = cfg
+        self._clock = env.clock
+        self.board = board
+        self._workers = workers
+        self._held: dict[task_plan.Key, task_plan.Held] = {}
+        self._surveys: dict[str, _Survey] = {}
+        self._polling: set[str] = set()
+        self._born = env.clock.now()
+        self._client: worker_api.WorkerClient | None = None
+        self._replan = blackboard.Cell(None)
+
+    async def on_start(self) -> None:
+        """Opens the connection pool."""
+        self._born = self._clock.now()
+        self._client = worker_api.WorkerClient()
+
+    async def on_stop(self) -> None:
+        """Closes the connection pool."""
+        if self._client is not None:
+            await self._client.close()
+
+    def view(self) -> task_plan.View:
+        """Returns what a plan is made from at this moment."""
+        now = self._clock.now()
+        return task_plan.View(
+            desired=self.board.desired.get(),
+            held=self._held,
+            workers=self.board.workers.get(),
+            surveys={n: s.tasks for n, s in self._surveys.items()},
+            lease_left_ms=self.board.lease.get().left(now),
+            started=self._born,
+            now=now,
+            task_lease_ms=self._cfg.timing.task_lease_ms,
+        )
+
+    @Service.task
+    async def _bring_about(self) -> None:
+        while not self.should_stop:
+            seen = self._replan.version
+            self._forget_silent_workers()
+            for step in task_plan.plan(self.view()):
+                self._carry_out(step)
+            self._publish()
+            await self._changed(seen)
+
+    @Service.task
+    async def _watch_desired(self) -> None:
+        await self._watch(self.board.desired)
+
+    @Service.task
+    async def _watch_workers(self) -> None:
+        await self._watch(self.board.workers)
+
+    @Service.task
+    async def _watch_lease(self) -> None:
+        await self._watch(self.board.lease)
+
+    async def _watch(self, cell: blackboard.Cell) -> None:
+        seen = cell.version
+        while not self.should_stop:
+            seen = await cell.changed(seen)
+            self._replan.touch()
+
+    async def _changed(self, seen: int) -> None:
+        try:
+            async with asyncio.timeout(clock_lib.seconds(PLAN_MS)):
+                await self._replan.changed(seen)
+        except TimeoutError:
+            return
+
+    @Service.task
+    async def _poll(self) -> None:
+        while not self.should_stop:
+            for contact in self._workers.contacts.values():
+                if contact.name not in self._polling:
+                    self._polling.add(contact.name)
+                    self.add_future(self._poll_worker(contact))
+            self._end_fenced()
+            await self.sleep(clock_lib.seconds(POLL_MS))
+
+    def _carry_out(self, step: task_plan.Step) -> None:
+        match step:
+            case task_plan.Reserve(task=task):
+                key = task_plan.key_of(task)
+                self._held[key] = task_plan.Held(
+                    key=key,
+                    accelerators=task.accelerators,
+                    phase=task_plan.Phase.RESERVED,
+                    progress_ms=task.progress_ms,
+                )
+            case task_plan.Start(key=key):
+                self._held[key].phase = task_plan.Phase.STARTING
+                self.add_future(self._start(self._held[key]))
+            case task_plan.Adopt(key=key, found=found):
+                self._adopt(key, found)
+            case task_plan.Stop(key=key, checkpoint=checkpoint):
+                self._begin_stop(
+                    self._held[key], jobs.TaskResult.STOPPED, checkpoint
+                )
+            case task_plan.End(key=key, result=result):
+                self._end(key, result)
+            case task_plan.Fence(key=key, result=result):
+                self._fence(key, result)
+            case task_plan.Forget(key=key):
+                del self._held[key]
+                self._surveys.get(key[0], _NO_SURVEY).tasks.pop(key, None)
+
+    def _end(self, key: task_plan.Key, result: jobs.TaskResult) -> None:
+        held = self._held.get(key)
+        if held is None:
+            held = task_plan.Held(
+                key=key, accelerators=(), phase=task_plan.Phase.RUNNING
+            )
+            self._held[key] = held
+        held.end(result)
+
+    def _fence(self, key: task_plan.Key, result: jobs.TaskResult) -> None:
+        held = task_plan.Held(
+            key=key,
+            accelerators=(),
+            phase=task_plan.Phase.STOPPING,
+            fenced=self._clock.now() + self._cfg.timing.task_lease_ms,
+        )
+        self._held[key] = held
+        self._begin_stop(held, result, checkpoint=False)
+
+    def _adopt(self, key: task_plan.Key, found: worker_api.Task) -> None:
+        held = task_plan.Held(
+            key=key,
+            accelerators=found.accelerators,
+            phase=task_plan.Phase.RUNNING,
+            progress_ms=found.progress_ms,
+            fenced=self._clock.now() + self._cfg.timing.task_lease_ms,
+        )
+        self._held[key] = held
+        self._observe(held, found)
+
+    async def _start(self, held: task_plan.Held) -> None:
+        """Calls the worker if the start is still allowed at this moment."""
+        view = self.view()
+        contact = self._workers.contacts.get(held.key[0])
+        if contact is None or not task_plan.may_start(view, held.key):
+            self.refusals["not_allowed"] += 1
+            held.phase = task_plan.Phase.RESERVED
+            return
+        call = self._start_call(held, contact, view)
+        held.fenced = view.now + self._cfg.timing.task_lease_ms
+        try:
+            task = await self._client.start(contact, call)
+        except worker_api.StartLate as exc:
+            self.refusals["late"] += 1
+            logger.warning("start of %s came late: %s", held.key, exc)
+            await self.sleep(clock_lib.seconds(START_RETRY_MS))
+            held.phase = task_plan.Phase.RESERVED
+        except worker_api.StartRefused as exc:
+            self.refusals["by_worker"] += 1
+            logger.warning("start of %s was refused: %s", held.key, exc)
+            held.end(jobs.TaskResult.FAILED)
+        except worker_api.WorkerUnreachable as exc:
+            self.refusals["unreachable"] += 1
+            logger.warning("start of %s is not confirmed: %s", held.key, exc)
+            self._begin_stop(held, jobs.TaskResult.LOST, checkpoint=False)
+        else:
+            held.phase = task_plan.Phase.RUNNING
+            self._observe(held, task)
+        self._replan.touch()
+
+    def _start_call(
+        self,
+        held: task_plan.Held,
+        contact: workers_lib.Contact,
+        view: task_plan.View,
+    ) -> worker_api.Start:
+        _, job_id, attempt = held.key
+        until = view.now + self._cfg.timing.task_lease_ms
+        return worker_api.Start(
+            job_id=job_id,
+            attempt=attempt,
+            accelerators=held.accelerators,
+            progress_ms=held.progress_ms,
+            left_ms=view.lease_left_ms,
+            not_after_ms=contact.not_after(view.now + view.lease_left_ms),
+            lease_until_ms=contact.not_after(until),
+        )
+
+    def _begin_stop(
+        self,
+        held: task_plan.Held,
+        result: jobs.TaskResult,
+        checkpoint: bool,
+    ) -> None:
+        held.phase = task_plan.Phase.STOPPING
+        self.add_future(self._stop_task(held, result, checkpoint))
+
+    async def _stop_task(
+        self,
+        held: task_plan.Held,
+        result: jobs.TaskResult,
+        checkpoint: bool,
+    ) -> None:
+        """Stops a task; ends once the worker confirms or its lease ended."""
+        while held.phase is task_plan.Phase.STOPPING:
+            if self._clock.now() >= held.fenced:
+                held.end(jobs.TaskResult.LOST)
+                break
+            if await self._try_stop(held, result, checkpoint):
+                break
+            await self.sleep(clock_lib.seconds(STOP_RETRY_MS))
+        self._replan.touch()
+
+    async def _try_stop(
+        self,
+        held: task_plan.Held,
+        result: jobs.TaskResult,
+        checkpoint: bool,
+    ) -> bool:
+        contact = self._workers.contacts.get(held.key[0])
+        if contact is None:
+            return False
+        name = worker_api.TaskName(held.key[1], held.key[2])
+        try:
+            if checkpoint:
+                saved = await self._client.checkpoint(contact, name)
+                held.progress_ms = saved.progress_ms
+            task = await self._client.stop(contact, name)
+        except worker_api.WorkerUnreachable:
+            return False
+        held.progress_ms = max(held.progress_ms, task.progress_ms)
+        stopped = task.state is worker_api.TaskState.STOPPED
+        held.end(result if stopped else jobs.TaskResult(task.state))
+        return True
+
+    async def _poll_worker(self, contact: workers_lib.Contact) -> None:
+        try:
+            await self._ask_worker(contact)
+        except worker_api.WorkerUnreachable as exc:
+            logger.warning("%s", exc)
+        finally:
+            self._polling.discard(contact.name)
+
+    async def _ask_worker(self, contact: workers_lib.Contact) -> None:
+        """Renews the leases of a worker's tasks and reads their states."""
+        now = self._clock.now()
+        running = [
+            held
+            for held in self._held.values()
+            if held.key[0] == contact.name
+            and held.phase is task_plan.Phase.RUNNING
+        ]
+        if running and self.board.lease.get().left(now):
+            tasks = await self._renew(contact, running, now)
+        elif running or self._survey_is_due(contact):
+            tasks = await self._client.tasks(contact)
+        else:
+            return
+        self._survey(contact, tasks)
+        self._observe_all(contact, running)
+        self._replan.touch()
+
+    async def _renew(
+        self,
+        contact: workers_lib.Contact,
+        running: list[task_plan.Held],
+        now: int,
+    ) -> worker_api.Tasks:
+        until = now + self._cfg.timing.task_lease_ms
+        for held in running:
+            held.fenced = until
+        names = tuple(worker_api.TaskName(h.key[1], h.key[2]) for h in running)
+        leases = worker_api.Leases(
+            tasks=names, until_ms=contact.not_after(until)
+        )
+        return await self._client.renew(contact, leases)
+
+    def _survey_is_due(self, contact: workers_lib.Contact) -> bool:
+        survey = self._surveys.get(contact.name)
+        return survey is None or survey.incarnation != contact.incarnation
+
+    def _survey(
+        self, contact: workers_lib.Contact, tasks: worker_api.Tasks
+    ) -> None:
+        found = {(contact.name, t.job_id, t.attempt): t for t in tasks.tasks}
+        self._surveys[contact.name] = _Survey(
+            incarnation=contact.incarnation, tasks=found
+        )
+
+    def _observe_all(
+        self, contact: workers_lib.Contact, running: list[task_plan.Held]
+    ) -> None:
+        found = self._surveys[contact.name].tasks
+        for held in running:
+            if held.phase is not task_plan.Phase.RUNNING:
+                continue
+            task = found.get(held.key)
+            if task is None:
+                held.end(jobs.TaskResult.LOST)
+            else:
+                self._observe(held, task)
+
+    def _observe(self, held: task_plan.Held, task: worker_api.Task) -> None:
+        held.progress_ms = max(held.progress_ms, task.progress_ms)
+        if task.state is not worker_api.TaskState.RUNNING:
+            held.end(jobs.TaskResult(task.state))
+
+    def _forget_silent_workers(self) -> None:
+        for name in list(self._surveys):
+            contact = self._workers.contacts.get(name)
+            if (
+                contact is None
+                or contact.incarnation != self._surveys[name].incarnation
+            ):
+                del self._surveys[name]
+
+    def _end_fenced(self) -> None:
+        now = self._clock.now()
+        for held in self._held.values():
+            running = held.phase is task_plan.Phase.RUNNING
+            if running and now >= held.fenced:
+                held.end(jobs.TaskResult.LOST)
+
+    def _publish(self) -> None:
+        reports = {k: h.report() for k, h in self._held.items()}
+        if reports != self.board.tasks.get():
+            self.board.tasks.set(reports)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Survey:
+    """What one incarnation of a worker last said it remembers."""
+
+    incarnation: str
+    tasks: dict[task_plan.Key, worker_api.Task]
+
+
+_NO_SURVEY = _Survey(incarnation="", tasks={})
--- /dev/null
+++ b/bilberryroute/agent/workers.py
@@ -0,0 +1,191 @@
+"""The platform's workers, as they announce themselves.
+
+A worker announces itself every second; one that falls silent is dropped.
+Every announcement carries the worker's own monotonic clock, against which the
+agent words deadlines that hold however late a call arrives.
+"""
+
+import dataclasses
+
+import msgspec
+from aiohttp import web
+from mode import Service
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import context
+from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.agent import board as board_lib
+from bilberryroute.model import jobs
+
+SWEEPS_PER_LEASE = 10
+ANNOUNCE_MS = 1_000
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a worker says of itself.
+
+    Attributes:
+      name: Unique name.
+      incarnation: Changes with every restart of the worker.
+      address: Address of the worker's own HTTP server, `ip:port`.
+      clock_ms: The worker's monotonic clock in milliseconds.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    rack: str
+    failure_domain: str
+    accelerators: int
+    cores: int
+    memory_mb: int
+    clock_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Contact:
+    """How to reach a worker, and how its clock stands to the agent's.
+
+    Attributes:
+      heard: Agent's clock when the last announcement arrived.
+      clock_ms: Worker's clock in that announcement.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    heard: int
+    clock_ms: int
+
+    def not_after(self, instant: int) -> int:
+        """Returns an instant of the agent's clock on the worker's clock.
+
+        The announcement took time to arrive, so the worker's clock reaches
+        the result at or before the given instant.
+        """
+        return self.clock_ms + instant - self.heard
+
+
+class WorkerService(Service):
+    """Serves announcements and drops workers that fall silent.
+
+    Attributes:
+      board: The agent's blackboard.
+      contacts: Contacts of the workers on the board, by name.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        board: board_lib.AgentBoard,
+    ):
+        super().__init__()
+        self.contacts: dict[str, Contact] = {}
+        self._cfg = cfg
+        self._clock = env.clock
+        self.board = board
+        self._swept = env.clock.now()
+
+    def register(self, app: web.Application) -> None:
+        """Adds the handler to the agent's HTTP server."""
+        app.router.add_post("/v1/workers", self._handle)
+
+    async def _handle(self, req: web.Request) -> web.Response:
+        payload = await req.read()
+        try:
+            announcement = msgspec.json.decode(payload, type=Announcement)
+            self.announce(announcement)
+        except (msgspec.MsgspecError, errors.MalformedInput) as exc:
+            return web.json_response(
+                {"kind": errors.MalformedInput.kind, "detail": str(exc)},
+                status=errors.MalformedInput.http_status,
+                content_type="application/problem+json",
+            )
+        return web.json_response({"announce_ms": ANNOUNCE_MS})
+
+    def announce(self, announcement: Announcement) -> None:
+        """Takes one announcement in.
+
+        Raises:
+          errors.MalformedInput: If a size is out of bounds.
+        """
+        check_sizes(announcement)
+        self.contacts[announcement.name] = Contact(
+            name=announcement.name,
+            incarnation=announcement.incarnation,
+            address=announcement.address,
+            heard=self._clock.now(),
+            clock_ms=announcement.clock_ms,
+        )
+        worker = jobs.Worker(
+            name=announcement.name,
+            incarnation=announcement.incarnation,
+            agent=self._cfg.host,
+            rack=announcement.rack,
+            failure_domain=announcement.failure_domain,
+            accelerators=announcement.accelerators,
+            cores=announcement.cores,
+            memory_mb=announcement.memory_mb,
+        )
+        workers = self.board.workers.get()
+        if workers.get(worker.name) != worker:
+            self.board.workers.set({**workers, worker.name: worker})
+
+    @Service.task
+    async def _drop_silent(self) -> None:
+        interval = self._cfg.timing.worker_lease_ms // SWEEPS_PER_LEASE
+        while not self.should_stop:
+            self.sweep(interval)
+            await self.sleep(clock_lib.seconds(interval))
+
+    def sweep(self, interval: int) -> None:
+        """Drops the workers whose lease has ended.
+
+        A sweep that comes late finds announcements still unread: it extends
+        every lease by the time that the process itself stood still.
+        """
+        now = self._clock.now()
+        stood_still = max(0, now - self._swept - 2 * interval)
+        self._swept = now
+        if stood_still:
+            self.contacts = {
+                name: dataclasses.replace(
+                    contact,
+                    heard=contact.heard + stood_still,
+                    clock_ms=contact.clock_ms + stood_still,
+                )
+                for name, contact in self.contacts.items()
+            }
+        lease_ms = self._cfg.timing.worker_lease_ms
+        silent = {
+            name
+            for name, contact in self.contacts.items()
+            if contact.heard + lease_ms <= now
+        }
+        if not silent:
+            return
+        for name in silent:
+            del self.contacts[name]
+        workers = self.board.workers.get()
+        self.board.workers.set(
+            {name: w for name, w in workers.items() if name not in silent}
+        )
+
+
+def check_sizes(announcement: Announcement) -> None:
+    """Checks a worker's sizes.
+
+    Raises:
+      errors.MalformedInput: If one is not positive or a name is empty.
+    """
+    sizes = (
+        announcement.accelerators,
+        announcement.cores,
+        announcement.memory_mb,
+    )
+    if min(sizes) < 1:
+        raise errors.MalformedInput("a worker's sizes are positive")
+    if not announcement.name or not announcement.incarnation:
+        raise errors.MalformedInput("a worker has a name and an incarnation")
--- /dev/null
+++ b/extras/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, fakes and sample settings; no part of the product."""
--- /dev/null
+++ b/tests/agent/test_renewal.py
@@ -0,0 +1,216 @@
+import asyncio
+import random
+
+import pytest
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import settings
+from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import renewal
+from bilberryroute.model import wire
+from tests.utils import environment
+from tests.utils import leader as leader_lib
+
+EPOCH = 1 << 50
+
+
+@pytest.fixture
+def keeper() -> renewal.LeaseKeeper:
+    return renewal.LeaseKeeper(
+        EPOCH, board_lib.new_board().desired.get(), keep_ms=4_400
+    )
+
+
+def test_lease_counts_from_the_sending(keeper):
+    echo_ms = keeper.stamp(1_000)
+    verdict = keeper.accept(leader_lib.grant(echo_ms, lease_ms=2_200))
+    assert verdict.lease.expires == 3_200
+    assert verdict.lease.left(3_199) == 1
+    assert verdict.lease.left(3_200) == 0
+
+
+def test_grant_that_arrives_out_of_order_does_not_shorten_the_lease(keeper):
+    first = keeper.stamp(1_000)
+    second = keeper.stamp(1_700)
+    keeper.accept(leader_lib.grant(second))
+    verdict = keeper.accept(leader_lib.grant(first))
+    assert verdict.lease.expires == 3_900
+
+
+def test_lower_term_is_refused(keeper):
+    keeper.accept(leader_lib.grant(keeper.stamp(0), term=5))
+    verdict = keeper.accept(leader_lib.grant(keeper.stamp(700), term=4))
+    assert verdict == renewal.Dropped(reason=renewal.Ignored.LOWER_TERM)
+    assert keeper.lease.expires == 2_200
+
+
+def test_echo_of_an_earlier_incarnation_grants_nothing(keeper):
+    earlier = renewal.LeaseKeeper(
+        EPOCH + random.Random(1).getrandbits(50), keeper.desired, keep_ms=4_400
+    )
+    keeper.stamp(1_000)
+    verdict = keeper.accept(leader_lib.grant(earlier.stamp(1_000)))
+    assert verdict == renewal.Dropped(reason=renewal.Ignored.FOREIGN_ECHO)
+    assert keeper.lease.expires == 0
+
+
+def test_echo_is_forgotten_when_it_could_grant_nothing(keeper):
+    old = keeper.stamp(0)
+    keeper.stamp(10_000)
+    verdict = keeper.accept(leader_lib.grant(old))
+    assert verdict == renewal.Dropped(reason=renewal.Ignored.FOREIGN_ECHO)
+
+
+def test_push_before_the_first_own_grant_is_refused(keeper):
+    push = leader_lib.grant(0, desired=leader_lib.desired_state(7))
+    verdict = keeper.accept(push)
+    assert verdict == renewal.Dropped(reason=renewal.Ignored.UNPROVED_PUSH)
+    assert keeper.desired.version == 0
+
+
+def test_push_renews_nothing(keeper):
+    keeper.accept(leader_lib.grant(keeper.stamp(0)))
+    desired = leader_lib.desired_state(7)
+    push = leader_lib.grant(0, lease_ms=9_000, desired=desired)
+    assert keeper.accept(push) == renewal.Pushed(desired=desired)
+    assert keeper.lease.expires == 2_200
+
+
+def test_older_version_is_not_taken(keeper):
+    newer = leader_lib.desired_state(8)
+    keeper.accept(leader_lib.grant(keeper.stamp(0), desired=newer))
+    older = leader_lib.desired_state(7)
+    verdict = keeper.accept(leader_lib.grant(keeper.stamp(1), desired=older))
+    assert verdict.desired is None
+    assert keeper.desired == newer
+
+
+def test_revision_never_goes_back_even_in_a_higher_term(keeper):
+    newer = leader_lib.desired_state(8, revision=500)
+    keeper.accept(leader_lib.grant(keeper.stamp(0), desired=newer))
+    older = leader_lib.desired_state(9, revision=499)
+    verdict = keeper.accept(
+        leader_lib.grant(keeper.stamp(700), term=2, desired=older)
+    )
+    assert verdict == renewal.Dropped(reason=renewal.Ignored.REVISION_BACK)
+    assert keeper.desired == newer
+    assert keeper.lease.expires == 2_200
+
+
+def test_grants_in_any_order_never_step_back():
+    rng = random.Random(4)
+    for _ in range(200):
+        keeper = renewal.LeaseKeeper(
+            EPOCH, board_lib.new_board().desired.get(), keep_ms=100_000
+        )
+        grants = [
+            leader_lib.grant(
+                rng.choice((0, keeper.stamp(number))),
+                term=number // 7,
+                desired=leader_lib.desired_state(number, revision=number // 3),
+            )
+            for number in range(30)
+        ]
+        rng.shuffle(grants)
+        seen = (0, 0, 0)
+        for message in grants:
+            keeper.accept(message)
+            present = (
+                keeper.term,
+                keeper.desired.revision,
+                keeper.lease.expires,
+            )
+            assert all(a >= b for a, b in zip(present, seen, strict=True))
+            seen = present
+
+
+@pytest.fixture
+async def leaders():
+    group = [leader_lib.StandInLeader(f"r{number}") for number in (1, 2)]
+    for leader in group:
+        await leader.open()
+    yield group
+    for leader in group:
+        leader.close()
+
+
+@pytest.fixture
+async def service(leaders):
+    cfg = settings.Settings(
+        host="a1",
+        failure_domain="apapa",
+        roles=(settings.Role.AGENT,),
+        listen=settings.Listen(datagram="127.0.0.1:0"),
+        replicas=tuple(
+            settings.ReplicaAddress(
+                id=leader.leader_id, grpc="", datagram=leader.address
+            )
+            for leader in leaders
+        ),
+        timing=settings.Timing(renewal_ms=150),
+    )
+    env = environment.fake_environment(clock=clock_lib.SystemClock())
+    identity = renewal.Identity(
+        agent="a1", incarnation="i1", failure_domain="apapa"
+    )
+    service = renewal.RenewalService(cfg, env, board_lib.new_board(), identity)
+    yield service
+    await service.stop()
+
+
+async def test_lease_and_desired_state_reach_the_board(leaders, service):
+    await service.start()
+    await leaders[0].until(lambda r: r.desired_version == 1)
+    assert service.board.lease.get().left(clock_lib.SystemClock().now())
+    assert service.board.desired.get() == leaders[0].desired
+    assert list(service.board.services.get()) == ["gang-alloc"]
+
+
+async def test_push_is_confirmed_at_once(leaders, service):
+    await service.start()
+    await leaders[0].until(lambda r: r.desired_version == 1)
+    leaders[0].push(leader_lib.desired_state(2))
+    await leaders[0].until(lambda r: r.desired_version == 2)
+
+
+async def test_silent_leader_is_left_for_the_next_replica(leaders, service):
+    leaders[0].silent = True
+    await service.start()
+    await leaders[1].until(lambda r: r.term == 1)
+
+
+async def test_redirection_is_followed(leaders, service):
+    leaders[0].lease_ms = 0
+    leaders[0].leader_id = "r2"
+    await service.start()
+    await leaders[1].until(lambda r: r.term == 1)
+
+
+async def test_local_change_is_reported_without_waiting(leaders, service):
+    await service.start()
+    await leaders[0].until(lambda r: r.desired_version == 1)
+    report = wire.EndpointReport(
+        name="e1", service="gang-alloc", slots=8, in_flight=0
+    )
+    service.board.endpoints.set({"e1": report})
+    await leaders[0].until(lambda r: r.endpoints == (report,))
+
+
+async def test_load_alone_is_not_reported_at_once(leaders, service):
+    await service.start()
+    await leaders[0].until(lambda r: r.desired_version == 1)
+    sent = service.sent
+    for number in range(20):
+        report = wire.EndpointReport(
+            name="e1", service="gang-alloc", slots=8, in_flight=number
+        )
+        service.board.endpoints.set({"e1": report})
+        await asyncio.sleep(0)
+    await leaders[0].until(lambda r: r.endpoints and r.desired_version == 1)
+    assert service.sent - sent <= 3
+
+
+async def test_malformed_datagram_is_counted(leaders, service):
+    await service.start()
+    service.receive(b"\xc1")
+    assert service.ignored[renewal.Ignored.MALFORMED] == 1
--- /dev/null
+++ b/tests/agent/test_service.py
@@ -0,0 +1,72 @@
+import aiohttp
+import pytest
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import settings
+from bilberryroute.agent import service as service_lib
+from tests.utils import environment
+from tests.utils import leader as leader_lib
+
+
+@pytest.fixture
+async def leader():
+    leader = leader_lib.StandInLeader()
+    await leader.open()
+    yield leader
+    leader.close()
+
+
+@pytest.fixture
+async def role(leader):
+    cfg = settings.Settings(
+        host="a1",
+        failure_domain="apapa",
+        roles=(settings.Role.AGENT,),
+        listen=settings.Listen(http="127.0.0.1:0", datagram="127.0.0.1:0"),
+        replicas=(
+            settings.ReplicaAddress(id="r1", grpc="", datagram=leader.address),
+        ),
+    )
+    env = environment.fake_environment(clock=clock_lib.SystemClock())
+    role = service_lib.AgentRole(cfg, env)
+    yield role
+    await role.stop()
+
+
+async def test_agent_announces_its_address_and_becomes_ready(leader, role):
+    await role.start()
+    renewal = await leader.until(lambda r: r.desired_version == 1)
+    assert renewal.http == role.http
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f"http://{role.http}/readyz") as response:
+            assert response.status == 200
+
+
+async def test_worker_that_announces_itself_reaches_the_leader(leader, role):
+    await role.start()
+    hello = {
+        "name": "w1",
+        "incarnation": "i1",
+        "address": "127.0.0.1:9",
+        "rack": "k1",
+        "failure_domain": "apapa",
+        "accelerators": 8,
+        "cores": 30,
+        "memory_mb": 65_536,
+        "clock_ms": 0,
+    }
+    url = f"http://{role.http}/v1/workers"
+    async with aiohttp.ClientSession() as session:
+        async with session.post(url, json=hello) as response:
+            assert response.status == 200
+        async with session.post(url, json=hello | {"cores": 0}) as response:
+            assert response.status == 400
+    renewal = await leader.until(lambda r: r.workers)
+    assert renewal.workers[0].agent == "a1"
+
+
+async def test_drain_is_told_to_the_leader(leader, role):
+    await role.start()
+    await leader.until(lambda r: r.desired_version == 1)
+    await role.drain()
+    await leader.until(lambda r: r.draining)
--- /dev/null
+++ b/tests/agent/test_task_plan.py
@@ -0,0 +1,159 @@
+import pytest
+
+from bilberryroute.agent import task_plan
+from bilberryroute.agent import worker_api
+from bilberryroute.model import jobs
+from bilberryroute.model import wire
+from tests.utils import leader as leader_lib
+
+KEY = ("w1", "j1", 1)
+WORKER = jobs.Worker(
+    name="w1",
+    incarnation="i1",
+    agent="a1",
+    rack="k1",
+    failure_domain="apapa",
+    accelerators=8,
+    cores=30,
+    memory_mb=65_536,
+)
+
+
+def task(state: str, **changes: object) -> wire.DesiredTask:
+    fields: dict[str, object] = {
+        "job_id": "j1",
+        "attempt": 1,
+        "worker": "w1",
+        "accelerators": (0, 1),
+    }
+    return wire.DesiredTask(state=state, **(fields | changes))
+
+
+def held(phase: task_plan.Phase, **changes: object) -> task_plan.Held:
+    fields: dict[str, object] = {"key": KEY, "accelerators": (0, 1)}
+    return task_plan.Held(phase=phase, **(fields | changes))
+
+
+def view(
+    *tasks: wire.DesiredTask,
+    holds: task_plan.Held | None = None,
+    domains: tuple[str, ...] = ("apapa",),
+    **changes: object,
+) -> task_plan.View:
+    fields: dict[str, object] = {
+        "desired": leader_lib.desired_state(3, *tasks, domains=domains),
+        "held": {holds.key: holds} if holds else {},
+        "workers": {"w1": WORKER},
+        "surveys": {"w1": {}},
+        "lease_left_ms": 1_000,
+        "started": 0,
+        "now": 1_000,
+        "task_lease_ms": 10_000,
+    }
+    return task_plan.View(**(fields | changes))
+
+
+def test_reservation_is_held_before_anything_starts():
+    wanted = task("reserved")
+    assert task_plan.plan(view(wanted)) == [task_plan.Reserve(task=wanted)]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"domains": ()},
+        {"workers": {}},
+        {"surveys": {}},
+        {"holds": held(task_plan.Phase.RUNNING, key=("w1", "j0", 1))},
+    ],
+    ids=["domain out", "worker gone", "worker not asked yet", "taken"],
+)
+def test_reservation_waits(changes):
+    steps = task_plan.plan(view(task("reserved"), **changes))
+    assert not any(isinstance(s, task_plan.Reserve) for s in steps)
+
+
+def test_two_reservations_never_share_an_accelerator():
+    first = task("reserved")
+    second = task("reserved", job_id="j2", accelerators=(1, 2))
+    assert task_plan.plan(view(first, second)) == [
+        task_plan.Reserve(task=first)
+    ]
+
+
+def test_reserved_task_starts_under_a_lease():
+    reserved = held(task_plan.Phase.RESERVED)
+    steps = task_plan.plan(view(task("running"), holds=reserved))
+    assert steps == [task_plan.Start(key=KEY)]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"lease_left_ms": 0}, {"domains": ("lekki",)}, {"workers": {}}],
+    ids=["no lease", "domain out", "worker gone"],
+)
+def test_start_is_withheld(changes):
+    reserved = held(task_plan.Phase.RESERVED)
+    assert not task_plan.plan(view(task("running"), holds=reserved, **changes))
+
+
+@pytest.mark.parametrize(
+    "phase",
+    [
+        task_plan.Phase.STARTING,
+        task_plan.Phase.RUNNING,
+        task_plan.Phase.STOPPING,
+        task_plan.Phase.ENDED,
+    ],
+)
+def test_task_is_not_started_twice(phase):
+    started = held(phase, result=jobs.TaskResult.DONE)
+    assert not task_plan.plan(view(task("running"), holds=started))
+
+
+def test_task_not_reserved_here_is_fenced_and_never_started():
+    assert task_plan.plan(view(task("running"))) == [
+        task_plan.Fence(key=KEY, result=jobs.TaskResult.LOST)
+    ]
+
+
+def test_task_on_a_worker_not_heard_of_waits_for_its_lease_to_end():
+    unknown = {"workers": {}, "surveys": {}}
+    assert not task_plan.plan(view(task("running"), **unknown, now=9_999))
+    assert task_plan.plan(view(task("running"), **unknown, now=10_000)) == [
+        task_plan.End(key=KEY, result=jobs.TaskResult.LOST)
+    ]
+
+
+def test_task_started_by_an_earlier_incarnation_is_adopted():
+    found = worker_api.Task(
+        job_id="j1", attempt=1, state=worker_api.TaskState.RUNNING
+    )
+    surveys = {"w1": {KEY: found}}
+    adopted = [task_plan.Adopt(key=KEY, found=found)]
+    assert task_plan.plan(view(task("running"), surveys=surveys)) == adopted
+    assert task_plan.plan(view(surveys=surveys)) == adopted
+
+
+def test_task_no_longer_listed_is_stopped():
+    running = held(task_plan.Phase.RUNNING)
+    assert task_plan.plan(view(holds=running)) == [
+        task_plan.Stop(key=KEY, checkpoint=False)
+    ]
+    ended = held(task_plan.Phase.ENDED, result=jobs.TaskResult.DONE)
+    assert task_plan.plan(view(holds=ended)) == [task_plan.Forget(key=KEY)]
+
+
+def test_stop_saves_progress_if_asked():
+    running = held(task_plan.Phase.RUNNING)
+    wanted = task("stopped", checkpoint=True)
+    assert task_plan.plan(view(wanted, holds=running)) == [
+        task_plan.Stop(key=KEY, checkpoint=True)
+    ]
+
+
+def test_reservation_ends_as_stopped():
+    reserved = held(task_plan.Phase.RESERVED)
+    assert task_plan.plan(view(task("stopped"), holds=reserved)) == [
+        task_plan.End(key=KEY, result=jobs.TaskResult.STOPPED)
+    ]
