--- a/bilberryroute/api.py
+++ b/bilberryroute/api.py
@@ -24,6 +24,10 @@
 from bilberryroute import settings
 
 ACCOUNT_HEADER = "Client-Account"
+REQUEST_ID_HEADER = "Request-Id"
+DEADLINE_HEADER = "Deadline-Ms"
+IDEMPOTENT_HEADER = "Idempotent"
+OUTCOME_HEADER = "Outcome"
 PROBLEM_TYPE = "application/problem+json"
 PROBLEM_PREFIX = "urn:bilberryroute:problem:"
 MIN_TOKEN_CHARS = 16
--- a/bilberryroute/cli/__init__.py
+++ b/bilberryroute/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Commands: arguments in, printed results out."""
+"""Commands of the program, one module for each group."""
--- /dev/null
+++ b/bilberryroute/cli/run.py
@@ -0,0 +1,151 @@
+"""The daemon: builds its services, runs them and stops them gracefully."""
+
+import argparse
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import signal
+from collections.abc import Sequence
+
+import mode
+
+from bilberryroute import context
+from bilberryroute import errors
+from bilberryroute import logs
+from bilberryroute import settings
+from bilberryroute import status
+
+_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Daemon:
+    """What `run` was asked for.
+
+    Attributes:
+      settings: Settings file; empty for the embedded system.
+    """
+
+    settings: str = ""
+
+
+def parse(args: Sequence[str]) -> Daemon | None:
+    """Returns the daemon asked for, or None for anything else.
+
+    This parser knows `run --settings FILE` only, so that a daemon does not
+    carry the modules of the whole command line. What it does not understand
+    is left to `cli.parser`, which prints help and errors.
+    """
+    if list(args[:1]) != ["run"]:
+        return None
+    parser = argparse.ArgumentParser(
+        add_help=False, allow_abbrev=False, exit_on_error=False
+    )
+    parser.add_argument("--settings", default="")
+    try:
+        known, rest = parser.parse_known_args(args[1:])
+    except argparse.ArgumentError:
+        return None
+    return None if rest else Daemon(settings=known.settings)
+
+
+def run_daemon(daemon: Daemon, env: context.Environment) -> status.ExitStatus:
+    """Runs one process until a signal or a failure stops it.
+
+    Raises:
+      errors.SettingsError: If the settings cannot be used.
+      errors.BilberryrouteError: If a service fails.
+    """
+    cfg = _load(daemon)
+    logs.configure(
+        stream=env.stderr,
+        level=cfg.log_level,
+        role="+".join(cfg.roles),
+        host=cfg.host,
+        failure_domain=cfg.failure_domain,
+    )
+    try:
+        return asyncio.run(_serve(cfg, env))
+    except Exception as exc:
+        raise _typed(exc) from exc
+
+
+def _load(daemon: Daemon) -> settings.Settings:
+    if daemon.settings:
+        from bilberryroute import settings_check
+
+        return settings_check.load(daemon.settings)
+    from bilberryroute import embedded
+
+    return embedded.embedded_settings()
+
+
+async def _serve(
+    cfg: settings.Settings, env: context.Environment
+) -> status.ExitStatus:
+    # Imported late: only here is it known which roles are needed.
+    from bilberryroute import process
+
+    with _signals() as signals:
+        service = process.build(cfg, env)
+        await _start(service)
+        _log.info("started", extra={"http": cfg.listen.http})
+        await _first(service.wait_until_stopped(), signals.get())
+        if service.crash_reason is None:
+            _log.info("draining")
+            # A second signal ends the wait.
+            await _first(service.drain(), signals.get())
+        await service.stop()
+    if service.crash_reason is not None:
+        raise _typed(service.crash_reason)
+    _log.info("stopped")
+    return status.ExitStatus.SUCCESS
+
+
+async def _start(service: mode.Service) -> None:
+    try:
+        await service.start()
+    except OSError as exc:
+        await service.stop()
+        raise errors.SettingsError(
+            f"cannot start: {exc}",
+            remedy="Check the addresses and the data folder in the settings;"
+            " another process may hold them.",
+        ) from exc
+
+
+@contextlib.contextmanager
+def _signals():
+    """Yields a queue of the signals that ask the process to leave."""
+    loop = asyncio.get_running_loop()
+    received: asyncio.Queue[signal.Signals] = asyncio.Queue()
+    for each in _SIGNALS:
+        loop.add_signal_handler(each, received.put_nowait, each)
+    try:
+        yield received
+    finally:
+        for each in _SIGNALS:
+            loop.remove_signal_handler(each)
+
+
+async def _first(*waits) -> None:
+    """Waits for the first of some coroutines and cancels the others."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _typed(exc: BaseException) -> errors.BilberryrouteError:
+    if isinstance(exc, errors.BilberryrouteError):
+        return exc
+    _log.error("service failed", exc_info=exc)
+    return errors.BilberryrouteError(f"a service failed: {exc!r}")
--- /dev/null
+++ b/bilberryroute/cli/system.py
@@ -0,0 +1,128 @@
+"""Commands on the system as a whole and on single processes."""
+
+from bilberryroute import status
+from bilberryroute.cli import checks
+from bilberryroute.cli import client
+from bilberryroute.model import queries
+
+
+@client.command
+async def show_status(
+    session: client.Session, *, check: bool = False
+) -> status.ExitStatus:
+    """Shows the system as the leading replica sees it.
+
+    Example::
+
+      bilberryroute status --check
+
+    Args:
+      session: Connection to the entry.
+      check: Judge the invariants that can be seen from outside instead; exit
+        status 8 says that one is broken.
+    """
+    answer = await session.call("GET", "/v1/status")
+    view = answer.decode(queries.StatusView)
+    if check:
+        return _show_checks(session, checks.evaluate(view))
+    if session.output.as_json:
+        session.output.json(view)
+    else:
+        _show_tables(session, view)
+    return status.ExitStatus.SUCCESS
+
+
+def _show_checks(
+    session: client.Session, broken: tuple[checks.Broken, ...]
+) -> status.ExitStatus:
+    if session.output.as_json:
+        session.output.json({"broken": broken})
+    elif broken:
+        rows = [(each.invariant, each.detail) for each in broken]
+        session.output.table(("broken", "detail"), rows)
+    else:
+        session.output.line("all invariants hold")
+    if not broken:
+        return status.ExitStatus.SUCCESS
+    session.env.print_error(
+        f"{len(broken)} invariants broken (See docs/operations/checks.md.)"
+    )
+    return status.ExitStatus.CHECK_FAILED
+
+
+def _show_tables(session: client.Session, view: queries.StatusView) -> None:
+    out = session.output
+    counts = ", ".join(f"{c.jobs} {c.phase}" for c in view.jobs)
+    out.fields(
+        ("leader", f"{view.leader_id} in term {view.term}"),
+        ("revision", view.revision),
+        ("jobs", counts or "none"),
+    )
+    out.line()
+    out.table(
+        ("replica", "role", "match index", "heard ms ago"),
+        [(r.id, r.role, r.match_index, r.heard_ms_ago) for r in view.replicas],
+    )
+    out.line()
+    out.table(
+        ("failure domain", "in service"),
+        [(d.name, _yes(d.in_service)) for d in view.failure_domains],
+    )
+    out.line()
+    out.table(
+        ("agent", "failure domain", "revision", "lease left ms", "draining"),
+        [
+            (
+                a.name,
+                a.failure_domain,
+                a.revision,
+                a.lease_left_ms,
+                _yes(a.draining),
+            )
+            for a in view.agents
+        ],
+    )
+    out.line()
+    out.table(
+        (
+            "worker",
+            "rack",
+            "failure domain",
+            "free",
+            "in service",
+            "quarantined",
+        ),
+        [
+            (
+                w.worker.name,
+                w.worker.rack,
+                w.worker.failure_domain,
+                f"{w.free}/{w.worker.accelerators}",
+                _yes(w.in_service),
+                _yes(w.quarantined),
+            )
+            for w in view.workers
+        ],
+    )
+    for sentence in (*view.shortfalls, *view.violations):
+        out.line(f"! {sentence}")
+
+
+def _yes(value: bool) -> str:
+    return "yes" if value else "no"
+
+
+@client.command
+async def drain(session: client.Session) -> status.ExitStatus:
+    """Asks one process to finish its work and leave, as SIGTERM does.
+
+    Example::
+
+      bilberryroute drain --entry http://10.0.0.1:7070
+    """
+    answer = await session.call("POST", "/v1/drain")
+    if session.output.as_json:
+        session.output.json(answer.decode())
+    else:
+        session.output.line("draining")
+    return status.ExitStatus.SUCCESS
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -269,3 +269,11 @@
         "Move the data folder away and let the host rejoin as a new replica;"
         " see docs/operations/replace-a-host.md."
     )
+
+
+def all_kinds() -> tuple[type[BilberryrouteError], ...]:
+    """Returns every class of the tree that is loaded, the base first."""
+    found = [BilberryrouteError]
+    for kind in found:
+        found.extend(kind.__subclasses__())
+    return tuple(found)
