--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -277,3 +277,14 @@
     for kind in found:
         found.extend(kind.__subclasses__())
     return tuple(found)
+
+
+def by_kind(kind: str) -> type[BilberryrouteError]:
+    """Returns the error class of a kind, or the base for an unknown one.
+
+    Only classes that take a message as their one positional argument qualify.
+    """
+    return _KINDS.get(kind, BilberryrouteError)
+
+
+_KINDS = {k.kind: k for k in all_kinds() if k != NotLeader}
