--- a/bilberryroute/api.py
+++ b/bilberryroute/api.py
@@ -23,7 +23,15 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 
+<<<<<<< HEAD
+ACCOUNT_HEADER = "Client-Account"
+REQUEST_ID_HEADER = "Request-Id"
+DEADLINE_HEADER = "Deadline-Ms"
+IDEMPOTENT_HEADER = "Idempotent"
+OUTCOME_HEADER = "Outcome"
+=======
 ACCOUNT_HEADER = "Bilberryroute-Account"
+>>>>>>> main
 PROBLEM_TYPE = "application/problem+json"
 PROBLEM_PREFIX = "urn:bilberryroute:problem:"
 MIN_TOKEN_CHARS = 16
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -274,6 +274,14 @@
     )
 
 
+def all_kinds() -> tuple[type[BilberryrouteError], ...]:
+    """Returns every class of the tree that is loaded, the base first."""
+    found = [BilberryrouteError]
+    for kind in found:
+        found.extend(kind.__subclasses__())
+    return tuple(found)
+
+
 def by_kind(kind: str) -> type[BilberryrouteError]:
     """Returns the error class of a kind, or the base for an unknown one.
 
@@ -282,11 +290,4 @@
     return _KINDS.get(kind, BilberryrouteError)
 
 
-def _tree(base: type[BilberryrouteError]) -> dict[str, type]:
-    found = {base.kind: base}
-    for sub in base.__subclasses__():
-        found.update(_tree(sub))
-    return found
-
-
-_KINDS = {k: c for k, c in _tree(BilberryrouteError).items() if c != NotLeader}
+_KINDS = {k.kind: k for k in all_kinds() if k != NotLeader}
