Join the agent's services behind the process's HTTP server

Cause: agent, entry and replica may share a process and so one server. Change: roles register routes on one application; readiness asks each role.

--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -1,11 +1,8 @@
 """The entry role: callers' and operators' HTTP over the control client."""
 
-import asyncio
-
 import mode
 from aiohttp import web
 
-from bilberryroute import clock as clock_lib
 from bilberryroute import context
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
@@ -29,7 +26,6 @@
         metrics: metrics_lib.Metrics,
     ):
         super().__init__()
-        self._cfg = cfg
         self.board = board_lib.new_board()
         self.control = control_lib.ControlClient(
             cfg, self.board, env.clock, env.rng
@@ -55,9 +51,6 @@
 
     async def drain(self) -> None:
         """Takes new requests for the balancer's lag, then finishes all."""
-        self.board.draining.set(True)
-        lag = clock_lib.seconds(self._cfg.timing.balancer_lag_ms)
-        await asyncio.sleep(lag)
         await self.requests.drain()
 
     async def on_start(self) -> None:
--- a/bilberryroute/transport/http.py
+++ b/bilberryroute/transport/http.py
@@ -14,7 +14,7 @@
 
     Attributes:
       app: Roles add their routes to it before the server starts.
-      port: The port listened on, once started.
+      address: Where it listens, `ip:port`.
     """
 
     def __init__(
@@ -22,8 +22,7 @@
     ):
         super().__init__()
         self.app = app
-        self.port = 0
-        self._address = address
+        self.address = address
         self._limits = limits
         self._runner: web.AppRunner | None = None
 
@@ -33,10 +32,9 @@
             self.app, self._limits, shutdown_timeout=STOP_SECONDS
         )
         await self._runner.setup()
-        ip, port = self._address.rsplit(":", 1)
+        ip, port = self.address.rsplit(":", 1)
         site = web.TCPSite(self._runner, ip, int(port))
         await site.start()
-        self.port = self._runner.addresses[0][1]
 
     async def on_stop(self) -> None:
         """Stops listening and lets running handlers finish."""
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -2,10 +2,11 @@
 import pytest
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import process as process_lib
 from bilberryroute import settings
-from bilberryroute.agent import service as service_lib
 from tests.utils import environment
 from tests.utils import leader as leader_lib
+from tests.utils import ports
 
 
 @pytest.fixture
@@ -22,23 +23,27 @@
         host="a1",
         failure_domain="apapa",
         roles=(settings.Role.AGENT,),
-        listen=settings.Listen(http="127.0.0.1:0", datagram="127.0.0.1:0"),
+        listen=settings.Listen(
+            http=ports.free_address(), datagram="127.0.0.1:0"
+        ),
         replicas=(
             settings.ReplicaAddress(id="r1", grpc="", datagram=leader.address),
         ),
     )
     env = environment.fake_environment(clock=clock_lib.SystemClock())
-    role = service_lib.AgentRole(cfg, env)
-    yield role
-    await role.stop()
+    process = process_lib.build(cfg, env)
+    yield process
+    await process.stop()
 
 
 async def test_agent_announces_its_address_and_becomes_ready(leader, role):
     await role.start()
     renewal = await leader.until(lambda r: r.desired_version == 1)
-    assert renewal.http == role.http
+    assert renewal.http == role.http.address
     async with aiohttp.ClientSession() as session:
-        async with session.get(f"http://{role.http}/readyz") as response:
+        async with session.get(
+            f"http://{role.http.address}/readyz"
+        ) as response:
             assert response.status == 200
 
 
@@ -55,7 +60,7 @@
         "memory_mb": 65_536,
         "clock_ms": 0,
     }
-    url = f"http://{role.http}/v1/workers"
+    url = f"http://{role.http.address}/v1/workers"
     async with aiohttp.ClientSession() as session:
         async with session.post(url, json=hello) as response:
             assert response.status == 200
