--- a/bilberryroute/api.py
+++ b/bilberryroute/api.py
@@ -23,11 +23,11 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 
-ACCOUNT_HEADER = "Client-Account"
-REQUEST_ID_HEADER = "Request-Id"
-DEADLINE_HEADER = "Deadline-Ms"
-IDEMPOTENT_HEADER = "Idempotent"
-OUTCOME_HEADER = "Outcome"
+ACCOUNT_HEADER = "Bilberryroute-Account"
+REQUEST_ID_HEADER = "Bilberryroute-Request-Id"
+DEADLINE_HEADER = "Bilberryroute-Deadline-Ms"
+IDEMPOTENT_HEADER = "Bilberryroute-Idempotent"
+OUTCOME_HEADER = "Bilberryroute-Outcome"
 PROBLEM_TYPE = "application/problem+json"
 PROBLEM_PREFIX = "urn:bilberryroute:problem:"
 MIN_TOKEN_CHARS = 16
