--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -169,9 +169,9 @@
         ("/operator", {"Authorization": "Basic abc"}, 401),
         ("/account", {}, 401),
         ("/account", bearer(TRUST), 200),
-        ("/account", bearer(TRUST) | {"Client-Account": "trust"}, 200),
-        ("/account", bearer(TRUST) | {"Client-Account": "exchange"}, 403),
-        ("/account", bearer(OPERATOR) | {"Client-Account": "trust"}, 403),
+        ("/account", bearer(TRUST) | {api.ACCOUNT_HEADER: "trust"}, 200),
+        ("/account", bearer(TRUST) | {api.ACCOUNT_HEADER: "exchange"}, 403),
+        ("/account", bearer(OPERATOR) | {api.ACCOUNT_HEADER: "trust"}, 403),
         ("/metrics", {}, 200),
     ],
 )
@@ -186,7 +186,7 @@
 async def test_loopback_may_do_all_without_tokens(new_client):
     client = await new_client()
     assert (await client.get("/operator")).status == 200
-    headers = {"Client-Account": "trust"}
+    headers = {api.ACCOUNT_HEADER: "trust"}
     answer = await client.get("/account", headers=headers)
     assert await answer.text() == "trust"
     assert (await client.get("/account")).status == 400
@@ -197,7 +197,7 @@
 ):
     monkeypatch.setattr(api, "is_loopback", lambda req: False)
     client = await new_client()
-    headers = {"Client-Account": "trust"}
+    headers = {api.ACCOUNT_HEADER: "trust"}
     assert (await client.get("/operator", headers=headers)).status == 401
     assert (await client.get("/account", headers=headers)).status == 401
 
