Serve operators' tickets, jobs and status

A conflict names the winner's digest and the next free number, also as members of the problem document. Rights are checked before a body is read. Every process serves the same probes and /v1/drain, which takes SIGTERM's way out; all processes therefore load the token files.

Ruled out: reading the status from the entry's own board, which cannot tell an agent's lease.

--- a/bilberryroute/api.py
+++ b/bilberryroute/api.py
@@ -60,6 +60,7 @@
         "kind": exc.kind,
         "outcome": str(exc.outcome),
         "remedy": exc.remedy,
+        **exc.extensions,
     }
     headers = {}
     if exc.retry_after_ms is not None:
@@ -343,6 +344,16 @@
     raise errors.Unauthenticated("this needs an operator's token")
 
 
+def require_token(req: web.Request) -> None:
+    """Passes operators and callers.
+
+    Raises:
+      errors.Unauthenticated: If the request carries no token.
+    """
+    if not req[OPERATOR] and not req[ACCOUNT]:
+        raise errors.Unauthenticated("this needs a token")
+
+
 def require_account(req: web.Request, claimed: str = "") -> str:
     """Returns the client account that the request acts for.
 
--- a/bilberryroute/cli/client.py
+++ b/bilberryroute/cli/client.py
@@ -85,9 +85,9 @@
 
 
 def _exit_status(problem: Problem) -> status.ExitStatus:
-    statuses = {k.kind: k.exit_status for k in errors.all_kinds()}
-    if problem.kind in statuses:
-        return statuses[problem.kind]
+    kind = errors.by_kind(problem.kind)
+    if kind.kind == problem.kind:
+        return kind.exit_status
     if problem.outcome == errors.Outcome.NOT_RUN:
         return status.ExitStatus.REFUSED
     return status.ExitStatus.UNKNOWN
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -29,6 +29,7 @@
       outcome: What is known about the request that met the error.
       exit_status: Exit code of a command that ends with it.
       retry_after_ms: When a new try makes sense, in milliseconds, or None.
+      extensions: More members of the problem document, by name.
     """
 
     kind: ClassVar[str] = "internal"
@@ -47,6 +48,7 @@
         super().__init__(message)
         self.message = message
         self.retry_after_ms = retry_after_ms
+        self.extensions: dict[str, object] = {}
         if remedy is not None:
             self.remedy = remedy
 
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -8,6 +8,7 @@
 
 from bilberryroute import api
 from bilberryroute import context
+from bilberryroute import lifecycle
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.transport import http as http_lib
@@ -41,10 +42,12 @@
         self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
 
     def _application(self, cfg: settings.Settings) -> web.Application:
-        app = api.new_application(cfg.limits, self.metrics, _rights(cfg))
-        app.router.add_get("/healthz", self._healthz)
-        app.router.add_get("/readyz", self._readyz)
-        for role in self.roles:
+        rights = api.load_rights(cfg.tokens)
+        app = api.new_application(cfg.limits, self.metrics, rights)
+        probes = lifecycle.Lifecycle()
+        probes.register(app)
+        for name, role in zip(_ordered(cfg), self.roles, strict=True):
+            probes.ready_when(name, role.ready)
             role.register(app)
         return app
 
@@ -58,29 +61,12 @@
         """Prepares a stop that cuts off nothing in flight."""
         await asyncio.gather(*(role.drain() for role in self.roles))
 
-    async def _healthz(self, req: web.Request) -> web.Response:
-        del req
-        return web.Response(text="ok\n")
-
-    async def _readyz(self, req: web.Request) -> web.Response:
-        del req
-        if all(role.ready() for role in self.roles):
-            return web.Response(text="ready\n")
-        return web.Response(text="not ready\n", status=503)
-
 
 def build(cfg: settings.Settings, env: context.Environment) -> Process:
     """Returns the process that the settings describe, not yet started."""
     return Process(cfg, env)
 
 
-def _rights(cfg: settings.Settings) -> api.Rights | None:
-    """Returns the rights to check, where callers and operators come in."""
-    if settings.Role.ENTRY not in cfg.roles:
-        return None
-    return api.load_rights(cfg.tokens)
-
-
 def _ordered(cfg: settings.Settings) -> list[settings.Role]:
     """Returns the roles with those first that others depend on."""
     order = (settings.Role.REPLICA, settings.Role.AGENT, settings.Role.ENTRY)
