--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -42,13 +42,12 @@
         self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
 
     def _application(self, cfg: settings.Settings) -> web.Application:
-        app = api.new_application(
-            cfg.limits, self.metrics, api.load_rights(cfg.tokens)
-        )
+        rights = api.load_rights(cfg.tokens)
+        app = api.new_application(cfg.limits, self.metrics, rights)
         probes = lifecycle.Lifecycle()
         probes.register(app)
-        for role in self.roles:
-            probes.ready_when(type(role).__name__, role.ready)
+        for name, role in zip(_ordered(cfg), self.roles, strict=True):
+            probes.ready_when(name, role.ready)
             role.register(app)
         return app
 
