Eject bad endpoints, probe silent connections, send long answers by segments

Silent connections cost at most probe_ms plus probe_timeout_ms on either leg: an agent answers an entry's exchange within probe_ms, if only with 'running', and an endpoint that answers probes is asked over a second connection. One silent exchange retires all pooled connections to that agent, since others to the same address are likely to be lost as well.

Long answers stay whole at the agent; the entry holds one segment of 256 KiB of each. Ruled out: one long response streamed through, which cannot be resumed when its connection goes silent.

--- a/bilberryroute/agent/admission.py
+++ b/bilberryroute/agent/admission.py
@@ -4,6 +4,7 @@
 
 from bilberryroute.agent import board as board_lib
 from bilberryroute.model import config
+from bilberryroute.routing import protocol
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -25,14 +26,14 @@
 ) -> Refusal | None:
     """Returns why no request may start on an endpoint now, or None."""
     if board.lease.get().left(now) == 0:
-        return Refusal(reason="no_lease")
+        return Refusal(reason=protocol.Reason.NO_LEASE)
     if failure_domain not in board.desired.get().domains_in_service:
-        return Refusal(reason="domain_out")
+        return Refusal(reason=protocol.Reason.DOMAIN_OUT)
     announced = board.announcements.get().get(endpoint)
     if announced is None:
-        return Refusal(reason="endpoint_gone")
+        return Refusal(reason=protocol.Reason.ENDPOINT_GONE)
     if announced.leaving:
-        return Refusal(reason="endpoint_leaving")
+        return Refusal(reason=protocol.Reason.ENDPOINT_LEAVING)
     return None
 
 
--- a/bilberryroute/agent/endpoint_client.py
+++ b/bilberryroute/agent/endpoint_client.py
@@ -1,20 +1,27 @@
 """Calls to endpoints: one request, one connection, one whole answer.
 
 A connection serves one request only. An answer that arrives late or twice
-therefore has no later request to be mistaken for.
+therefore has no later request to be mistaken for. While an endpoint works, it
+is asked over another connection what became of the request, so that a
+connection that has gone silent costs no more than `probe_ms` and one timeout.
 """
 
+import asyncio
+import collections
+import contextlib
 import dataclasses
 
 import aiohttp
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import settings
 from bilberryroute.model import endpoints
 from bilberryroute.routing import protocol
 
 ANSWER_BYTES_MAX = 32 * 1_024 * 1_024
 CONNECT_TIMEOUT_MS = 1_000
 CHUNK_BYTES = 65_536
+PROBES_LOST_MAX = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,10 +47,12 @@
 
 
 class EndpointClient:
-    """Posts requests to endpoints."""
+    """Posts requests to endpoints and probes what becomes of them."""
 
-    def __init__(self):
+    def __init__(self, timing: settings.Timing):
+        self._timing = timing
         self._session: aiohttp.ClientSession | None = None
+        self._connections: collections.Counter[str] = collections.Counter()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -57,33 +66,108 @@
         body: bytes,
     ) -> Answer | Failure:
         """Returns the endpoint's whole answer, or why there is none."""
-        headers = {
-            protocol.REQUEST_ID_HEADER: order.request_id,
-            protocol.ATTEMPT_HEADER: str(order.attempt),
-            protocol.ACCOUNT_HEADER: order.account,
-            protocol.DEADLINE_HEADER: str(order.time_left_ms),
-            "Content-Type": order.content_type,
-        }
+        posting = asyncio.create_task(self._post(announced, order, body))
         try:
-            async with self._opened().post(
-                f"http://{announced.address}/",
-                data=body,
-                headers=headers,
-                allow_redirects=False,
-                timeout=_timeout(order.time_left_ms),
-            ) as resp:
-                return await _read(resp, order.request_id)
+            if not announced.answers_probes:
+                return await posting
+            return await self._watch(announced, order, posting)
+        finally:
+            posting.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await posting
+
+    async def _watch(
+        self,
+        announced: endpoints.Announcement,
+        order: protocol.Dispatch,
+        posting: asyncio.Task[Answer | Failure],
+    ) -> Answer | Failure:
+        lost = 0
+        while lost < PROBES_LOST_MAX:
+            interval = clock_lib.seconds(self._timing.probe_ms)
+            await asyncio.wait({posting}, timeout=interval)
+            if posting.done():
+                return posting.result()
+            if self._connections[announced.name] >= announced.connections:
+                continue
+            found = await self._probe(announced, order)
+            if posting.done():
+                return posting.result()
+            match found:
+                case Answer() | Failure(ran=False):
+                    return found
+                case Failure():
+                    lost += 1
+                case None:
+                    lost = 0
+        return Failure(reason=protocol.Reason.ENDPOINT_SILENT, ran=True)
+
+    async def _post(
+        self,
+        announced: endpoints.Announcement,
+        order: protocol.Dispatch,
+        body: bytes,
+    ) -> Answer | Failure:
+        headers = _headers(order) | {"Content-Type": order.content_type}
+        try:
+            with self._connection(announced.name):
+                async with self._opened().post(
+                    f"http://{announced.address}/",
+                    data=body,
+                    headers=headers,
+                    allow_redirects=False,
+                    timeout=_timeout(order.time_left_ms),
+                ) as resp:
+                    return await _read(resp, order.request_id)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ):
-            return Failure(reason="endpoint_unreachable", ran=False)
+            return Failure(
+                reason=protocol.Reason.ENDPOINT_UNREACHABLE, ran=False
+            )
         except TimeoutError:
-            return Failure(reason="endpoint_timeout", ran=True)
+            return Failure(reason=protocol.Reason.ENDPOINT_TIMEOUT, ran=True)
         except aiohttp.ClientPayloadError:
-            return Failure(reason="endpoint_truncated", ran=True)
+            return Failure(reason=protocol.Reason.ENDPOINT_TRUNCATED, ran=True)
         except (aiohttp.ClientError, OSError):
-            return Failure(reason="endpoint_broke", ran=True)
+            return Failure(reason=protocol.Reason.ENDPOINT_BROKE, ran=True)
+
+    async def _probe(
+        self, announced: endpoints.Announcement, order: protocol.Dispatch
+    ) -> Answer | Failure | None:
+        """Returns how a request ended, or None while the endpoint runs it."""
+        url = f"http://{announced.address}/requests/{order.request_id}"
+        try:
+            with self._connection(announced.name):
+                async with self._opened().get(
+                    url,
+                    headers=_headers(order),
+                    timeout=_timeout(self._timing.probe_timeout_ms),
+                ) as resp:
+                    match resp.headers.get(protocol.STATE_HEADER):
+                        case protocol.State.RUNNING:
+                            return None
+                        case protocol.State.DONE:
+                            return await _read(resp, order.request_id)
+                        case protocol.State.NOT_RUN:
+                            return Failure(
+                                reason=protocol.Reason.ENDPOINT_NEVER_SEEN,
+                                ran=False,
+                            )
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            pass
+        return Failure(reason=protocol.Reason.ENDPOINT_SILENT, ran=True)
+
+    @contextlib.contextmanager
+    def _connection(self, name: str):
+        self._connections[name] += 1
+        try:
+            yield
+        finally:
+            self._connections[name] -= 1
+            if not self._connections[name]:
+                del self._connections[name]
 
     def _opened(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -95,9 +179,18 @@
         return self._session
 
 
-def _timeout(time_left_ms: int) -> aiohttp.ClientTimeout:
+def _headers(order: protocol.Dispatch) -> dict[str, str]:
+    return {
+        protocol.REQUEST_ID_HEADER: order.request_id,
+        protocol.ATTEMPT_HEADER: str(order.attempt),
+        protocol.ACCOUNT_HEADER: order.account,
+        protocol.DEADLINE_HEADER: str(order.time_left_ms),
+    }
+
+
+def _timeout(total_ms: int) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(
-        total=clock_lib.seconds(time_left_ms),
+        total=clock_lib.seconds(total_ms),
         sock_connect=clock_lib.seconds(CONNECT_TIMEOUT_MS),
     )
 
@@ -107,14 +200,14 @@
 ) -> Answer | Failure:
     echoed = resp.headers.get(protocol.REQUEST_ID_HEADER, request_id)
     if echoed != request_id:
-        return Failure(reason="endpoint_mismatched", ran=True)
+        return Failure(reason=protocol.Reason.ENDPOINT_MISMATCHED, ran=True)
     if not _is_framed(resp):
-        return Failure(reason="endpoint_unframed", ran=True)
+        return Failure(reason=protocol.Reason.ENDPOINT_UNFRAMED, ran=True)
     body = bytearray()
     async for chunk in resp.content.iter_chunked(CHUNK_BYTES):
         body += chunk
         if len(body) > ANSWER_BYTES_MAX:
-            return Failure(reason="endpoint_too_long", ran=True)
+            return Failure(reason=protocol.Reason.ENDPOINT_TOO_LONG, ran=True)
     return Answer(
         status=resp.status,
         content_type=resp.headers.get("Content-Type", ""),
@@ -124,6 +217,7 @@
 
 
 def _is_framed(resp: aiohttp.ClientResponse) -> bool:
+    """Returns whether a cut of the answer would be noticed."""
     chunked = resp.headers.get("Transfer-Encoding", "").lower() == "chunked"
     bodiless = resp.status in (204, 304)
     return chunked or bodiless or "Content-Length" in resp.headers
--- a/bilberryroute/agent/memory.py
+++ b/bilberryroute/agent/memory.py
@@ -58,6 +58,11 @@
         self._records[key] = record
         return record
 
+    def prolong(self, record: Record, answer_until: int) -> None:
+        """Keeps an answer that is being read for longer."""
+        record.answer_until = max(record.answer_until, answer_until)
+        record.key_until = max(record.key_until, answer_until)
+
     def end(
         self,
         key: str,
@@ -87,15 +92,23 @@
         record = self._records.get(key)
         if record is None:
             return
+        if record.answer_until > now:
+            heapq.heappush(self._due, (record.answer_until, key))
+            return
         if record.key_until <= now:
             self.bytes -= len(record.body)
             del self._records[key]
             return
-        if record.reply.state is not protocol.State.NOT_RUN:
-            self._drop_answer(key, record)
+        self._drop_answer(key, record)
         heapq.heappush(self._due, (record.key_until, key))
 
     def _drop_answer(self, key: str, record: Record) -> None:
+        if record.reply.state is protocol.State.NOT_RUN:
+            return
         self.bytes -= len(record.body)
         record.body = b""
-        record.reply = protocol.Reply(key=key, state=protocol.State.EXPIRED)
+        record.reply = protocol.Reply(
+            key=key,
+            state=protocol.State.EXPIRED,
+            reason=protocol.Reason.EXPIRED,
+        )
--- /dev/null
+++ b/bilberryroute/agent/slots.py
@@ -0,0 +1,135 @@
+"""Slots of endpoints and the short fair queue in front of each.
+
+Slots are counted here, beside the endpoint, where all entries meet. The queue
+is no longer than the endpoint has slots: it bridges the time between two
+reports, while the long queues are at the entries.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+from bilberryroute import clock as clock_lib
+from bilberryroute.agent import admission
+from bilberryroute.agent import board as board_lib
+from bilberryroute.routing import protocol
+from bilberryroute.routing import queues
+
+ANNOUNCEMENT_LAG_MS = 5_000
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Turn:
+    """A dispatch that waits for a slot."""
+
+    order: protocol.Dispatch
+    granted: asyncio.Future[None]
+
+
+class SlotCounter:
+    """Slots in use and requests waiting for one, by endpoint.
+
+    An endpoint may still run what this process knows nothing of, or has given
+    up: requests of an earlier incarnation, or whose connection broke. Those
+    that the endpoint itself reports hold a slot too.
+    """
+
+    def __init__(self, board: board_lib.AgentBoard, clock: clock_lib.Clock):
+        self._board = board
+        self._clock = clock
+        self._queues: dict[str, queues.FairQueue[_Turn]] = {}
+        self._active: dict[str, list[str]] = {}
+        self._finished: dict[str, int] = {}
+
+    def is_full(self, endpoint: str) -> bool:
+        """Returns whether no further request may wait for a slot."""
+        waiting = len(self._queues.get(endpoint, ()))
+        return waiting >= admission.slots_of(self._board, endpoint)
+
+    def finish(self, request_id: str) -> None:
+        """Notes that an endpoint has answered a request: it runs no more."""
+        now = self._clock.now()
+        self._finished[request_id] = now + ANNOUNCEMENT_LAG_MS
+        # Insertion order is order of time.
+        for old, until in list(self._finished.items()):
+            if until > now:
+                break
+            del self._finished[old]
+
+    @contextlib.asynccontextmanager
+    async def slot(
+        self, order: protocol.Dispatch, wait_ms: int
+    ) -> AsyncIterator[bool]:
+        """Holds a slot within the block; yields False if none came in time."""
+        granted = await self._acquire(order, wait_ms)
+        try:
+            yield granted
+        finally:
+            if granted:
+                self._leave(order.endpoint, order.request_id)
+                self.serve(order.endpoint)
+
+    def serve(self, endpoint: str) -> None:
+        """Hands free slots to those that wait."""
+        queue = self._queues.get(endpoint)
+        while queue and self._has_free(endpoint):
+            turn = queue.pop()
+            self._enter(turn.order)
+            turn.granted.set_result(None)
+        if queue is not None and not queue:
+            del self._queues[endpoint]
+
+    def serve_all(self) -> None:
+        """Hands out slots that changed announcements made free."""
+        for endpoint in list(self._queues):
+            self.serve(endpoint)
+
+    async def _acquire(self, order: protocol.Dispatch, wait_ms: int) -> bool:
+        endpoint = order.endpoint
+        if self._has_free(endpoint) and not self._queues.get(endpoint):
+            self._enter(order)
+            return True
+        queue = self._queues.setdefault(endpoint, queues.FairQueue())
+        turn = _Turn(order, asyncio.get_running_loop().create_future())
+        bound = admission.slots_of(self._board, endpoint)
+        if not queue.push(order.account, turn, bound):
+            return False
+        await asyncio.wait({turn.granted}, timeout=clock_lib.seconds(wait_ms))
+        if turn.granted.done():
+            return True
+        queue.remove(order.account, turn)
+        return False
+
+    def _has_free(self, endpoint: str) -> bool:
+        if endpoint not in self._board.announcements.get():
+            return True  # The check at the start refuses it.
+        used = len(self._active.get(endpoint, ())) + self._foreign(endpoint)
+        return used < admission.slots_of(self._board, endpoint)
+
+    def _foreign(self, endpoint: str) -> int:
+        reported = self._board.announcements.get()[endpoint].running
+        if not reported:
+            return 0
+        active = self._active.get(endpoint, ())
+        return sum(
+            request_id not in active and request_id not in self._finished
+            for request_id in reported
+        )
+
+    def _enter(self, order: protocol.Dispatch) -> None:
+        self._active.setdefault(order.endpoint, []).append(order.request_id)
+        self._publish(order.endpoint)
+
+    def _leave(self, endpoint: str, request_id: str) -> None:
+        self._active[endpoint].remove(request_id)
+        if not self._active[endpoint]:
+            del self._active[endpoint]
+        self._publish(endpoint)
+
+    def _publish(self, endpoint: str) -> None:
+        running = self._board.running.get()
+        running[endpoint] = len(self._active.get(endpoint, ()))
+        if running[endpoint] == 0:
+            del running[endpoint]
+        self._board.running.touch()
--- a/bilberryroute/entry/attempts.py
+++ b/bilberryroute/entry/attempts.py
@@ -1,19 +1,35 @@
 """Runs idempotent requests: attempt after attempt, within a budget."""
 
 import asyncio
+import dataclasses
+import http
 import random
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute.entry import calls
 from bilberryroute.entry import dispatching
-from bilberryroute.entry import forward
 from bilberryroute.model import config
 from bilberryroute.model import wire
 from bilberryroute.routing import outcomes
 from bilberryroute.routing import protocol
 from bilberryroute.routing import retries
 
+RETRY_AFTER_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """How one attempt ended.
+
+    Attributes:
+      reason: Why it failed; empty if it did not.
+      answered: The endpoint's answer, also if it is an error.
+    """
+
+    reason: str
+    answered: calls.Answered | None = None
+
 
 class IdempotentRunner:
     """Runs a request until an endpoint answers it or a verdict ends it."""
@@ -42,41 +58,41 @@
         avoid: set[str] = set()
         while True:
             view = await self._dispatcher.acquire(call, limits, avoid)
-            exchange, reason = await self._attempt(call, view)
-            if exchange is not None and not reason:
-                return calls.Answered(reply=exchange.reply, body=exchange.body)
+            attempt = await self._attempt(call, view)
+            self._dispatcher.observe(view.name, attempt.reason)
+            if attempt.answered is not None and not attempt.reason:
+                return attempt.answered
             avoid.add(view.name)
-            if not await self._goes_on(call, reason):
-                return _give_up(call, exchange, reason)
+            if not await self._goes_on(call, attempt.reason):
+                return _give_up(call, attempt)
 
     async def _attempt(
         self, call: calls.Call, view: wire.EndpointView
-    ) -> tuple[forward.Exchange | None, str]:
+    ) -> Attempt:
         call.attempts += 1
         key = outcomes.attempt_key(
             call.account, call.id, self._entry_token, call.attempts
         )
-        order = self._dispatcher.order(call, view, key)
+        bound = dispatching.bound_to(view)
+        order = self._dispatcher.order(call, bound, key)
         try:
-            bound = dispatching.Bound(
-                name=view.name,
-                service=view.service,
-                incarnation=view.incarnation,
-                http=view.http,
-            )
             exchange = await self._dispatcher.run(bound, order, call)
         except calls.ReplyError as exc:
             call.may_have_run |= exc.sent
-            return None, exc.reason
-        match exchange.reply.state:
+            return Attempt(reason=exc.reason)
+        reply = exchange.reply
+        match reply.state:
             case protocol.State.DONE:
-                failed = exchange.reply.status >= 500
-                return exchange, "endpoint_error" if failed else ""
+                failed = reply.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+                return Attempt(
+                    reason=protocol.Reason.ENDPOINT_ERROR if failed else "",
+                    answered=exchange.answered(bound.http, order),
+                )
             case protocol.State.NOT_RUN:
-                return None, exchange.reply.reason
+                return Attempt(reason=reply.reason)
             case _:
                 call.may_have_run = True
-                return None, exchange.reply.reason or "agent_lost"
+                return Attempt(reason=reply.reason)
 
     async def _goes_on(self, call: calls.Call, reason: str) -> bool:
         left_ms = call.left_ms(self._dispatcher.clock.now())
@@ -92,13 +108,11 @@
                 return False
 
 
-def _give_up(
-    call: calls.Call, exchange: forward.Exchange | None, reason: str
-) -> calls.Answered:
-    if exchange is not None:
+def _give_up(call: calls.Call, attempt: Attempt) -> calls.Answered:
+    if attempt.answered is not None:
         # An endpoint's own error is the whole answer to this request.
-        return calls.Answered(reply=exchange.reply, body=exchange.body)
-    raise errors.OutcomeUnknown(
-        f"{call.attempts} attempts failed, the last by {reason}",
-        remedy=outcomes.SAME_ID_REMEDY,
-    )
+        return attempt.answered
+    message = f"{call.attempts} attempts failed, the last: {attempt.reason}"
+    if call.may_have_run:
+        raise errors.OutcomeUnknown(message, remedy=outcomes.SAME_ID_REMEDY)
+    raise errors.NotRun(message, retry_after_ms=RETRY_AFTER_MS)
--- a/bilberryroute/entry/calls.py
+++ b/bilberryroute/entry/calls.py
@@ -40,10 +40,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Answered:
-    """The whole answer to a call."""
+    """The answer to a call, kept whole at an agent.
+
+    Attributes:
+      body: First segment.
+      address: Address of the agent.
+      order: What the agent ran.
+    """
 
     reply: protocol.Reply
     body: bytes
+    address: str
+    order: protocol.Dispatch
 
 
 class ReplyError(errors.BilberryrouteError):
--- a/bilberryroute/entry/claims.py
+++ b/bilberryroute/entry/claims.py
@@ -124,7 +124,7 @@
             )
         address = self._dispatcher.locate(held.agent)
         if address is None:
-            raise self._unknown(call, "agent_gone")
+            raise self._unknown(call, protocol.Reason.AGENT_GONE)
         bound = Bound(
             name=held.endpoint,
             service=call.service,
@@ -137,20 +137,22 @@
         try:
             exchange = await run(bound, order, call)
         except calls.ReplyError as exc:
+            self._dispatcher.observe(bound.name, exc.reason)
             raise self._unknown(call, exc.reason) from exc
-        return self._conclude(call, claim, exchange)
+        self._dispatcher.observe(bound.name, exchange.reply.reason)
+        return self._conclude(call, claim, exchange.answered(address, order))
 
     def _conclude(
-        self, call: calls.Call, claim: Claim, exchange: forward.Exchange
+        self, call: calls.Call, claim: Claim, answered: calls.Answered
     ) -> calls.Answered | None:
-        reply = exchange.reply
+        reply = answered.reply
         since_ms = self._dispatcher.clock.now() - claim.began
         if outcomes.proves_unspent(claim.held, reply, since_ms):
             self._dispatcher.metrics.retried(reply.reason)
             return None
         match reply.state:
             case protocol.State.DONE:
-                return calls.Answered(reply=reply, body=exchange.body)
+                return answered
             case protocol.State.EXPIRED:
                 call.may_have_run = True
                 raise errors.AnswerExpired("the answer is no longer kept")
@@ -210,7 +212,9 @@
                 wait_ms = retries.backoff_ms(tries, self._rng)
                 left_ms = call.left_ms(self._dispatcher.clock.now())
                 if wait_ms >= left_ms and in_doubt:
-                    raise self._unknown(call, "commit_unknown") from exc
+                    raise self._unknown(
+                        call, protocol.Reason.COMMIT_UNKNOWN
+                    ) from exc
                 if wait_ms >= left_ms:
                     raise errors.Unavailable(
                         "the request could not be claimed in time"
--- a/bilberryroute/entry/dispatching.py
+++ b/bilberryroute/entry/dispatching.py
@@ -1,9 +1,11 @@
 """One dispatch: an endpoint from the queue, its agent, and the counting."""
 
+import collections
 import dataclasses
 import random
 from collections.abc import Collection
 
+from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
@@ -14,6 +16,7 @@
 from bilberryroute.model import config
 from bilberryroute.model import wire
 from bilberryroute.routing import choice
+from bilberryroute.routing import outliers
 from bilberryroute.routing import protocol
 
 
@@ -33,6 +36,16 @@
     http: str
 
 
+def bound_to(view: wire.EndpointView) -> Bound:
+    """Returns the way to an endpoint as the leader shows it."""
+    return Bound(
+        name=view.name,
+        service=view.service,
+        incarnation=view.incarnation,
+        http=view.http,
+    )
+
+
 class Dispatcher:
     """What all runs of requests share within one entry.
 
@@ -40,6 +53,7 @@
       agents: Calls agents.
       clock: Source of time.
       metrics: Counters of the process.
+      ejections: Changes with every ejection.
     """
 
     def __init__(
@@ -53,10 +67,12 @@
         self.agents = forward.AgentClient(cfg.timing, clock, metrics)
         self.clock = clock
         self.metrics = metrics
+        self.ejections = blackboard.Cell(None)
         self._cfg = cfg
         self._board = board
         self._rng = rng
         self._pool = choice.EndpointPool(cfg.failure_domain)
+        self._outliers = outliers.Outliers()
         self._gates: dict[str, queues.Gate] = {}
 
     def refresh(self) -> None:
@@ -64,10 +80,35 @@
         domains = self._board.configuration.get().failure_domains.values()
         out = {domain.name for domain in domains if not domain.in_service}
         views = choice.usable(self._board.endpoints.get(), out)
-        self._pool.update(views)
+        self._outliers.keep_only([view.name for view in views])
+        self._pool.update(views, self._limits(views))
         for service, gate in self._gates.items():
             gate.serve(service)
 
+    def observe(self, name: str, reason: str) -> None:
+        """Takes in how an attempt on an endpoint ended."""
+        blamed = outliers.blame(reason)
+        if self._outliers.observe(name, blamed, self.clock.now()):
+            self.refresh()
+            self.ejections.touch()
+
+    def next_change(self) -> int | None:
+        """Returns the milliseconds until an ejection may end, or None."""
+        return self._outliers.next_change(self.clock.now())
+
+    def queue_lengths(self) -> dict[str, int]:
+        """Returns how many calls wait, by service."""
+        return {service: len(gate) for service, gate in self._gates.items()}
+
+    def _limits(self, views: list[wire.EndpointView]) -> dict[str, int]:
+        names = collections.defaultdict(list)
+        for view in views:
+            names[view.service].append(view.name)
+        limits = {}
+        for of_service in names.values():
+            limits |= self._outliers.limits(of_service, self.clock.now())
+        return limits
+
     async def acquire(
         self,
         call: calls.Call,
--- a/bilberryroute/entry/forward.py
+++ b/bilberryroute/entry/forward.py
@@ -14,19 +14,28 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import calls
+from bilberryroute.entry import sessions
 from bilberryroute.routing import protocol
 
 CONNECT_TIMEOUT_MS = 1_000
-RECONNECTS_MAX = 3
+REATTACHES_MAX = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Exchange:
-    """One reply of an agent with the answer's body."""
+    """One reply of an agent with a segment of the answer's body."""
 
     reply: protocol.Reply
     body: bytes
 
+    def answered(
+        self, address: str, order: protocol.Dispatch
+    ) -> calls.Answered:
+        """Returns the answer, to be read on at the agent if it is long."""
+        return calls.Answered(
+            reply=self.reply, body=self.body, address=address, order=order
+        )
+
 
 class AgentClient:
     """Dispatches to agents and re-attaches to what runs there."""
@@ -40,12 +49,13 @@
         self._timing = timing
         self._clock = clock
         self._metrics = metrics
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions = sessions.Sessions(
+            retired_ms=timing.probe_ms + timing.probe_timeout_ms
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._sessions.close()
 
     async def run(
         self, address: str, order: protocol.Dispatch, call: calls.Call
@@ -62,17 +72,25 @@
             exchange = await self._ask(address, ask, call)
         return exchange
 
-    async def fence(
-        self, address: str, order: protocol.Dispatch, call: calls.Call
-    ) -> Exchange:
-        """Asks once what became of a key; closes it if it was never seen.
+    async def read_on(
+        self,
+        address: str,
+        order: protocol.Dispatch,
+        call: calls.Call,
+        first: protocol.Reply,
+        offset: int,
+    ) -> bytes:
+        """Returns the next segment of a long answer.
 
         Raises:
-          calls.ReplyError: If the agent did not say.
+          calls.ReplyError: If the agent no longer has it or cannot be asked.
         """
-        ask = self._attach(order, order.incarnation)
-        ask = dataclasses.replace(ask, fence=True, wait_ms=0)
-        return await self._exchange(address, ask, call, b"")
+        ask = self._attach(order, first.incarnation)
+        ask = dataclasses.replace(ask, offset=offset)
+        exchange = await self._ask(address, ask, call)
+        if exchange.reply != first:
+            raise calls.ReplyError(protocol.Reason.EXPIRED, sent=True)
+        return exchange.body
 
     def _attach(
         self, order: protocol.Dispatch, incarnation: str
@@ -80,7 +98,6 @@
         return protocol.Attach(
             key=order.key,
             incarnation=incarnation,
-            fence=False,
             wait_ms=self._timing.probe_ms,
             kept_ms=order.kept_ms,
         )
@@ -93,17 +110,21 @@
     ) -> Exchange:
         body = call.body if isinstance(message, protocol.Dispatch) else b""
         sent = isinstance(message, protocol.Attach)
-        for failures in range(RECONNECTS_MAX):
-            if call.left_ms(self._clock.now()) == 0:
-                raise calls.ReplyError("deadline", sent=sent)
+        failures = 0
+        while call.left_ms(self._clock.now()) > 0:
             try:
                 return await self._exchange(address, message, call, body)
             except calls.ReplyError as exc:
                 sent = sent or exc.sent
-                if failures + 1 == RECONNECTS_MAX or not exc.sent:
+                failures += 1
+                if not exc.sent or self._is_enough(call, failures):
                     raise calls.ReplyError(exc.reason, sent=sent) from exc
                 self._metrics.retried(f"reattach_{exc.reason}")
-        raise AssertionError("the last failure is raised")
+        raise calls.ReplyError(protocol.Reason.DEADLINE, sent=sent)
+
+    def _is_enough(self, call: calls.Call, failures: int) -> bool:
+        """Returns whether to turn to another agent, if that is allowed."""
+        return call.idempotent and failures >= REATTACHES_MAX
 
     async def _exchange(
         self,
@@ -115,28 +136,42 @@
         url = f"http://{address}{protocol.DISPATCH_PATH}"
         if isinstance(message, protocol.Attach):
             url += f"/{call.id}/attach"
-        total_ms = message.wait_ms + self._timing.probe_timeout_ms
+        left_ms = call.left_ms(self._clock.now())
+        total_ms = min(left_ms, message.wait_ms + self._timing.probe_timeout_ms)
         try:
-            async with self._opened().post(
+            async with self._sessions.of(address).post(
                 url,
                 data=body,
                 headers={protocol.DISPATCH_HEADER: protocol.encode(message)},
                 timeout=_timeout(total_ms),
             ) as resp:
-                return await self._read(resp, message.key)
+                offset = getattr(message, "offset", 0)
+                return await self._read(resp, message.key, offset)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as exc:
-            raise calls.ReplyError("agent_unreachable", sent=False) from exc
+            raise calls.ReplyError(
+                protocol.Reason.AGENT_UNREACHABLE, sent=False
+            ) from exc
         except TimeoutError as exc:
-            raise calls.ReplyError("agent_silent", sent=True) from exc
+            # Whatever lost track of this connection may have lost others.
+            self._sessions.retire(address)
+            raise calls.ReplyError(
+                protocol.Reason.AGENT_SILENT, sent=True
+            ) from exc
         except (aiohttp.ClientError, OSError) as exc:
-            raise calls.ReplyError("agent_broke", sent=True) from exc
+            raise calls.ReplyError(
+                protocol.Reason.AGENT_BROKE, sent=True
+            ) from exc
         except errors.MalformedInput as exc:
-            raise calls.ReplyError("agent_malformed", sent=True) from exc
+            raise calls.ReplyError(
+                protocol.Reason.AGENT_MALFORMED, sent=True
+            ) from exc
 
-    async def _read(self, resp: aiohttp.ClientResponse, key: str) -> Exchange:
+    async def _read(
+        self, resp: aiohttp.ClientResponse, key: str, offset: int
+    ) -> Exchange:
         reply = protocol.decode(
             resp.headers.get(protocol.REPLY_HEADER), protocol.Reply
         )
@@ -144,20 +179,11 @@
             self._metrics.dropped("mismatched")
             raise errors.MalformedInput("the reply is to another key")
         body = await resp.read()
-        if len(body) != reply.length:
+        if len(body) != min(protocol.SEGMENT_BYTES, reply.length - offset):
             self._metrics.dropped("truncated")
             raise errors.MalformedInput("the answer is not whole")
         return Exchange(reply=reply, body=body)
 
-    def _opened(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
-                auto_decompress=False,
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-        return self._session
-
 
 def _timeout(total_ms: int) -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(
--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -1,6 +1,7 @@
 """Callers' requests: `POST /v1/services/{service}/requests`."""
 
 import asyncio
+import contextlib
 import random
 
 from aiohttp import web
@@ -11,6 +12,7 @@
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
+from bilberryroute.entry import answers
 from bilberryroute.entry import attempts
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import calls
@@ -53,6 +55,7 @@
         token = f"{cfg.host}.{rng.getrandbits(64):x}"
         self._attempts = attempts.IdempotentRunner(self._dispatcher, token, rng)
         self._claims = claims_lib.ClaimRunner(self._dispatcher, claims, rng)
+        self._answers = answers.AnswerSender(self._dispatcher)
         self._accepting = True
         self._in_flight = 0
         self._idle = asyncio.Event()
@@ -89,11 +92,22 @@
             await cell.changed(cell.version)
             self._dispatcher.refresh()
 
+    @Service.task
+    async def _end_ejections(self) -> None:
+        cell = self._dispatcher.ejections
+        while not self.should_stop:
+            seen = cell.version
+            wait_ms = self._dispatcher.next_change()
+            timeout = None if wait_ms is None else clock_lib.seconds(wait_ms)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(cell.changed(seen), timeout)
+            self._dispatcher.refresh()
+
     async def _handle(self, req: web.Request) -> web.StreamResponse:
         self._in_flight += 1
         self._idle.clear()
         try:
-            return await self._answer(await self._read(req))
+            return await self._answer(req, await self._read(req))
         except errors.BilberryrouteError as exc:
             api.count_error(self.metrics, exc)
             resp = api.problem_response(exc)
@@ -136,10 +150,12 @@
             body=body,
         )
 
-    async def _answer(self, call: calls.Call) -> web.StreamResponse:
+    async def _answer(
+        self, req: web.Request, call: calls.Call
+    ) -> web.StreamResponse:
         try:
             answered = await self._run(call)
-            resp = _answer_response(answered)
+            resp = answers.new_response(answered)
             outcome = errors.Outcome.ANSWERED
         except errors.BilberryrouteError as exc:
             exc.outcome = _outcome_of(exc, call)
@@ -151,6 +167,8 @@
         resp.headers[protocol.OUTCOME_HEADER] = str(outcome)
         resp.headers[protocol.REQUEST_ID_HEADER] = call.id
         resp.headers[protocol.ATTEMPTS_HEADER] = str(call.attempts)
+        if outcome is errors.Outcome.ANSWERED:
+            await self._answers.send(req, resp, call, answered)
         return resp
 
     async def _run(self, call: calls.Call) -> calls.Answered:
@@ -189,18 +207,6 @@
     return outcomes.refusal_outcome(evidence)
 
 
-def _answer_response(answered: calls.Answered) -> web.Response:
-    reply = answered.reply
-    headers = {}
-    if reply.content_type:
-        headers["Content-Type"] = reply.content_type
-    if reply.content_encoding:
-        headers["Content-Encoding"] = reply.content_encoding
-    return web.Response(
-        body=answered.body, status=reply.status, headers=headers
-    )
-
-
 def _read_flag(headers, name: str, default: bool) -> bool:
     match headers.get(name):
         case None:
--- a/bilberryroute/routing/choice.py
+++ b/bilberryroute/routing/choice.py
@@ -65,22 +65,22 @@
         self._failure_domain = failure_domain
         self._views: dict[str, wire.EndpointView] = {}
         self._own: dict[str, int] = {}
-        self._excluded: Collection[str] = frozenset()
+        self._limits: dict[str, int] = {}
         self._open: dict[str, _Open] = {}
 
     def update(
         self,
         views: Collection[wire.EndpointView],
-        excluded: Collection[str] = frozenset(),
+        limits: dict[str, int] | None = None,
     ) -> None:
         """Takes a new view of all endpoints.
 
         Args:
           views: Endpoints that may take work.
-          excluded: Names of those among them that are ejected.
+          limits: Own requests at once for those that may not use all slots.
         """
         self._views = {view.name: view for view in views}
-        self._excluded = excluded
+        self._limits = limits or {}
         self._open = {}
         for name in self._views:
             self._refile(name)
@@ -150,10 +150,10 @@
         open_ = self._open.setdefault(view.service, _Open())
         is_near = view.failure_domain == self._failure_domain
         names = open_.near if is_near else open_.far
-        if name in self._excluded or self.own(name) >= view.slots:
-            names.discard(name)
-        else:
+        if self.own(name) < self._limits.get(name, view.slots):
             names.add(name)
+        else:
+            names.discard(name)
 
 
 def usable(
--- a/bilberryroute/routing/protocol.py
+++ b/bilberryroute/routing/protocol.py
@@ -23,8 +23,11 @@
 DEADLINE_HEADER = "Bilberryroute-Deadline-Ms"
 RESEND_HEADER = "Bilberryroute-Resend"
 OUTCOME_HEADER = "Bilberryroute-Outcome"
+STATE_HEADER = "Bilberryroute-State"
 
 DISPATCH_PATH = "/internal/v1/requests"
+ATTACH_PATH = DISPATCH_PATH + "/{id}/attach"
+SEGMENT_BYTES = 262_144
 
 T = TypeVar("T")
 
@@ -40,6 +43,39 @@
     STALE = "stale"
 
 
+class Reason(enum.StrEnum):
+    """Why an attempt gave no answer: label of counters, word in replies."""
+
+    AGENT_UNREACHABLE = "agent_unreachable"
+    AGENT_SILENT = "agent_silent"
+    AGENT_BROKE = "agent_broke"
+    AGENT_MALFORMED = "agent_malformed"
+    AGENT_ERROR = "agent_error"
+    AGENT_GONE = "agent_gone"
+    COMMIT_UNKNOWN = "commit_unknown"
+    DEADLINE = "deadline"
+    DOMAIN_OUT = "domain_out"
+    DRAINING = "draining"
+    ENDPOINT_BROKE = "endpoint_broke"
+    ENDPOINT_ERROR = "endpoint_error"
+    ENDPOINT_GONE = "endpoint_gone"
+    ENDPOINT_LEAVING = "endpoint_leaving"
+    ENDPOINT_MISMATCHED = "endpoint_mismatched"
+    ENDPOINT_NEVER_SEEN = "endpoint_never_seen"
+    ENDPOINT_SILENT = "endpoint_silent"
+    ENDPOINT_TIMEOUT = "endpoint_timeout"
+    ENDPOINT_TOO_LONG = "endpoint_too_long"
+    ENDPOINT_TRUNCATED = "endpoint_truncated"
+    ENDPOINT_UNFRAMED = "endpoint_unframed"
+    ENDPOINT_UNREACHABLE = "endpoint_unreachable"
+    EXPIRED = "expired"
+    MEMORY_FULL = "memory_full"
+    NEVER_SEEN = "never_seen"
+    NO_LEASE = "no_lease"
+    NO_SLOT = "no_slot"
+    STALE_INCARNATION = "stale_incarnation"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Dispatch:
     """Asks an agent to run a request, or to join the run of the same key.
@@ -73,16 +109,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Attach:
-    """Asks an agent what became of a key.
+    """Asks an agent what became of a key; one never seen is closed for good.
 
     Attributes:
-      fence: Whether a key never seen is closed for good.
       offset: First byte of the answer that is wanted.
     """
 
     key: str
     incarnation: str
-    fence: bool
     wait_ms: int
     kept_ms: int
     offset: int = 0
@@ -97,7 +131,8 @@
       incarnation: Incarnation of the agent that replies.
       up_ms: How long that incarnation has been up, in milliseconds.
       status: HTTP status of the endpoint's answer.
-      length: Bytes of the whole answer.
+      length: Bytes of the whole answer; one HTTP response carries at most
+        `SEGMENT_BYTES` of it, from the offset that was asked for.
       content_type: Of the endpoint's answer.
       retry_after_ms: When a slot may be free, in milliseconds.
     """
--- a/bilberryroute/state/records.py
+++ b/bilberryroute/state/records.py
@@ -63,8 +63,12 @@
         default_factory=config.Configuration
     )
     tickets: dict[int, TicketRecord] = dataclasses.field(default_factory=dict)
-    workers: dict[str, job_model.Worker] = dataclasses.field(default_factory=dict)
-    jobs: dict[str, job_model.JobRecord] = dataclasses.field(default_factory=dict)
+    workers: dict[str, job_model.Worker] = dataclasses.field(
+        default_factory=dict
+    )
+    jobs: dict[str, job_model.JobRecord] = dataclasses.field(
+        default_factory=dict
+    )
     ended: list[str] = dataclasses.field(default_factory=list)
     held: dict[str, dict[int, str]] = dataclasses.field(default_factory=dict)
     claims: dict[str, Claim] = dataclasses.field(default_factory=dict)
