--- a/bilberryroute/agent/requests.py
+++ b/bilberryroute/agent/requests.py
@@ -41,7 +41,7 @@
         self._board = board
         self._clock = clock
         self._runner = runs.Runner(cfg, board, clock, self.metrics)
-        self._started = clock.now()
+        self._began = clock.now()
 
     def register(self, app: web.Application) -> None:
         """Adds the routes."""
@@ -97,7 +97,7 @@
             key=key,
             state=protocol.State.STALE,
             reason=protocol.Reason.STALE_INCARNATION,
-            up_ms=self._clock.now() - self._started,
+            up_ms=self._clock.now() - self._began,
         )
         return self._respond(reply)
 
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -29,6 +29,7 @@
       outcome: What is known about the request that met the error.
       exit_status: Exit code of a command that ends with it.
       retry_after_ms: When a new try makes sense, in milliseconds, or None.
+      extensions: More members of the problem document, by name.
     """
 
     kind: ClassVar[str] = "internal"
@@ -48,6 +49,7 @@
         super().__init__(message)
         self.message = message
         self.retry_after_ms = retry_after_ms
+        self.extensions: dict[str, object] = {}
         if remedy is not None:
             self.remedy = remedy
         if outcome is not None:
@@ -274,6 +276,14 @@
     )
 
 
+def all_kinds() -> tuple[type[BilberryrouteError], ...]:
+    """Returns every class of the tree that is loaded, the base first."""
+    found = [BilberryrouteError]
+    for kind in found:
+        found.extend(kind.__subclasses__())
+    return tuple(found)
+
+
 def by_kind(kind: str) -> type[BilberryrouteError]:
     """Returns the error class of a kind, or the base for an unknown one.
 
@@ -282,11 +292,4 @@
     return _KINDS.get(kind, BilberryrouteError)
 
 
-def _tree(base: type[BilberryrouteError]) -> dict[str, type]:
-    found = {base.kind: base}
-    for sub in base.__subclasses__():
-        found.update(_tree(sub))
-    return found
-
-
-_KINDS = {k: c for k, c in _tree(BilberryrouteError).items() if c != NotLeader}
+_KINDS = {k.kind: k for k in all_kinds() if k != NotLeader}
