Join the agent role with requests, metrics and the process

The HTTP server moves out of the role, as the process owns it; refusals, late starts and ignored grants count in the process's metrics. mode keeps an Event under _started, so the request service's field of that name broke its start: renamed.

--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -18,6 +18,7 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute import context
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
 from bilberryroute.model import wire
@@ -36,11 +37,11 @@
 class Ignored(enum.StrEnum):
     """Why a grant changed nothing."""
 
-    LOWER_TERM = "lower_term"
+    LOWER_TERM = "stale_term"
     FOREIGN_ECHO = "foreign_echo"
     UNPROVED_PUSH = "unproved_push"
     REVISION_BACK = "revision_back"
-    MALFORMED = "malformed"
+    MALFORMED = "malformed_grant"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -193,8 +194,6 @@
 
     Attributes:
       board: The agent's blackboard.
-      http: Address of the agent's HTTP server; set before start.
-      ignored: Grants that changed nothing, by reason.
       sent: Renewals sent.
     """
 
@@ -204,10 +203,10 @@
         env: context.Environment,
         board: board_lib.AgentBoard,
         identity: Identity,
+        metrics: metrics_lib.Metrics,
     ):
         super().__init__()
-        self.http = cfg.listen.http
-        self.ignored: collections.Counter[str] = collections.Counter()
+        self._metrics = metrics
         self.sent = 0
         self._cfg = cfg
         self._clock = env.clock
@@ -312,7 +311,7 @@
             term=self._keeper.term,
             desired_version=self._keeper.desired.version,
             revision=self._keeper.desired.revision,
-            http=self.http,
+            http=self._cfg.listen.http,
             draining=board.draining.get(),
             endpoints=tuple(board.endpoints.get().values()),
             workers=tuple(board.workers.get().values()),
@@ -324,7 +323,7 @@
         try:
             grant = self._decoder.decode(payload)
         except errors.MalformedInput:
-            self.ignored[Ignored.MALFORMED] += 1
+            self._metrics.dropped(Ignored.MALFORMED)
             return
         verdict = self._keeper.accept(grant)
         match verdict:
@@ -338,7 +337,7 @@
             case Redirected(leader_id=leader_id):
                 self._redirect(leader_id)
             case Dropped(reason=reason):
-                self.ignored[reason] += 1
+                self._metrics.dropped(reason)
 
     def _take_desired(self, desired: wire.Desired | None) -> None:
         if desired is None:
--- a/bilberryroute/agent/requests.py
+++ b/bilberryroute/agent/requests.py
@@ -51,7 +51,7 @@
         self._client = endpoint_client.EndpointClient()
         self._runs: dict[str, asyncio.Task[None]] = {}
         self._slots = waiting.SlotRooms(board)
-        self._started = clock.now()
+        self._born = clock.now()
         self._accepting = True
 
     def register(self, app: web.Application) -> None:
@@ -224,7 +224,7 @@
             key=key,
             state=protocol.State.STALE,
             reason="stale_incarnation",
-            up_ms=self._clock.now() - self._started,
+            up_ms=self._clock.now() - self._born,
         )
 
     async def _reply(
--- a/bilberryroute/agent/service.py
+++ b/bilberryroute/agent/service.py
@@ -1,12 +1,15 @@
-"""The agent role: its services and its HTTP server."""
+"""The agent role: its services on one blackboard."""
 
 from aiohttp import web
 from mode import Service
 
 from bilberryroute import context
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import endpoints as endpoints_lib
 from bilberryroute.agent import renewal as renewal_lib
+from bilberryroute.agent import requests as requests_lib
 from bilberryroute.agent import tasks as tasks_lib
 from bilberryroute.agent import workers as workers_lib
 
@@ -14,67 +17,74 @@
 
 
 class AgentRole(Service):
-    """Joins the agent's services on one blackboard.
+    """Joins the agent's services.
 
     Attributes:
       board: The agent's blackboard.
-      http: Address of the HTTP server once started, `ip:port`.
+      incarnation: Differs at every start of the process.
     """
 
-    def __init__(self, cfg: settings.Settings, env: context.Environment):
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        metrics: metrics_lib.Metrics,
+    ):
         super().__init__()
         self.board = board_lib.new_board()
-        self.http = cfg.listen.http
-        self._cfg = cfg
-        self._env = env
-        self._runner: web.AppRunner | None = None
+        self.incarnation = f"{env.rng.getrandbits(INCARNATION_BITS):016x}"
+        self._clock = env.clock
         identity = renewal_lib.Identity(
             agent=cfg.host,
-            incarnation=f"{env.rng.getrandbits(INCARNATION_BITS):016x}",
+            incarnation=self.incarnation,
             failure_domain=cfg.failure_domain,
         )
+        self.endpoints = endpoints_lib.EndpointService(
+            cfg, self.board, env.clock
+        )
+        self.requests = requests_lib.RequestService(
+            cfg, self.board, env.clock, self.incarnation, metrics
+        )
         self.workers = workers_lib.WorkerService(cfg, env, self.board)
-        self.tasks = tasks_lib.TaskService(cfg, env, self.board, self.workers)
+        self.tasks = tasks_lib.TaskService(
+            cfg, env, self.board, self.workers, metrics
+        )
         self.renewal = renewal_lib.RenewalService(
-            cfg, env, self.board, identity
+            cfg, env, self.board, identity, metrics
         )
+        metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
-        """Adds the agent's handlers to an HTTP server."""
-        app.router.add_get("/healthz", self._healthz)
-        app.router.add_get("/readyz", self._readyz)
+        """Adds the agent's routes."""
+        self.endpoints.register(app)
+        self.requests.register(app)
         self.workers.register(app)
 
-    async def on_start(self) -> None:
-        """Opens the HTTP server, then starts the services."""
-        app = web.Application(client_max_size=self._cfg.limits.body_bytes)
-        self.register(app)
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, port = renewal_lib.split_address(self._cfg.listen.http)
-        await web.TCPSite(self._runner, host, port).start()
-        bound = self._runner.addresses[0]
-        self.http = f"{bound[0]}:{bound[1]}"
-        self.renewal.http = self.http
-        for service in (self.workers, self.tasks, self.renewal):
-            await self.add_runtime_dependency(service)
-
-    async def on_stop(self) -> None:
-        """Closes the HTTP server."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+    def ready(self) -> bool:
+        """Says whether the agent holds a lease and is not leaving."""
+        leased = self.board.lease.get().left(self._clock.now()) > 0
+        return leased and not self.board.draining.get()
 
     async def drain(self) -> None:
         """Takes nothing new and finishes what is in flight."""
         self.board.draining.set(True)
+        await self.requests.drain()
 
-    async def _healthz(self, req: web.Request) -> web.Response:
-        return web.json_response({"status": "ok"})
+    async def on_start(self) -> None:
+        """Starts the services; renewals begin last."""
+        for service in (
+            self.endpoints,
+            self.requests,
+            self.workers,
+            self.tasks,
+            self.renewal,
+        ):
+            await self.add_runtime_dependency(service)
 
-    async def _readyz(self, req: web.Request) -> web.Response:
-        now = self._env.clock.now()
-        leased = self.board.lease.get().left(now) > 0
-        ready = leased and not self.board.draining.get()
-        return web.json_response(
-            {"ready": ready, "leased": leased}, status=200 if ready else 503
-        )
+    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
+        """Sets the gauges that are read only when asked for."""
+        lease = self.board.lease.get()
+        left = lease.left(self._clock.now())
+        metrics.lease_left_ms.set({"lease": "agent"}, left)
+        metrics.term.set({}, lease.term)
+        metrics.revision.set({}, self.board.desired.get().revision)
--- a/bilberryroute/agent/tasks.py
+++ b/bilberryroute/agent/tasks.py
@@ -1,7 +1,6 @@
 """Brings the desired tasks about on the workers."""
 
 import asyncio
-import collections
 import dataclasses
 import logging
 
@@ -10,6 +9,7 @@
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute import context
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import task_plan
@@ -30,7 +30,6 @@
 
     Attributes:
       board: The agent's blackboard.
-      refusals: Starts that did not happen, by reason.
     """
 
     def __init__(
@@ -39,9 +38,10 @@
         env: context.Environment,
         board: board_lib.AgentBoard,
         workers: workers_lib.WorkerService,
+        metrics: metrics_lib.Metrics,
     ):
         super().__init__()
-        self.refusals: collections.Counter[str] = collections.Counter()
+        self._metrics = metrics
         self._cfg = cfg
         self._clock = env.clock
         self.board = board
@@ -184,7 +184,7 @@
         view = self.view()
         contact = self._workers.contacts.get(held.key[0])
         if contact is None or not task_plan.may_start(view, held.key):
-            self.refusals["not_allowed"] += 1
+            self._metrics.refused("start_not_allowed")
             held.phase = task_plan.Phase.RESERVED
             return
         call = self._start_call(held, contact, view)
@@ -192,16 +192,16 @@
         try:
             task = await self._client.start(contact, call)
         except worker_api.StartLate as exc:
-            self.refusals["late"] += 1
+            self._metrics.refused(exc.kind)
             logger.warning("start of %s came late: %s", held.key, exc)
             await self.sleep(clock_lib.seconds(START_RETRY_MS))
             held.phase = task_plan.Phase.RESERVED
         except worker_api.StartRefused as exc:
-            self.refusals["by_worker"] += 1
+            self._metrics.refused(exc.kind)
             logger.warning("start of %s was refused: %s", held.key, exc)
             held.end(jobs.TaskResult.FAILED)
         except worker_api.WorkerUnreachable as exc:
-            self.refusals["unreachable"] += 1
+            self._metrics.failed(exc.kind)
             logger.warning("start of %s is not confirmed: %s", held.key, exc)
             self._begin_stop(held, jobs.TaskResult.LOST, checkpoint=False)
         else:
--- a/bilberryroute/agent/workers.py
+++ b/bilberryroute/agent/workers.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from mode import Service
 
+from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import context
 from bilberryroute import errors
@@ -43,6 +44,16 @@
     clock_ms: int
 
 
+class Accepted(msgspec.Struct, frozen=True):
+    """Answer to an announcement.
+
+    Attributes:
+      announce_ms: When to announce again, in milliseconds.
+    """
+
+    announce_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Contact:
     """How to reach a worker, and how its clock stands to the agent's.
@@ -93,17 +104,9 @@
         app.router.add_post("/v1/workers", self._handle)
 
     async def _handle(self, req: web.Request) -> web.Response:
-        payload = await req.read()
-        try:
-            announcement = msgspec.json.decode(payload, type=Announcement)
-            self.announce(announcement)
-        except (msgspec.MsgspecError, errors.MalformedInput) as exc:
-            return web.json_response(
-                {"kind": errors.MalformedInput.kind, "detail": str(exc)},
-                status=errors.MalformedInput.http_status,
-                content_type="application/problem+json",
-            )
-        return web.json_response({"announce_ms": ANNOUNCE_MS})
+        limit = self._cfg.limits.header_bytes
+        self.announce(await api.read_json(req, Announcement, limit))
+        return api.json_response(Accepted(announce_ms=ANNOUNCE_MS))
 
     def announce(self, announcement: Announcement) -> None:
         """Takes one announcement in.
--- a/tests/agent/test_renewal.py
+++ b/tests/agent/test_renewal.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import renewal
@@ -153,7 +154,9 @@
     identity = renewal.Identity(
         agent="a1", incarnation="i1", failure_domain="apapa"
     )
-    service = renewal.RenewalService(cfg, env, board_lib.new_board(), identity)
+    service = renewal.RenewalService(
+        cfg, env, board_lib.new_board(), identity, metrics_lib.Metrics()
+    )
     yield service
     await service.stop()
 
@@ -213,4 +216,5 @@
 async def test_malformed_datagram_is_counted(leaders, service):
     await service.start()
     service.receive(b"\xc1")
-    assert service.ignored[renewal.Ignored.MALFORMED] == 1
+    reason = {"reason": renewal.Ignored.MALFORMED}
+    assert service._metrics.drops.get(reason) == 1
--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -2,8 +2,8 @@
 import pytest
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import process as process_lib
 from bilberryroute import settings
-from bilberryroute.agent import service as service_lib
 from tests.utils import environment
 from tests.utils import leader as leader_lib
 
@@ -17,7 +17,7 @@
 
 
 @pytest.fixture
-async def role(leader):
+async def process(leader):
     cfg = settings.Settings(
         host="a1",
         failure_domain="apapa",
@@ -28,22 +28,23 @@
         ),
     )
     env = environment.fake_environment(clock=clock_lib.SystemClock())
-    role = service_lib.AgentRole(cfg, env)
-    yield role
-    await role.stop()
+    process = process_lib.build(cfg, env)
+    yield process
+    await process.stop()
 
 
-async def test_agent_announces_its_address_and_becomes_ready(leader, role):
-    await role.start()
-    renewal = await leader.until(lambda r: r.desired_version == 1)
-    assert renewal.http == role.http
+async def test_agent_announces_its_address_and_becomes_ready(leader, process):
+    await process.start()
+    await leader.until(lambda r: r.desired_version == 1)
     async with aiohttp.ClientSession() as session:
-        async with session.get(f"http://{role.http}/readyz") as response:
+        async with session.get(
+            f"http://127.0.0.1:{process.http.port}/readyz"
+        ) as response:
             assert response.status == 200
 
 
-async def test_worker_that_announces_itself_reaches_the_leader(leader, role):
-    await role.start()
+async def test_worker_that_announces_itself_reaches_the_leader(leader, process):
+    await process.start()
     hello = {
         "name": "w1",
         "incarnation": "i1",
@@ -55,7 +56,7 @@
         "memory_mb": 65_536,
         "clock_ms": 0,
     }
-    url = f"http://{role.http}/v1/workers"
+    url = f"http://127.0.0.1:{process.http.port}/v1/workers"
     async with aiohttp.ClientSession() as session:
         async with session.post(url, json=hello) as response:
             assert response.status == 200
@@ -65,8 +66,8 @@
     assert renewal.workers[0].agent == "a1"
 
 
-async def test_drain_is_told_to_the_leader(leader, role):
-    await role.start()
+async def test_drain_is_told_to_the_leader(leader, process):
+    await process.start()
     await leader.until(lambda r: r.desired_version == 1)
-    await role.drain()
+    await process.drain()
     await leader.until(lambda r: r.draining)
--- a/tests/agent/test_tasks.py
+++ b/tests/agent/test_tasks.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import tasks as tasks_lib
@@ -67,6 +68,11 @@
                     return report
                 await self.board.tasks.changed(seen)
 
+    def refusals(self, reason: str) -> int:
+        """Returns how many starts were refused for a reason."""
+        refusals = self.service._metrics.refusals
+        return refusals.values.get({"reason": reason}, 0)
+
     def events(self) -> list[str]:
         """Returns what the worker wrote down."""
         return [line.event for line in journal_lib.read(self.journal)]
@@ -104,7 +110,9 @@
     env = environment.fake_environment(clock=CLOCK)
     board = board_lib.new_board()
     workers = workers_lib.WorkerService(cfg, env, board)
-    service = tasks_lib.TaskService(cfg, env, board, workers)
+    service = tasks_lib.TaskService(
+        cfg, env, board, workers, metrics_lib.Metrics()
+    )
     bench = Bench(service, table, path, hello)
     bench.announce()
     bench.lease()
@@ -154,7 +162,7 @@
     bench.lease(200)
     bench.desire("running")
     async with asyncio.timeout(10):
-        while not bench.service.refusals["late"]:
+        while not bench.refusals("start_late"):
             await asyncio.sleep(0.02)
     assert bench.events() == ["refuse"]
     bench.lease()
@@ -168,7 +176,7 @@
     await bench.until("reserved")
     bench.desire("running")
     await bench.until("failed")
-    assert bench.service.refusals["by_worker"] == 1
+    assert bench.refusals("start_refused") == 1
 
 
 async def test_start_is_withheld_without_a_lease(bench):
@@ -191,7 +199,7 @@
     bench.board.lease.set(board_lib.Lease())
     await bench.service._start(held)
     assert bench.events() == []
-    assert bench.service.refusals["not_allowed"] == 1
+    assert bench.refusals("start_not_allowed") == 1
 
 
 async def test_unconfirmed_start_is_fenced_and_reported_lost(bench):
