--- a/tests/agent/test_service.py
+++ b/tests/agent/test_service.py
@@ -6,6 +6,7 @@
 from bilberryroute import settings
 from tests.utils import environment
 from tests.utils import leader as leader_lib
+from tests.utils import ports
 
 
 @pytest.fixture
@@ -17,12 +18,14 @@
 
 
 @pytest.fixture
-async def process(leader):
+async def role(leader):
     cfg = settings.Settings(
         host="a1",
         failure_domain="apapa",
         roles=(settings.Role.AGENT,),
-        listen=settings.Listen(http="127.0.0.1:0", datagram="127.0.0.1:0"),
+        listen=settings.Listen(
+            http=ports.free_address(), datagram="127.0.0.1:0"
+        ),
         replicas=(
             settings.ReplicaAddress(id="r1", grpc="", datagram=leader.address),
         ),
@@ -33,18 +36,19 @@
     await process.stop()
 
 
-async def test_agent_announces_its_address_and_becomes_ready(leader, process):
-    await process.start()
-    await leader.until(lambda r: r.desired_version == 1)
+async def test_agent_announces_its_address_and_becomes_ready(leader, role):
+    await role.start()
+    renewal = await leader.until(lambda r: r.desired_version == 1)
+    assert renewal.http == role.http.address
     async with aiohttp.ClientSession() as session:
         async with session.get(
-            f"http://127.0.0.1:{process.http.port}/readyz"
+            f"http://{role.http.address}/readyz"
         ) as response:
             assert response.status == 200
 
 
-async def test_worker_that_announces_itself_reaches_the_leader(leader, process):
-    await process.start()
+async def test_worker_that_announces_itself_reaches_the_leader(leader, role):
+    await role.start()
     hello = {
         "name": "w1",
         "incarnation": "i1",
@@ -56,7 +60,7 @@
         "memory_mb": 65_536,
         "clock_ms": 0,
     }
-    url = f"http://127.0.0.1:{process.http.port}/v1/workers"
+    url = f"http://{role.http.address}/v1/workers"
     async with aiohttp.ClientSession() as session:
         async with session.post(url, json=hello) as response:
             assert response.status == 200
@@ -66,8 +70,8 @@
     assert renewal.workers[0].agent == "a1"
 
 
-async def test_drain_is_told_to_the_leader(leader, process):
-    await process.start()
+async def test_drain_is_told_to_the_leader(leader, role):
+    await role.start()
     await leader.until(lambda r: r.desired_version == 1)
-    await process.drain()
+    await role.drain()
     await leader.until(lambda r: r.draining)
