--- a/bilberryroute/agent/service.py
+++ b/bilberryroute/agent/service.py
@@ -1,7 +1,7 @@
-"""The agent role: its services joined on one blackboard."""
+"""The agent role: its services on one blackboard."""
 
-import mode
 from aiohttp import web
+from mode import Service
 
 from bilberryroute import context
 from bilberryroute import metrics as metrics_lib
@@ -16,11 +16,12 @@
 INCARNATION_BITS = 64
 
 
-class AgentRole(mode.Service):
+class AgentRole(Service):
     """Joins the agent's services.
 
     Attributes:
       board: The agent's blackboard.
+      incarnation: Differs at every start of the process.
     """
 
     def __init__(
@@ -31,33 +32,36 @@
     ):
         super().__init__()
         self.board = board_lib.new_board()
+        self.incarnation = f"{env.rng.getrandbits(INCARNATION_BITS):016x}"
         self._clock = env.clock
         identity = renewal_lib.Identity(
             agent=cfg.host,
-            incarnation=f"{env.rng.getrandbits(INCARNATION_BITS):016x}",
+            incarnation=self.incarnation,
             failure_domain=cfg.failure_domain,
         )
-        self.workers = workers_lib.WorkerService(cfg, env, self.board)
-        self.tasks = tasks_lib.TaskService(cfg, env, self.board, self.workers)
         self.endpoints = endpoints_lib.EndpointService(
             cfg, self.board, env.clock
         )
         self.requests = requests_lib.RequestService(
-            cfg, self.board, env.clock, identity.incarnation, metrics
+            cfg, self.board, env.clock, self.incarnation, metrics
+        )
+        self.workers = workers_lib.WorkerService(cfg, env, self.board)
+        self.tasks = tasks_lib.TaskService(
+            cfg, env, self.board, self.workers, metrics
         )
         self.renewal = renewal_lib.RenewalService(
-            cfg, env, self.board, identity
+            cfg, env, self.board, identity, metrics
         )
         metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
-        """Adds the routes for workers, endpoints and entries."""
-        self.workers.register(app)
+        """Adds the agent's routes."""
         self.endpoints.register(app)
         self.requests.register(app)
+        self.workers.register(app)
 
     def ready(self) -> bool:
-        """Says whether the agent may start work."""
+        """Says whether the agent holds a lease and is not leaving."""
         leased = self.board.lease.get().left(self._clock.now()) > 0
         return leased and not self.board.draining.get()
 
@@ -67,7 +71,7 @@
         await self.requests.drain()
 
     async def on_start(self) -> None:
-        """Starts the services; the renewal last, so that it reports all."""
+        """Starts the services; renewals begin last."""
         for service in (
             self.endpoints,
             self.requests,
@@ -78,6 +82,9 @@
             await self.add_runtime_dependency(service)
 
     def _refresh(self, metrics: metrics_lib.Metrics) -> None:
-        left = self.board.lease.get().left(self._clock.now())
+        """Sets the gauges that are read only when asked for."""
+        lease = self.board.lease.get()
+        left = lease.left(self._clock.now())
         metrics.lease_left_ms.set({"lease": "agent"}, left)
+        metrics.term.set({}, lease.term)
         metrics.revision.set({}, self.board.desired.get().revision)
