--- a/bilberryroute/cli/client.py
+++ b/bilberryroute/cli/client.py
@@ -13,11 +13,13 @@
 import aiohttp
 import msgspec
 
+from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import context
 from bilberryroute import errors
 from bilberryroute import status
 from bilberryroute.cli import output
+from bilberryroute.routing import protocol
 
 ENTRY_VARIABLE = "BILBERRYROUTE_ENTRY"
 TOKEN_FILE_VARIABLE = "BILBERRYROUTE_TOKEN_FILE"
@@ -151,11 +153,20 @@
 
 async def _read_answer(answer: aiohttp.ClientResponse) -> Answer:
     body = await answer.read()
-    if answer.content_type == "application/problem+json":
+    if _is_problem(answer):
         raise ServerError(msgspec.json.decode(body, type=Problem))
     return Answer(status=answer.status, headers=dict(answer.headers), body=body)
 
 
+def _is_problem(answer: aiohttp.ClientResponse) -> bool:
+    # An endpoint's own problem document is an answer like any other.
+    outcome = answer.headers.get(protocol.OUTCOME_HEADER)
+    return (
+        answer.content_type == api.PROBLEM_TYPE
+        and outcome != errors.Outcome.ANSWERED
+    )
+
+
 def _entry_url(env: context.Environment, options: Options) -> str:
     url = options.entry or env.variables.get(ENTRY_VARIABLE, DEFAULT_ENTRY)
     return url.rstrip("/")
--- a/bilberryroute/cli/requests.py
+++ b/bilberryroute/cli/requests.py
@@ -1,13 +1,14 @@
 """Command that sends a caller's request."""
 
 import urllib.parse
-import uuid
 
-from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import status
 from bilberryroute.cli import client
+from bilberryroute.routing import outcomes
+from bilberryroute.routing import protocol
 
+_ID_BITS = 74
 _MARGIN_MS = 5 * clock_lib.SECOND
 
 
@@ -44,14 +45,15 @@
       deadline_ms: Milliseconds until an answer is of no use, by default
         10000.
     """
-    request_id = id or uuid.uuid4().hex
+    request_id = id or _new_id(session)
     headers = {
-        api.REQUEST_ID_HEADER: request_id,
-        api.DEADLINE_HEADER: str(deadline_ms),
-        api.IDEMPOTENT_HEADER: "true" if idempotent else "false",
+        protocol.REQUEST_ID_HEADER: request_id,
+        protocol.DEADLINE_HEADER: str(deadline_ms),
+        protocol.IDEMPOTENT_HEADER: _flag(idempotent),
+        protocol.RESEND_HEADER: _flag(bool(id)),
     }
     if account:
-        headers[api.ACCOUNT_HEADER] = account
+        headers[protocol.ACCOUNT_HEADER] = account
     session.env.stderr.write(f"request id: {request_id}\n")
     answer = await session.call(
         "POST",
@@ -64,6 +66,16 @@
     return status.ExitStatus.SUCCESS
 
 
+def _new_id(session: client.Session) -> str:
+    env = session.env
+    bits = env.rng.getrandbits(_ID_BITS)
+    return outcomes.new_id(env.clock.wall(), bits)
+
+
+def _flag(value: bool) -> str:
+    return "true" if value else "false"
+
+
 def _payload(session: client.Session, body: str, body_file: str) -> bytes:
     if body_file:
         return client.read_file(session.env, body_file)
@@ -78,7 +90,7 @@
         session.output.json(
             {
                 "request_id": request_id,
-                "outcome": answer.headers.get(api.OUTCOME_HEADER, ""),
+                "outcome": answer.headers.get(protocol.OUTCOME_HEADER, ""),
                 "status": answer.status,
                 "body": text,
             }
--- a/bilberryroute/cli/system.py
+++ b/bilberryroute/cli/system.py
@@ -44,8 +44,9 @@
         session.output.line("all invariants hold")
     if not broken:
         return status.ExitStatus.SUCCESS
+    noun = "invariant" if len(broken) == 1 else "invariants"
     session.env.print_error(
-        f"{len(broken)} invariants broken (See docs/operations/checks.md.)"
+        f"{len(broken)} {noun} broken (See docs/operations/checks.md.)"
     )
     return status.ExitStatus.CHECK_FAILED
 
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -42,12 +42,13 @@
         self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
 
     def _application(self, cfg: settings.Settings) -> web.Application:
-        rights = api.load_rights(cfg.tokens)
-        app = api.new_application(cfg.limits, self.metrics, rights)
+        app = api.new_application(
+            cfg.limits, self.metrics, api.load_rights(cfg.tokens)
+        )
         probes = lifecycle.Lifecycle()
         probes.register(app)
-        for name, role in zip(_ordered(cfg), self.roles, strict=True):
-            probes.ready_when(name, role.ready)
+        for role in self.roles:
+            probes.ready_when(type(role).__name__, role.ready)
             role.register(app)
         return app
 
