Walk the whole path in a demo of separate processes

Grants name replicas by id now: an agent could not map the leader's id to an address that its settings do not hold, and a configured address goes before one that it is told (the settings say how this host reaches a replica).

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	touch $(STAMP)
 
 demo: install
-	$(BIN)/python extras/demo.py
+	$(BIN)/python -m extras.demo
 
 format: install
 	$(BIN)/pyink --quiet bilberryroute tests benchmarks extras
--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -218,8 +218,9 @@
             keep_ms=2 * cfg.timing.agent_lease_ms,
         )
         self._decoder = codec.Decoder(wire.Grant)
-        self._addresses = {r.id: r.datagram for r in cfg.replicas}
-        self._targets = [r.datagram for r in cfg.replicas]
+        self._configured = {r.id: r.datagram for r in cfg.replicas}
+        self._addresses = self._configured
+        self._ids = sorted(self._configured)
         self._target = 0
         self._answered = True
         self._wake = asyncio.Event()
@@ -295,7 +296,7 @@
         if len(payload) > DATAGRAM_BYTES:
             logger.error("renewal of %d bytes exceeds a datagram", len(payload))
             return
-        target = self._targets[self._target % len(self._targets)]
+        target = self._addresses[self._target_id()]
         self._answered = False
         self.sent += 1
         self._transport.sendto(payload, split_address(target))
@@ -329,12 +330,13 @@
         match verdict:
             case Renewed(lease=lease, desired=desired):
                 self._answered = True
-                self._learn_replicas(grant)
+                self._learn_replicas(grant.replicas)
                 self._take_desired(desired)
                 self.board.lease.set(lease)
             case Pushed(desired=desired):
                 self._take_desired(desired)
             case Redirected(leader_id=leader_id):
+                self._learn_replicas(grant.replicas)
                 self._redirect(leader_id)
             case Dropped(reason=reason):
                 self._metrics.dropped(reason)
@@ -346,22 +348,25 @@
         self.board.services.set({s.name: s for s in desired.services})
         self._wake.set()
 
-    def _learn_replicas(self, grant: wire.Grant) -> None:
-        current = self._targets[self._target % len(self._targets)]
-        known = set(self._targets)
-        self._targets += [a for a in grant.replicas if a not in known]
-        self._target = self._targets.index(current)
+    def _learn_replicas(self, replicas: dict[str, str]) -> None:
+        """Takes over the present replicas; settings go before what is told."""
+        if not replicas:
+            return
+        current = self._target_id()
+        told = {**replicas, **self._configured}
+        self._addresses = told
+        self._ids = sorted(told)
+        self._target = self._ids.index(current) if current in told else 0
+
+    def _target_id(self) -> str:
+        return self._ids[self._target % len(self._ids)]
 
     def _redirect(self, leader_id: str) -> None:
-        address = self._addresses.get(leader_id)
-        if address is None:
+        if leader_id not in self._addresses:
             return
-        if address not in self._targets:
-            self._targets.append(address)
-        target = self._targets.index(address)
-        if target == self._target % len(self._targets):
+        if leader_id == self._target_id():
             return
-        self._target = target
+        self._target = self._ids.index(leader_id)
         self._answered = True
         self._wake.set()
 
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -119,7 +119,7 @@
         that renews nothing.
       lease_ms: Length of the lease in milliseconds; 0 grants none.
       leader_id: The leading replica, as far as the sender knows.
-      replicas: Datagram addresses of all replicas.
+      replicas: Datagram addresses of all replicas, by id.
       desired: Whole desired state, or None if the agent's is current.
     """
 
@@ -127,7 +127,7 @@
     echo_ms: int
     lease_ms: int
     leader_id: str
-    replicas: tuple[str, ...]
+    replicas: dict[str, str]
     desired: Desired | None
 
 
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -134,8 +134,9 @@
             self._machine.state, self._group.applied_index, renewal.agent, names
         )
 
-    def _replica_addresses(self) -> tuple[str, ...]:
-        return tuple(m.address.datagram for m in self._group.members())
+    def _replica_addresses(self) -> dict[str, str]:
+        addresses = (m.address for m in self._group.members())
+        return {each.id: each.datagram for each in addresses}
 
     @mode.Service.task
     async def _push_changes(self) -> None:
@@ -156,7 +157,7 @@
                 echo_ms=0,
                 lease_ms=0,
                 leader_id=self._cfg.replica_id,
-                replicas=(),
+                replicas={},
                 desired=wanted,
             )
             self._send(push, view.address)
--- a/extras/fakes/fake_worker.py
+++ b/extras/fakes/fake_worker.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import signal
 
 import aiohttp
 import defopt
@@ -13,6 +12,7 @@
 from bilberryroute.agent import worker_api
 from bilberryroute.agent import workers as workers_lib
 from extras.fakes import journal as journal_lib
+from extras.fakes import signals
 from extras.fakes import task_table
 
 ANNOUNCE_MS = 1_000
@@ -181,19 +181,7 @@
     table = task_table.TaskTable(accelerators, run_ms, lag_ms, fail_all)
     book = journal_lib.Journal(journal, name, failure_domain, clock)
     worker = FakeWorker(hello, agent, table, book, clock)
-    asyncio.run(until_signalled(worker.run()))
-
-
-async def until_signalled(coro) -> None:
-    """Runs a coroutine until SIGTERM or SIGINT."""
-    task = asyncio.ensure_future(coro)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel)
-    try:
-        await task
-    except asyncio.CancelledError:
-        return
+    asyncio.run(signals.until_signalled(worker.run()))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/extras/processes.py
@@ -0,0 +1,104 @@
+"""Child processes of the demo and of the process-level tests."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+from bilberryroute import clock as clock_lib
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+POLL_MS = 20
+STOP_MS = 20_000
+
+
+class Child:
+    """One process with its own log file.
+
+    Attributes:
+      name: Name in messages and of the log file.
+      args: Arguments after the interpreter.
+    """
+
+    def __init__(self, name: str, args: list[str], folder: pathlib.Path):
+        self.name = name
+        self.args = args
+        self.log = folder / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Returns the process id of the present run."""
+        return self._process.pid
+
+    def start(self) -> None:
+        """Starts the process, again if it has ended."""
+        environment = os.environ | {"PYTHONPATH": str(ROOT)}
+        with open(self.log, "ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *self.args],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    def running(self) -> bool:
+        """Says whether the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def kill(self) -> None:
+        """Ends the process at once, without a chance to clean up."""
+        self._signal(signal.SIGKILL)
+        self._process.wait()
+
+    def freeze(self) -> None:
+        """Suspends the process."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a suspended process go on."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Asks the process to leave."""
+        self._signal(signal.SIGTERM)
+
+    async def ended(self, timeout_ms: int = STOP_MS) -> int | None:
+        """Returns the exit code, or None if it is still running."""
+        deadline = asyncio.get_running_loop().time() + timeout_ms / 1_000
+        while self.running():
+            if asyncio.get_running_loop().time() > deadline:
+                return None
+            await asyncio.sleep(clock_lib.seconds(POLL_MS))
+        return self._process.returncode
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.running():
+            self._process.send_signal(number)
+
+
+async def stop_all(children: list[Child]) -> list[str]:
+    """Stops processes gracefully; returns what went wrong."""
+    asked = [child for child in children if child.running()]
+    for child in asked:
+        child.resume()
+        child.terminate()
+    codes = await asyncio.gather(*(child.ended() for child in asked))
+    wrong = []
+    for child, code in zip(asked, codes, strict=True):
+        if code is None:
+            child.kill()
+            wrong.append(f"{child.name} did not stop in {STOP_MS} ms")
+        elif code != 0:
+            wrong.append(f"{child.name} ended with exit code {code}")
+    return wrong
+
+
+def kill_all(children: list[Child]) -> None:
+    """Ends processes at once."""
+    for child in children:
+        if child.running():
+            child.kill()
--- a/tests/utils/leader.py
+++ b/tests/utils/leader.py
@@ -30,14 +30,14 @@
     lease_ms: int = 2_200,
     leader_id: str = "r1",
     desired: wire.Desired | None = None,
-    replicas: tuple[str, ...] = (),
+    replicas: dict[str, str] | None = None,
 ) -> wire.Grant:
     return wire.Grant(
         term=term,
         echo_ms=echo_ms,
         lease_ms=lease_ms,
         leader_id=leader_id,
-        replicas=replicas,
+        replicas=replicas or {},
         desired=desired,
     )
 
