Place gangs on workers that have just come into service

Cause: the scheduler opened workers one by one over 15 s also when their failure domain was named for the first time, and nothing had it look at its queue again once the last had opened, so a gang that needs the last worker waited until some other job ended: the demo's job stayed queued for 30 s. Ruled out: agents (all held leases), admission (it fitted).

A domain named for the first time opens at once; the end of each opening counts as room that grew.

The demo waits for the announcements before ticket 1, whose guarantees are admitted against the workers known.

--- a/bilberryroute/scheduling/scheduler.py
+++ b/bilberryroute/scheduling/scheduler.py
@@ -80,6 +80,7 @@
           now_ms: Clock reading in milliseconds.
         """
         self._restore(now_ms)
+        self._state.open_due(now_ms)
         if self._capacity_changed:
             self._capacity_changed = False
             if self._state.guarantees.repair():
--- a/bilberryroute/scheduling/state.py
+++ b/bilberryroute/scheduling/state.py
@@ -44,6 +44,8 @@
         self.entries: dict[str, table.Entry] = {}
         self.set_asides: dict[str, SetAside] = {}
         self.version = 0
+        self._opening: list[int] = []
+        self._named: frozenset[str] = frozenset()
 
     def room_grew(self) -> None:
         """Notes that jobs which did not fit may fit now."""
@@ -193,23 +195,36 @@
         return hit
 
     def refresh_service(self, now_ms: int, ramp_ms: int) -> None:
-        """Takes over from the configuration which workers are in service."""
+        """Takes over from the configuration which workers are in service.
+
+        Workers that operators bring back open one by one over `ramp_ms`;
+        those of a failure domain named for the first time open at once.
+        """
         returned: dict[str, list[capacity.Node]] = {}
         for node in self.tree.nodes.values():
             wanted = admission.in_service(self.configuration, node.worker)
-            if wanted and not node.in_service:
-                domain = node.worker.failure_domain
+            domain = node.worker.failure_domain
+            if wanted and not node.in_service and domain in self._named:
                 returned.setdefault(domain, []).append(node)
             node.in_service = wanted
         for nodes in returned.values():
             for position, node in enumerate(nodes):
                 node.opens_ms = now_ms + ramp_ms * position // len(nodes)
+                self._opening.append(node.opens_ms)
+        self._named = frozenset(self.configuration.failure_domains)
         for job_id in list(self.set_asides):
             units = self.set_asides[job_id].units
             if not all(self.tree.nodes[name].in_service for name in units):
                 self.drop_set_aside(job_id)
         self.room_grew()
 
+    def open_due(self, now_ms: int) -> None:
+        """Notes the room of returned workers that have opened by now."""
+        due = [opens_ms for opens_ms in self._opening if opens_ms <= now_ms]
+        if due:
+            self._opening = [each for each in self._opening if each > now_ms]
+            self.room_grew()
+
 
 _KIND_RANK = {
     jobs.JobKind.URGENT: 0,
--- a/extras/demo.py
+++ b/extras/demo.py
@@ -79,13 +79,10 @@
     )
 
 
-async def walk_announcements(
-    cluster: cluster_lib.Cluster, console: Console
-) -> None:
-    """Step 2: endpoints and workers have announced themselves."""
-    console.step = "2 announcements"
+async def until_announced(cluster: cluster_lib.Cluster) -> dict:
+    """Returns the status once all endpoints and workers are in it."""
     layout = cluster.layout
-    wanted = len(layout.domains) * layout.workers
+    domains = len(layout.domains)
     seen: dict = {}
 
     async def all_seen() -> bool:
@@ -94,10 +91,19 @@
             return False
         seen.update(answer.json())
         endpoints = sum(a["endpoints"] for a in seen["agents"])
-        enough = endpoints == len(layout.domains) * layout.endpoints
-        return enough and len(seen["workers"]) == wanted
+        enough = endpoints == domains * layout.endpoints
+        return enough and len(seen["workers"]) == domains * layout.workers
 
     await cluster_lib.until(all_seen, STEP_MS, "all announced")
+    return seen
+
+
+async def walk_announcements(
+    cluster: cluster_lib.Cluster, console: Console
+) -> None:
+    """Step 2: endpoints and workers have announced themselves."""
+    console.step = "2 announcements"
+    seen = await until_announced(cluster)
     accelerators = sum(w["worker"]["accelerators"] for w in seen["workers"])
     endpoints = sum(a["endpoints"] for a in seen["agents"])
     console.say(
@@ -244,6 +250,8 @@
         "3 replicas, 2 entries, 3 agents, fake endpoints and workers",
         f"{len(cluster.children)} processes serve",
     )
+    # Guarantees are admitted against the workers that have announced.
+    await until_announced(cluster)
     await walk_ticket(cluster, console)
     await walk_announcements(cluster, console)
     await walk_job(cluster, console, 1, "3 gang")
