--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -25,6 +25,7 @@
 RETRY_MIN_MS = 20
 RETRY_MAX_MS = 120
 WATCH_SILENCE_MS = clock_lib.Millis(1_500)
+SUSPICION_MS = clock_lib.Millis(3_000)
 REPORT_MS = clock_lib.Millis(500)
 
 _CHANNEL_OPTIONS = (
@@ -41,6 +42,8 @@
 
     All that an entry proposes is idempotent (a ticket by its number, a job and
     a claim by their ids), so a proposal whose answer was lost is sent again.
+    A replica that fell silent is left alone for a while, whoever names it as
+    the leader: the others take time to notice that it is frozen.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self._rng = rng
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._turn = 0
+        self._suspected: dict[str, int] = {}
 
     async def on_stop(self) -> None:
         """Closes all channels."""
@@ -110,14 +114,15 @@
         )
 
     async def _call_once(self, method: str, payload: bytes) -> bytes:
-        call = self._channel(self._leader_address()).unary_unary(
-            methods.path(method)
-        )
+        address = self._leader_address()
+        call = self._channel(address).unary_unary(methods.path(method))
         try:
             answer = await call(
                 payload, timeout=clock_lib.seconds(CALL_TIMEOUT_MS)
             )
         except grpc.aio.AioRpcError as exc:
+            if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._suspect(address)
             raise _as_error(exc) from exc
         reply = methods.REPLIES.decode(answer)
         if reply.error is not None:
@@ -128,9 +133,18 @@
         """Returns where the leader is believed to be."""
         known = {r.id: r.grpc for r in self._cfg.replicas}
         leader = known.get(self._board.leader_id.get())
-        if leader is not None:
+        if leader is not None and not self._is_suspected(leader):
             return leader
-        return self._cfg.replicas[self._turn % len(self._cfg.replicas)].grpc
+        heard = [a for a in known.values() if not self._is_suspected(a)]
+        candidates = heard or list(known.values())
+        return candidates[self._turn % len(candidates)]
+
+    def _suspect(self, address: str) -> None:
+        """Notes that a replica fell silent."""
+        self._suspected[address] = self._clock.now() + SUSPICION_MS
+
+    def _is_suspected(self, address: str) -> bool:
+        return self._suspected.get(address, 0) > self._clock.now()
 
     def _follow(self, leader_id: str | None) -> None:
         """Turns to the leader named, or else to the next replica."""
@@ -156,14 +170,18 @@
             await self.sleep(clock_lib.seconds(pause))
 
     async def _watch_once(self) -> None:
-        channel = self._channel(self._leader_address())
-        call = channel.stream_stream(methods.path(methods.WATCH))(
-            self._reports()
-        )
+        address = self._leader_address()
+        call = self._channel(address).stream_stream(
+            methods.path(methods.WATCH)
+        )(self._reports())
         silence = clock_lib.seconds(WATCH_SILENCE_MS)
         try:
             while not self.should_stop:
-                payload = await asyncio.wait_for(call.read(), silence)
+                try:
+                    payload = await asyncio.wait_for(call.read(), silence)
+                except TimeoutError:
+                    self._suspect(address)
+                    raise
                 if payload is grpc.aio.EOF:
                     return
                 self._take(methods.WATCH_EVENTS.decode(payload))
--- a/extras/cluster.py
+++ b/extras/cluster.py
@@ -29,19 +29,23 @@
     """How many processes of each kind, and where.
 
     Attributes:
-      domains: Failure domains; one replica and one agent in each.
-      workers: Workers of each failure domain, all in one rack.
-      endpoints: Endpoints of each failure domain.
+      domains: Failure domains; one replica in each.
+      agents: Failure domain of each agent.
+      workers: Workers of each agent; a failure domain has one rack.
+      endpoints: Endpoints of each agent.
       run_ms: How long a task runs unless its job id says otherwise.
       timing: Timing of all processes.
+      log: Bounds of the replicas' logs.
     """
 
     domains: tuple[str, ...] = ("apapa", "tincan", "lekki")
+    agents: tuple[str, ...] = ("apapa", "tincan", "lekki")
     entries: int = 2
     workers: int = 2
     endpoints: int = 1
     run_ms: int = 1_500
     timing: settings.Timing = settings.Timing()
+    log: settings.Log = settings.Log()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,12 +71,7 @@
       agents: Settings of the agents, by name.
     """
 
-    def __init__(
-        self,
-        folder: pathlib.Path,
-        layout: Layout,
-        wiring: Wiring | None = None,
-    ):
+    def __init__(self, folder: pathlib.Path, layout: Layout):
         self.folder = folder
         self.layout = layout
         self.children: dict[str, processes.Child] = {}
@@ -80,7 +79,7 @@
         self._ports = ports.Ports()
         self.replicas = tuple(_replicas(layout, self._ports))
         self.agents: dict[str, settings.Settings] = {}
-        self._wiring = wiring
+        self._wiring: Wiring | None = None
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> "Cluster":
@@ -97,14 +96,20 @@
         """Returns the names of the entries."""
         return [f"e{number + 1}" for number in range(self.layout.entries)]
 
-    def prepare(self) -> None:
-        """Writes all settings and names all processes; starts none."""
+    def prepare(self, wiring: Wiring | None = None) -> None:
+        """Writes all settings and names all processes; starts none.
+
+        Args:
+          wiring: Gives the addresses at which a process, by its name, sees a
+            replica; None for those at which the replica listens.
+        """
+        self._wiring = wiring
         for replica in self.replicas:
             self._add_replica(replica)
         for number, name in enumerate(self.entries):
             domain = self.layout.domains[number % len(self.layout.domains)]
             self._add(self._settings(name, settings.Role.ENTRY, domain))
-        for number, domain in enumerate(self.layout.domains):
+        for number, domain in enumerate(self.layout.agents):
             self._add_agent(f"a{number + 1}", domain)
 
     async def start(self) -> None:
@@ -252,6 +257,7 @@
             listen=settings.Listen(http=self._ports.tcp()),
             replicas=tuple(self._seen_by(name, r) for r in self.replicas),
             timing=self.layout.timing,
+            log=self.layout.log,
         )
 
     def _seen_by(
--- a/extras/demo.py
+++ b/extras/demo.py
@@ -82,7 +82,7 @@
 async def until_announced(cluster: cluster_lib.Cluster) -> dict:
     """Returns the status once all endpoints and workers are in it."""
     layout = cluster.layout
-    domains = len(layout.domains)
+    agents = len(layout.agents)
     seen: dict = {}
 
     async def all_seen() -> bool:
@@ -91,8 +91,8 @@
             return False
         seen.update(answer.json())
         endpoints = sum(a["endpoints"] for a in seen["agents"])
-        enough = endpoints == domains * layout.endpoints
-        return enough and len(seen["workers"]) == domains * layout.workers
+        enough = endpoints == agents * layout.endpoints
+        return enough and len(seen["workers"]) == agents * layout.workers
 
     await cluster_lib.until(all_seen, STEP_MS, "all announced")
     return seen
--- /dev/null
+++ b/tests/entry/test_control.py
@@ -0,0 +1,113 @@
+import asyncio
+
+import grpc
+import pytest
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import settings
+from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import control as control_lib
+from bilberryroute.model import commands
+from bilberryroute.model import control
+from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import codec
+from bilberryroute.transport import control as methods
+from tests.utils import environment
+
+CLOCK = clock_lib.SystemClock()
+COMMAND = commands.CancelJobs(job_ids=("j1",), at_ms=0)
+DONE = machine_lib.RESULTS.encode(commands.Changed(revision=7))
+
+
+class StandIn:
+    """A replica that answers proposals by what the test sets.
+
+    Attributes:
+      leader_id: Leader that it names; empty if it leads itself.
+      silent: Whether proposals are left unanswered.
+      asked: Proposals received.
+    """
+
+    def __init__(self, leader_id: str = "", silent: bool = False):
+        self.leader_id = leader_id
+        self.silent = silent
+        self.asked = 0
+        self.address = ""
+        self._server = grpc.aio.server()
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        handler = grpc.unary_unary_rpc_method_handler(self._propose)
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    methods.SERVICE, {methods.PROPOSE: handler}
+                ),
+            )
+        )
+        port = self._server.add_insecure_port("127.0.0.1:0")
+        self.address = f"127.0.0.1:{port}"
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stops at once."""
+        await self._server.stop(None)
+
+    async def _propose(self, payload: bytes, context: object) -> bytes:
+        self.asked += 1
+        if self.silent:
+            await asyncio.sleep(60)
+        if not self.leader_id:
+            return codec.encode(control.Reply(payload=DONE))
+        error = control.ErrorReply(
+            kind="not_leader",
+            message="",
+            remedy="",
+            leader_id=self.leader_id,
+            retry_after_ms=None,
+        )
+        return codec.encode(control.Reply(error=error))
+
+
+@pytest.fixture
+async def replicas():
+    """A frozen leader, a follower that still names it, and a third."""
+    group = [
+        StandIn(silent=True),
+        StandIn(leader_id="r1"),
+        StandIn(leader_id="r1"),
+    ]
+    for each in group:
+        await each.start()
+    yield group
+    for each in group:
+        await each.stop()
+
+
+async def test_frozen_leader_is_asked_once_however_often_it_is_named(
+    replicas,
+):
+    cfg = settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.Role.ENTRY,),
+        replicas=tuple(
+            settings.ReplicaAddress(
+                id=f"r{number}", grpc=each.address, datagram=""
+            )
+            for number, each in enumerate(replicas, start=1)
+        ),
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    board = board_lib.new_board()
+    board.leader_id.set("r1")
+    client = control_lib.ControlClient(cfg, board, CLOCK, env.rng)
+    loop = asyncio.get_running_loop()
+    # The others elect a leader while the proposal waits for the frozen one.
+    loop.call_later(2.0, setattr, replicas[2], "leader_id", "")
+    try:
+        result = await client.propose(COMMAND)
+    finally:
+        await client.on_stop()
+    assert result == commands.Changed(revision=7)
+    assert replicas[0].asked == 1
--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,41 @@
+"""Fixtures of the process-level tests: whole systems on loopback."""
+
+import contextlib
+
+import pytest
+
+from extras import cluster as cluster_lib
+from tests.processes import wires
+
+
+@pytest.fixture
+async def launch(tmp_path):
+    """Returns a function that starts a system of the given layout."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def start(layout: cluster_lib.Layout) -> cluster_lib.Cluster:
+            cluster = cluster_lib.Cluster(tmp_path, layout)
+            await stack.enter_async_context(cluster)
+            cluster.prepare()
+            await cluster.start()
+            return cluster
+
+        yield start
+
+
+@pytest.fixture
+async def launch_wired(tmp_path):
+    """Like `launch`, with a relay between each agent and each replica."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def start(layout: cluster_lib.Layout):
+            cluster = cluster_lib.Cluster(tmp_path, layout)
+            await stack.enter_async_context(cluster)
+            relays = wires.AgentWires()
+            stack.push_async_callback(relays.stop)
+            await relays.start(cluster)
+            cluster.prepare(relays.seen_by)
+            await cluster.start()
+            return cluster, relays
+
+        yield start
