Freeze an agent with the start already in its socket

The later news are cut off now, or the agent reads them before it plans and the test proves nothing.

--- a/tests/processes/test_leases.py
+++ b/tests/processes/test_leases.py
@@ -75,13 +75,15 @@
         )
 
 
-async def test_frozen_and_resumed_agent_starts_nothing(launch):
-    """The start waits in the socket of an agent that is frozen."""
-    cluster = await launch(TWO_AGENTS)
+async def test_frozen_and_resumed_agent_starts_nothing(launch_wired):
+    """The start waits in the socket of a frozen agent, later news are lost."""
+    cluster, wires = await launch_wired(TWO_AGENTS)
     operator = await reserve_gang(cluster)
     cluster.children["a1"].freeze()
     cluster.children["a2"].resume()
     await operator.until_phase(GANG, "running")
+    await asyncio.sleep(clock_lib.seconds(SETTLE_MS))
+    wires.cut("a1")
     out = await operator.set_domain(DOMAIN, in_service=False)
     await sleep_until(out + OUT_BOUND_MS)
     cluster.children["a1"].resume()
