Let an agent share its process with a replica

The embedded system did not start: agent and replica both bound listen.datagram ('Address already in use', seen in a trial of 'bilberryroute run'). An agent beside a replica now takes a free port; its renewals need no known one. mode's start and stop lines go to DEBUG, 30 lines at each start told an operator nothing.

--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -28,6 +28,7 @@
 UNANSWERED_DIVISOR = 3
 DATAGRAM_BYTES = 65_507
 EPOCH_BITS = 50
+ANY_ADDRESS = "0.0.0.0:0"
 
 T = TypeVar("T")
 
@@ -176,6 +177,13 @@
         return desired
 
 
+def _local_address(cfg: settings.Settings) -> str:
+    # A replica in the same process listens on the datagram address itself.
+    if settings.Role.REPLICA in cfg.roles or not cfg.listen.datagram:
+        return ANY_ADDRESS
+    return cfg.listen.datagram
+
+
 class _Receiver(asyncio.DatagramProtocol):
     """Hands datagrams to the service."""
 
@@ -227,7 +235,7 @@
 
     async def on_start(self) -> None:
         """Opens the datagram socket."""
-        host, port = split_address(self._cfg.listen.datagram or "0.0.0.0:0")
+        host, port = split_address(_local_address(self._cfg))
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(self), local_addr=(host, port)
--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -60,6 +60,7 @@
       errors.BilberryrouteError: If a service fails.
     """
     cfg = _load(daemon)
+    mode.Service.mundane_level = "debug"
     logs.configure(
         stream=env.stderr,
         level=cfg.log_level,
