--- a/bilberryroute/agent/service.py
+++ b/bilberryroute/agent/service.py
@@ -4,6 +4,7 @@
 from mode import Service
 
 from bilberryroute import context
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
@@ -86,5 +87,10 @@
         lease = self.board.lease.get()
         left = lease.left(self._clock.now())
         metrics.lease_left_ms.set({"lease": "agent"}, left)
-        metrics.term.set({}, lease.term)
-        metrics.revision.set({}, self.board.desired.get().revision)
+
+    def position(self) -> logs.Position:
+        """Returns the term of the lease and the revision in force here."""
+        return logs.Position(
+            term=self.board.lease.get().term,
+            revision=self.board.desired.get().revision,
+        )
--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -70,6 +70,8 @@
     )
     try:
         return asyncio.run(_serve(cfg, env))
+    except errors.BilberryrouteError:
+        raise
     except Exception as exc:
         raise _typed(exc) from exc
 
@@ -92,6 +94,7 @@
 
     with _signals() as signals:
         service = process.build(cfg, env)
+        logs.show_position(service.position)
         await _start(service)
         _log.info("started", extra={"http": cfg.listen.http})
         await _first(service.wait_until_stopped(), signals.get())
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -4,6 +4,7 @@
 from aiohttp import web
 
 from bilberryroute import context
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
@@ -36,7 +37,6 @@
         self.operators = operator_lib.OperatorService(
             cfg, self.board, self.control, env.clock, env.rng, metrics
         )
-        metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
         """Adds the routes under `/v1`."""
@@ -58,6 +58,9 @@
         for service in (self.control, self.operators, self.requests):
             await self.add_runtime_dependency(service)
 
-    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
-        metrics.term.set({}, self.board.term.get())
-        metrics.revision.set({}, self.board.configuration.get().revision)
+    def position(self) -> logs.Position:
+        """Returns the term and revision that this entry has seen."""
+        return logs.Position(
+            term=self.board.term.get(),
+            revision=self.board.configuration.get().revision,
+        )
--- a/bilberryroute/logs.py
+++ b/bilberryroute/logs.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import contextvars
+import dataclasses
 import logging
 import types
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import TextIO
@@ -18,15 +20,29 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Position:
+    """How far a process has followed the leading replica.
+
+    Attributes:
+      term: Highest term seen.
+      revision: Configuration revision in force.
+    """
+
+    term: int = 0
+    revision: int = 0
+
+
 class _ContextFilter(logging.Filter):
-    """Adds the fields of the process and of the present context."""
+    """Adds the process's position and the fields of the present context."""
 
     def __init__(self):
         super().__init__()
-        self.process_fields: dict[str, object] = {}
+        self.position: Callable[[], Position] = Position
 
     def filter(self, record: logging.LogRecord) -> bool:
-        for name, value in (self.process_fields | _fields.get()).items():
+        position = dataclasses.asdict(self.position())
+        for name, value in (position | _fields.get()).items():
             if not hasattr(record, name):
                 setattr(record, name, value)
         return True
@@ -70,14 +86,9 @@
     root.setLevel(level)
 
 
-def set_process_fields(**fields: object) -> None:
-    """Sets fields of all later lines, such as `term` and `revision`."""
-    _context_filter.process_fields.update(fields)
-
-
-def clear_process_fields() -> None:
-    """Forgets all fields that `set_process_fields` set."""
-    _context_filter.process_fields.clear()
+def show_position(position: Callable[[], Position]) -> None:
+    """Adds the process's term and revision to all later lines."""
+    _context_filter.position = position
 
 
 @contextlib.contextmanager
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -9,6 +9,7 @@
 from bilberryroute import api
 from bilberryroute import context
 from bilberryroute import lifecycle
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.transport import http as http_lib
@@ -20,6 +21,9 @@
     def register(self, app: web.Application) -> None:
         """Adds the role's routes."""
 
+    def position(self) -> logs.Position:
+        """Returns the term and revision that the role has seen."""
+
     def ready(self) -> bool:
         """Says whether the role can do its work now."""
 
@@ -39,6 +43,7 @@
         self.metrics = metrics_lib.Metrics()
         self.roles = [_role(r, cfg, env, self.metrics) for r in _ordered(cfg)]
         app = self._application(cfg)
+        self.metrics.refresh_with(self._refresh)
         self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
 
     def _application(self, cfg: settings.Settings) -> web.Application:
@@ -57,6 +62,19 @@
             await self.add_runtime_dependency(role)
         await self.add_runtime_dependency(self.http)
 
+    def position(self) -> logs.Position:
+        """Returns the highest term and revision that a role has seen."""
+        positions = [role.position() for role in self.roles]
+        return logs.Position(
+            term=max(each.term for each in positions),
+            revision=max(each.revision for each in positions),
+        )
+
+    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
+        position = self.position()
+        metrics.term.set({}, position.term)
+        metrics.revision.set({}, position.revision)
+
     async def drain(self) -> None:
         """Prepares a stop that cuts off nothing in flight."""
         await asyncio.gather(*(role.drain() for role in self.roles))
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from bilberryroute import context
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
@@ -127,10 +128,15 @@
     def _refresh(self, metrics: metrics_lib.Metrics) -> None:
         """Sets the gauges that are read only when asked for."""
         group = self.group
-        metrics.term.set({}, group.term)
         metrics.log_index.set({"point": "committed"}, group.commit_index)
         metrics.log_index.set({"point": "applied"}, group.applied_index)
-        metrics.revision.set({}, self.machine.state.configuration.revision)
+
+    def position(self) -> logs.Position:
+        """Returns this replica's term and the revision that it has applied."""
+        return logs.Position(
+            term=self.group.term,
+            revision=self.machine.state.configuration.revision,
+        )
 
 
 def _group_config(cfg: settings.Settings) -> group_lib.GroupConfig:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -22,12 +22,12 @@
     yield lambda: [json.loads(x) for x in stream.getvalue().splitlines()]
     root.handlers[:] = handlers
     root.setLevel(level)
-    logs.clear_process_fields()
+    logs.show_position(logs.Position)
 
 
 def test_line_carries_process_and_context(lines):
     log = logging.getLogger("bilberryroute.test")
-    logs.set_process_fields(term=3, revision=17)
+    logs.show_position(lambda: logs.Position(term=3, revision=17))
     with logs.fields(request_id="r1", account="trust"):
         log.info("accepted", extra={"job_id": "j1"})
     log.debug("not written")
