--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,8 @@
 test: install lint
 	$(BIN)/python -m pytest
 
+binary: install
+	$(BIN)/python extras/build_binary.py
+
 clean:
 	rm -rf $(VENV) build dist *.egg-info
