--- a/bilberryroute/entry/operators.py
+++ b/bilberryroute/entry/operators.py
@@ -16,6 +16,7 @@
 from bilberryroute import errors
 from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import operator_models as models
@@ -71,7 +72,7 @@
         app.router.add_get("/v1/status", self._show_status)
 
     async def _apply_ticket(self, req: web.Request) -> web.Response:
-        api.require_operator(req)
+        rights_lib.require_operator(req)
         model = await api.read_json(
             req, models.TicketModel, self._limits.ticket_bytes
         )
@@ -92,21 +93,21 @@
         raise _unexpected(result)
 
     async def _show_ticket(self, req: web.Request) -> web.Response:
-        api.require_operator(req)
+        rights_lib.require_operator(req)
         number = _ticket_number(req.match_info["number"])
         query = queries.GetTicket(number=number)
         return api.json_response(await self._control.query(query))
 
     async def _show_configuration(self, req: web.Request) -> web.Response:
-        api.require_operator(req)
+        rights_lib.require_operator(req)
         return api.json_response(self._board.configuration.get())
 
     async def _submit_job(self, req: web.Request) -> web.Response:
-        api.require_token(req)
+        rights_lib.require_token(req)
         model = await api.read_json(
             req, models.JobModel, self._limits.body_bytes
         )
-        account = api.require_operator_or_account(req, model.account)
+        account = rights_lib.require_operator_or_account(req, model.account)
         job = models.to_job(model, model.id or self._new_job_id(), account)
         command = commands.SubmitJob(job=job, at_ms=self._clock.wall())
         with logs.fields(job_id=job.id, account=account):
@@ -132,8 +133,8 @@
 
     async def _list_jobs(self, req: web.Request) -> web.Response:
         account = req.query.get("account", "")
-        if account or not req[api.OPERATOR]:
-            account = api.require_operator_or_account(req, account)
+        if account or not req[rights_lib.OPERATOR]:
+            account = rights_lib.require_operator_or_account(req, account)
         query = queries.ListJobs(account=account)
         return api.json_response(await self._control.query(query))
 
@@ -143,12 +144,12 @@
     async def _own_job(self, req: web.Request) -> queries.JobView:
         """Returns the job in the path, if the request may see it."""
         # Rights come first, or anyone could tell which ids exist.
-        api.require_token(req)
+        rights_lib.require_token(req)
         view = await self._control.query(
             queries.GetJob(job_id=req.match_info["id"])
         )
-        if not req[api.OPERATOR]:
-            api.require_account(req, view.record.job.account)
+        if not req[rights_lib.OPERATOR]:
+            rights_lib.require_account(req, view.record.job.account)
         return view
 
     async def _cancel_job(self, req: web.Request) -> web.Response:
@@ -156,13 +157,13 @@
         return await self._cancel((view.record.job.id,))
 
     async def _cancel_jobs(self, req: web.Request) -> web.Response:
-        api.require_token(req)
+        rights_lib.require_token(req)
         model = await api.read_json(
             req, models.CancelModel, self._limits.body_bytes
         )
         account = ""
-        if not req[api.OPERATOR]:
-            account = api.require_account(req)
+        if not req[rights_lib.OPERATOR]:
+            account = rights_lib.require_account(req)
         found = await self._control.query(queries.ListJobs(account=account))
         known = {record.job.id for record in found.records}
         unknown = [each for each in model.job_ids if each not in known]
@@ -184,7 +185,7 @@
         raise _unexpected(result)
 
     async def _show_status(self, req: web.Request) -> web.Response:
-        api.require_operator(req)
+        rights_lib.require_operator(req)
         return api.json_response(await self._control.query(queries.GetStatus()))
 
 
--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -11,6 +11,7 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 from bilberryroute.entry import answers
 from bilberryroute.entry import attempts
@@ -123,7 +124,9 @@
         headers = req.headers
         account = outcomes.check_id(
             "account",
-            api.require_account(req, headers.get(protocol.ACCOUNT_HEADER, "")),
+            rights_lib.require_account(
+                req, headers.get(protocol.ACCOUNT_HEADER, "")
+            ),
         )
         given = headers.get(protocol.REQUEST_ID_HEADER)
         request_id = given or self._new_id()
--- a/bilberryroute/lifecycle.py
+++ b/bilberryroute/lifecycle.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from bilberryroute import api
+from bilberryroute import rights as rights_lib
 
 Check = Callable[[], bool]
 
@@ -57,7 +58,7 @@
         )
 
     async def _drain_process(self, req: web.Request) -> web.Response:
-        api.require_operator(req)
+        rights_lib.require_operator(req)
         _log.info("an operator asked this process to leave")
         self._drain()
         return api.json_response(
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -11,6 +11,7 @@
 from bilberryroute import lifecycle
 from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 from bilberryroute.transport import http as http_lib
 
@@ -47,7 +48,7 @@
         self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
 
     def _application(self, cfg: settings.Settings) -> web.Application:
-        rights = api.load_rights(cfg.tokens)
+        rights = rights_lib.load(cfg.tokens)
         app = api.new_application(cfg.limits, self.metrics, rights)
         probes = lifecycle.Lifecycle()
         probes.register(app)
--- a/bilberryroute/settings_rules.py
+++ b/bilberryroute/settings_rules.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 
-from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 
 OUT_BOUND_MS = 3_000
@@ -266,7 +266,7 @@
 
 def _check_tokens(cfg: settings.Settings) -> Iterator[Finding]:
     try:
-        rights = api.load_rights(cfg.tokens)
+        rights = rights_lib.load(cfg.tokens)
     except errors.SettingsError as exc:
         yield Finding(key="tokens", message=exc.message, remedy=exc.remedy)
         return
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -11,6 +11,7 @@
 from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as agent_board
 from bilberryroute.agent import endpoints as agent_endpoints
@@ -205,7 +206,7 @@
             random.Random(seed),
         )
         app = api.new_application(
-            cfg.limits, self.requests.metrics, api.Rights()
+            cfg.limits, self.requests.metrics, rights_lib.Rights()
         )
         self.requests.register(app)
         self.served = Served(app)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -5,6 +5,7 @@
 from bilberryroute import api
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 
 OPERATOR = "operator-token-0123456789"
@@ -23,7 +24,7 @@
     operators.write_text(f"# operators\n{OPERATOR}\n\n")
     callers = tmp_path / "callers"
     callers.write_text(f"trust {TRUST}\n")
-    return api.load_rights(
+    return rights_lib.load(
         settings.Tokens(operators=str(operators), callers=str(callers))
     )
 
@@ -32,7 +33,7 @@
 async def new_client(metrics):
     clients = []
 
-    async def start(rights=api.Rights()):  # noqa: B008
+    async def start(rights=rights_lib.Rights()):  # noqa: B008
         app = api.new_application(LIMITS, metrics, rights)
         app.router.add_post("/body", read)
         app.router.add_get("/operator", for_operators)
@@ -56,12 +57,12 @@
 
 
 async def for_operators(req):
-    api.require_operator(req)
+    rights_lib.require_operator(req)
     return web.Response()
 
 
 async def for_account(req):
-    return web.Response(text=api.require_account(req))
+    return web.Response(text=rights_lib.require_account(req))
 
 
 async def fault(req):
@@ -169,9 +170,17 @@
         ("/operator", {"Authorization": "Basic abc"}, 401),
         ("/account", {}, 401),
         ("/account", bearer(TRUST), 200),
-        ("/account", bearer(TRUST) | {api.ACCOUNT_HEADER: "trust"}, 200),
-        ("/account", bearer(TRUST) | {api.ACCOUNT_HEADER: "exchange"}, 403),
-        ("/account", bearer(OPERATOR) | {api.ACCOUNT_HEADER: "trust"}, 403),
+        ("/account", bearer(TRUST) | {rights_lib.ACCOUNT_HEADER: "trust"}, 200),
+        (
+            "/account",
+            bearer(TRUST) | {rights_lib.ACCOUNT_HEADER: "exchange"},
+            403,
+        ),
+        (
+            "/account",
+            bearer(OPERATOR) | {rights_lib.ACCOUNT_HEADER: "trust"},
+            403,
+        ),
         ("/metrics", {}, 200),
     ],
 )
@@ -186,7 +195,7 @@
 async def test_loopback_may_do_all_without_tokens(new_client):
     client = await new_client()
     assert (await client.get("/operator")).status == 200
-    headers = {api.ACCOUNT_HEADER: "trust"}
+    headers = {rights_lib.ACCOUNT_HEADER: "trust"}
     answer = await client.get("/account", headers=headers)
     assert await answer.text() == "trust"
     assert (await client.get("/account")).status == 400
@@ -195,9 +204,9 @@
 async def test_other_peers_may_do_nothing_without_tokens(
     new_client, monkeypatch
 ):
-    monkeypatch.setattr(api, "is_loopback", lambda req: False)
+    monkeypatch.setattr(rights_lib, "is_loopback", lambda req: False)
     client = await new_client()
-    headers = {api.ACCOUNT_HEADER: "trust"}
+    headers = {rights_lib.ACCOUNT_HEADER: "trust"}
     assert (await client.get("/operator", headers=headers)).status == 401
     assert (await client.get("/account", headers=headers)).status == 401
 
@@ -212,10 +221,10 @@
     path = tmp_path / "operators"
     path.write_text(line)
     with pytest.raises(errors.SettingsError) as caught:
-        api.load_rights(settings.Tokens(operators=str(path)))
+        rights_lib.load(settings.Tokens(operators=str(path)))
     assert line not in str(caught.value)
 
 
 def test_missing_token_file_is_reported():
     with pytest.raises(errors.SettingsError, match="cannot be read"):
-        api.load_rights(settings.Tokens(callers="/nonexistent/callers"))
+        rights_lib.load(settings.Tokens(callers="/nonexistent/callers"))
--- a/tests/utils/entries.py
+++ b/tests/utils/entries.py
@@ -8,6 +8,7 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute import lifecycle
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import operators
@@ -17,12 +18,12 @@
 TRUST = "trust-token-0123456789"
 EXCHANGE = "exchange-token-0123456789"
 
-RIGHTS = api.Rights(
+RIGHTS = rights_lib.Rights(
     restricted=True,
     operators=(OPERATOR.encode(),),
     callers=(
-        api.CallerToken(account="trust", token=TRUST.encode()),
-        api.CallerToken(account="exchange", token=EXCHANGE.encode()),
+        rights_lib.CallerToken(account="trust", token=TRUST.encode()),
+        rights_lib.CallerToken(account="exchange", token=EXCHANGE.encode()),
     ),
 )
 
@@ -42,7 +43,7 @@
       drained: Whether the process was asked to leave.
     """
 
-    def __init__(self, rights: api.Rights = RIGHTS):
+    def __init__(self, rights: rights_lib.Rights = RIGHTS):
         cfg = settings.Settings(
             host="e1",
             failure_domain="apapa",
