--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 
 from aiohttp import web
@@ -10,6 +11,7 @@
 from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import rights as rights_lib
 from bilberryroute import settings
@@ -27,6 +29,8 @@
 DEADLINE_MAX_MS = 300_000
 IDEMPOTENT_KEPT_MS = 60_000
 
+_log = logging.getLogger(__name__)
+
 
 class RequestService(Service):
     """Takes callers' requests and answers each with its outcome.
@@ -108,7 +112,11 @@
         self._in_flight += 1
         self._idle.clear()
         try:
-            return await self._answer(req, await self._read(req))
+            call = await self._read(req)
+            with logs.fields(
+                request_id=call.id, account=call.account, service=call.service
+            ):
+                return await self._answer(req, call)
         except errors.BilberryrouteError as exc:
             api.count_error(self.metrics, exc)
             resp = api.problem_response(exc)
@@ -165,6 +173,10 @@
             api.count_error(self.metrics, exc)
             resp = api.problem_response(exc)
             outcome = exc.outcome
+            # Refusals can be many, so only what was left open is loud.
+            unknown = outcome is errors.Outcome.UNKNOWN
+            level = logging.WARNING if unknown else logging.DEBUG
+            _log.log(level, "request ended as %s: %s", outcome, exc.message)
         labels = {"service": call.service, "outcome": str(outcome)}
         self.metrics.requests.inc(labels)
         resp.headers[protocol.OUTCOME_HEADER] = str(outcome)
