--- a/tests/test_api_docs.py
+++ b/tests/test_api_docs.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+import tomllib
 
 import msgspec
 import pytest
@@ -15,6 +16,7 @@
 from bilberryroute import settings
 from bilberryroute import status
 from bilberryroute.cli import parser
+from bilberryroute.entry import operator_models
 from bilberryroute.routing import protocol
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -117,3 +119,25 @@
 )
 def test_replica_keys_are_documented(name):
     assert f"| `replicas.{name}` |" in SETTINGS
+
+
+def readme_digests():
+    text = (ROOT / "README.md").read_text()
+    return re.findall(r"digest: +([0-9a-f]{64})", text)
+
+
+@pytest.mark.parametrize("number", [1, 2])
+def test_readme_shows_the_tickets_that_it_names(number):
+    path = ROOT / "extras" / "tickets" / f"{number}.toml"
+    model = msgspec.convert(
+        tomllib.loads(path.read_text()), operator_models.TicketModel
+    )
+    ticket = operator_models.to_ticket(model)
+    assert ticket.number == number
+    assert operator_models.digest(ticket) == readme_digests()[number - 1]
+
+
+def test_links_of_the_readme_exist():
+    text = (ROOT / "README.md").read_text()
+    for target in re.findall(r"\]\(([^)]+)\)", text):
+        assert (ROOT / target).is_file(), target
