Stop a daemon's services also when its drain fails, with tests of the stop

Cause: an error in drain() left the services running until the loop was torn down. Tests: SIGTERM drains first, a second signal ends the wait, a crash of a service ends the process with its kind.

--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -97,12 +97,14 @@
         logs.show_position(service.position)
         await _start(service)
         _log.info("started", extra={"http": cfg.listen.http})
-        await _first(service.wait_until_stopped(), signals.get())
-        if service.crash_reason is None:
-            _log.info("draining")
-            # A second signal ends the wait.
-            await _first(service.drain(), signals.get())
-        await service.stop()
+        try:
+            await _first(service.wait_until_stopped(), signals.get())
+            if service.crash_reason is None:
+                _log.info("draining")
+                # A second signal ends the wait.
+                await _first(service.drain(), signals.get())
+        finally:
+            await service.stop()
     if service.crash_reason is not None:
         raise _typed(service.crash_reason)
     _log.info("stopped")
