--- a/bilberryroute/agent/service.py
+++ b/bilberryroute/agent/service.py
@@ -87,6 +87,9 @@
         lease = self.board.lease.get()
         left = lease.left(self._clock.now())
         metrics.lease_left_ms.set({"lease": "agent"}, left)
+        for name, running in self.board.running.get().items():
+            metrics.in_flight.set({"endpoint": name}, running)
+        metrics.draining.set({}, int(self.board.draining.get()))
 
     def position(self) -> logs.Position:
         """Returns the term of the lease and the revision in force here."""
--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -66,6 +66,15 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
+    @property
+    def in_flight(self) -> int:
+        """Returns how many requests are being answered."""
+        return self._in_flight
+
+    def queue_lengths(self) -> dict[str, int]:
+        """Returns how many requests wait for an endpoint, by service."""
+        return self._dispatcher.queue_lengths()
+
     def register(self, app: web.Application) -> None:
         """Adds the route."""
         app.router.add_post("/v1/services/{service}/requests", self._handle)
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -37,12 +37,20 @@
         self.operators = operator_lib.OperatorService(
             cfg, self.board, self.control, env.clock, env.rng, metrics
         )
+        metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
         """Adds the routes under `/v1`."""
         self.requests.register(app)
         self.operators.register(app)
 
+    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
+        """Sets the gauges that are read only when asked for."""
+        metrics.in_flight.set({"service": "all"}, self.requests.in_flight)
+        for service, length in self.requests.queue_lengths().items():
+            metrics.queue_length.set({"queue": service}, length)
+        metrics.draining.set({}, int(self.board.draining.get()))
+
     def ready(self) -> bool:
         """Says whether the balancer may send callers here."""
         if self.board.draining.get():
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -26,13 +26,15 @@
       drops: Messages ignored, by `reason` (late, stale term, mismatched id).
       errors: Errors that are no refusals, by `reason` (kind of the error).
       requests: Requests that ended, by `service` and `outcome`.
-      decisions: Decisions of the scheduler, by `kind`.
-      elections: Elections that this replica has started.
-      in_flight: Requests being run, by `service`.
+      commands: Commands of the replicated log applied here, by `kind` and
+        `result`.
+      in_flight: Requests being answered, by `service` at an entry and by
+        `endpoint` at an agent.
       queue_length: Requests or jobs waiting, by `queue`.
       lease_left_ms: Milliseconds left of a lease, by `lease`.
-      log_index: Indexes of the replicated log, by `point` (`last`,
-        `committed`, `applied`, `snapshot`).
+      log_index: Indexes of the replicated log, by `point` (`committed`,
+        `applied`).
+      leading: 1 while this replica leads under its lease.
       term: Highest term seen.
       revision: Configuration revision in force in this process.
       draining: 1 once the process was asked to leave.
@@ -47,13 +49,13 @@
         self.drops = self._counter("drops_total", "Messages ignored.")
         self.errors = self._counter("errors_total", "Errors.")
         self.requests = self._counter("requests_total", "Requests ended.")
-        self.decisions = self._counter("decisions_total", "Decisions.")
-        self.elections = self._counter("elections_total", "Elections.")
+        self.commands = self._counter("commands_total", "Commands applied.")
 
         self.in_flight = self._gauge("in_flight", "Requests being run.")
         self.queue_length = self._gauge("queue_length", "Waiting.")
         self.lease_left_ms = self._gauge("lease_left_ms", "Lease left.")
         self.log_index = self._gauge("log_index", "Replicated log.")
+        self.leading = self._gauge("leading", "1 while this replica leads.")
         self.term = self._gauge("term", "Highest term seen.")
         self.revision = self._gauge("revision", "Revision in force.")
         self.draining = self._gauge("draining", "1 while leaving.")
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -9,6 +9,8 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
+from bilberryroute.model import commands
+from bilberryroute.model import jobs
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import control as control_lib
 from bilberryroute.replica import desired as desired_lib
@@ -55,6 +57,8 @@
         self._server: grpc.aio.Server | None = None
         self._join(env)
         metrics.refresh_with(self._refresh)
+        self._metrics = metrics
+        self.machine.listeners.append(self._count)
 
     def _join(self, env: context.Environment) -> None:
         """Builds the controllers; all share the board."""
@@ -130,6 +134,19 @@
         group = self.group
         metrics.log_index.set({"point": "committed"}, group.commit_index)
         metrics.log_index.set({"point": "applied"}, group.applied_index)
+        metrics.leading.set({}, int(group.is_leader()))
+        phases = [r.phase for r in self.machine.state.jobs.values()]
+        queued = phases.count(jobs.JobPhase.QUEUED)
+        metrics.queue_length.set({"queue": "jobs"}, queued)
+
+    def _count(
+        self, command: commands.Command, result: commands.Result
+    ) -> None:
+        labels = {
+            "kind": type(command).__name__,
+            "result": type(result).__name__,
+        }
+        self._metrics.commands.inc(labels)
 
     def position(self) -> logs.Position:
         """Returns this replica's term and the revision that it has applied."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,4 +1,7 @@
+from bilberryroute import embedded
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import process
+from tests.utils import environment
 
 
 def test_reasons_are_rendered():
@@ -21,3 +24,20 @@
     first, second = metrics_lib.Metrics(), metrics_lib.Metrics()
     first.refused("draining")
     assert 'draining"' not in second.render()[0].decode()
+
+
+async def test_all_roles_fill_their_gauges(tmp_path):
+    cfg = embedded.embedded_settings(str(tmp_path))
+    built = process.build(cfg, environment.fake_environment())
+    text = built.metrics.render()[0].decode()
+    for name in (
+        'in_flight{service="all"} 0',
+        'queue_length{queue="jobs"} 0',
+        'lease_left_ms{lease="agent"} 0',
+        'log_index{point="applied"} 0',
+        "leading 0",
+        "term 0",
+        "revision 0",
+        "draining 0",
+    ):
+        assert f"bilberryroute_{name}\n" in text
