--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -77,13 +77,17 @@
 
 
 def _load(daemon: Daemon) -> settings.Settings:
-    if daemon.settings:
-        from bilberryroute import settings_check
+    from bilberryroute import settings_check
 
+    if daemon.settings:
         return settings_check.load(daemon.settings)
     from bilberryroute import embedded
 
-    return embedded.embedded_settings()
+    cfg = embedded.embedded_settings()
+    settings_check.refuse_if_any(
+        settings_check.check_values("embedded system", cfg)
+    )
+    return cfg
 
 
 async def _serve(
--- a/bilberryroute/rights.py
+++ b/bilberryroute/rights.py
@@ -23,6 +23,7 @@
 OPERATOR = web.RequestKey("operator", bool)
 ACCOUNT = web.RequestKey("account", str)
 UNRESTRICTED = web.RequestKey("unrestricted", bool)
+RESTRICTED = web.RequestKey("restricted", bool)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -127,6 +128,7 @@
     ) -> web.StreamResponse:
         req[OPERATOR] = False
         req[ACCOUNT] = ""
+        req[RESTRICTED] = rights.restricted
         req[UNRESTRICTED] = not rights.restricted and is_loopback(req)
         token = _bearer_token(req)
         if token is not None and rights.restricted:
@@ -174,7 +176,7 @@
             "this needs an operator's token",
             remedy="Ask an operator, or use an operator's token.",
         )
-    raise errors.Unauthenticated("this needs an operator's token")
+    raise _missing_token(req, "an operator's token")
 
 
 def require_token(req: web.Request) -> None:
@@ -184,7 +186,7 @@
       errors.Unauthenticated: If the request carries no token.
     """
     if not req[OPERATOR] and not req[ACCOUNT]:
-        raise errors.Unauthenticated("this needs a token")
+        raise _missing_token(req, "a token")
 
 
 def require_account(req: web.Request, claimed: str = "") -> str:
@@ -208,7 +210,7 @@
         return req[ACCOUNT]
     if req[OPERATOR]:
         raise errors.Forbidden("an operator's token is bound to no account")
-    raise errors.Unauthenticated("this needs a caller's token")
+    raise _missing_token(req, "a caller's token")
 
 
 def require_operator_or_account(req: web.Request, claimed: str) -> str:
@@ -224,6 +226,15 @@
     return require_account(req, claimed)
 
 
+def _missing_token(req: web.Request, needed: str) -> errors.Unauthenticated:
+    if req[RESTRICTED]:
+        return errors.Unauthenticated(f"this needs {needed}")
+    return errors.Unauthenticated(
+        f"this needs {needed}, and this process has none",
+        remedy="Connect from loopback, or set [tokens] in the settings.",
+    )
+
+
 def _named_account(named: str) -> str:
     if not named:
         raise errors.MalformedInput(
--- a/bilberryroute/settings_check.py
+++ b/bilberryroute/settings_check.py
@@ -68,14 +68,24 @@
         if cfg is not None:
             loaded[path] = cfg
     problems += check_together(loaded)
-    if problems:
-        lines = "".join(f"\n  {problem}" for problem in problems)
-        count = len(problems)
-        noun = "problem" if count == 1 else "problems"
-        raise errors.SettingsError(f"{count} {noun} in the settings:{lines}\n")
+    refuse_if_any(problems)
     return list(loaded.values())
 
 
+def refuse_if_any(problems: Sequence[Problem]) -> None:
+    """Raises one error that lists all problems, if there are any.
+
+    Raises:
+      errors.SettingsError: With all problems.
+    """
+    if not problems:
+        return
+    lines = "".join(f"\n  {problem}" for problem in problems)
+    count = len(problems)
+    noun = "problem" if count == 1 else "problems"
+    raise errors.SettingsError(f"{count} {noun} in the settings:{lines}\n")
+
+
 def check(path: str) -> tuple[settings.Settings | None, list[Problem]]:
     """Returns the settings of a file if usable, and all problems found."""
     try:
@@ -88,10 +98,15 @@
     if problems:
         return None, problems
     cfg = msgspec.convert(raw, settings.Settings)
-    problems = [
+    problems = check_values(path, cfg)
+    return (None if problems else cfg), problems
+
+
+def check_values(path: str, cfg: settings.Settings) -> list[Problem]:
+    """Returns the problems of settings whose keys and types are right."""
+    return [
         _from_finding(path, finding) for finding in settings_rules.check(cfg)
     ]
-    return (None if problems else cfg), problems
 
 
 def check_together(loaded: dict[str, settings.Settings]) -> list[Problem]:
--- a/tests/cli/test_run.py
+++ b/tests/cli/test_run.py
@@ -138,5 +138,9 @@
     assert "roles: missing" in env.stderr.getvalue()
 
 
-def test_without_settings_the_system_is_embedded():
+def test_without_settings_the_system_is_embedded(monkeypatch, tmp_path):
+    monkeypatch.chdir(tmp_path)
     assert run._load(run.Daemon()) == embedded.embedded_settings()
+    (tmp_path / embedded.DATA_FOLDER).write_text("a file")
+    with pytest.raises(errors.SettingsError, match="is no folder"):
+        run._load(run.Daemon())
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -207,8 +207,10 @@
     monkeypatch.setattr(rights_lib, "is_loopback", lambda req: False)
     client = await new_client()
     headers = {rights_lib.ACCOUNT_HEADER: "trust"}
-    assert (await client.get("/operator", headers=headers)).status == 401
-    assert (await client.get("/account", headers=headers)).status == 401
+    for path in ("/operator", "/account"):
+        answer = await client.get(path, headers=headers)
+        assert answer.status == 401
+        assert "loopback" in (await problem(answer))["remedy"]
 
 
 def test_tokens_are_not_shown(rights):
