Push desired states only to the agents that a command concerns

Cause: every applied command derived the desired state of all 420 agents (19 ms a command, profiled with 300 jobs submitted in sequence), which held the leader's loop. Ruled out: renewals (0.24 ms each under the profiler). Change: the lease service notes the agents of a command's workers; derived states are kept by scheduling index and workers.

--- a/bilberryroute/replica/desired.py
+++ b/bilberryroute/replica/desired.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from bilberryroute.model import config
 from bilberryroute.model import jobs
 from bilberryroute.model import wire
 from bilberryroute.state import records
@@ -24,13 +25,11 @@
     """
 
     def __init__(self):
-        self._derived_at = (-1, -1)
-        self._tasks: dict[str, tuple[wire.DesiredTask, ...]] = {}
-        self._current: dict[str, wire.Desired] = {}
+        self._current: dict[str, _Derived] = {}
+        self._common = _Common()
 
     def reset(self) -> None:
         """Forgets all versions, on a change of leader."""
-        self._derived_at = (-1, -1)
         self._current.clear()
 
     def desired(
@@ -48,46 +47,79 @@
           agent: The agent's name.
           workers: Names of the workers announced to the agent.
         """
-        self._derive_tasks(state)
-        fresh = self._derive(state, index << _COUNTER_BITS, workers)
+        stamp = (state.scheduling_index, state.configuration.revision, workers)
         known = self._current.get(agent)
-        if known and dataclasses.replace(fresh, version=known.version) == known:
-            return known
-        if known and fresh.version <= known.version:
-            fresh = dataclasses.replace(fresh, version=known.version + 1)
-        self._current[agent] = fresh
+        if known is not None and known.stamp == stamp:
+            return known.desired
+        fresh = self._derive(state, index << _COUNTER_BITS, workers)
+        if known is not None:
+            fresh = _versioned(fresh, known.desired)
+        self._current[agent] = _Derived(stamp=stamp, desired=fresh)
         return fresh
 
-    def _derive_tasks(self, state: records.State) -> None:
-        stamp = (state.scheduling_index, state.configuration.revision)
-        if stamp == self._derived_at:
-            return
-        self._derived_at = stamp
-        by_worker: dict[str, list[wire.DesiredTask]] = {}
-        for record in active_records(state):
-            for part in record.assignments:
-                tasks = by_worker.setdefault(part.worker, [])
-                tasks.append(_desired_task(record, part))
-        self._tasks = {name: tuple(tasks) for name, tasks in by_worker.items()}
-
     def _derive(
         self, state: records.State, version: int, workers: tuple[str, ...]
     ) -> wire.Desired:
-        cfg = state.configuration
-        tasks = [t for name in workers for t in self._tasks.get(name, ())]
+        self._common = _common(state, self._common)
         return wire.Desired(
             version=version,
-            revision=cfg.revision,
-            domains_in_service=tuple(
-                sorted(
-                    d.name for d in cfg.failure_domains.values() if d.in_service
-                )
-            ),
-            services=tuple(cfg.services[name] for name in sorted(cfg.services)),
-            tasks=tuple(tasks),
+            revision=state.configuration.revision,
+            domains_in_service=self._common.domains_in_service,
+            services=self._common.services,
+            tasks=tuple(t for name in workers for t in _tasks(state, name)),
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Derived:
+    """A desired state and what it was derived from."""
+
+    stamp: tuple[int, int, tuple[str, ...]]
+    desired: wire.Desired
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Common:
+    """What the desired states of all agents share at one revision."""
+
+    revision: int = -1
+    domains_in_service: tuple[str, ...] = ()
+    services: tuple[config.Service, ...] = ()
+
+
+def _common(state: records.State, known: _Common) -> _Common:
+    cfg = state.configuration
+    if known.revision == cfg.revision:
+        return known
+    domains = cfg.failure_domains.values()
+    return _Common(
+        revision=cfg.revision,
+        domains_in_service=tuple(
+            sorted(d.name for d in domains if d.in_service)
+        ),
+        services=tuple(cfg.services[name] for name in sorted(cfg.services)),
+    )
+
+
+def _versioned(fresh: wire.Desired, known: wire.Desired) -> wire.Desired:
+    """Keeps the version of equal content, and raises it for other content."""
+    if dataclasses.replace(fresh, version=known.version) == known:
+        return known
+    version = max(fresh.version, known.version + 1)
+    return dataclasses.replace(fresh, version=version)
+
+
+def _tasks(state: records.State, worker: str) -> list[wire.DesiredTask]:
+    """Returns the desired tasks of one worker, in the order of job ids."""
+    job_ids = set(state.held.get(worker, {}).values())
+    found = []
+    for job_id in sorted(job_ids):
+        record = state.jobs[job_id]
+        parts = [p for p in record.assignments if p.worker == worker]
+        found += [_desired_task(record, part) for part in parts]
+    return found
+
+
 def active_records(state: records.State) -> list[jobs.JobRecord]:
     """Returns the records of jobs that hold accelerators."""
     ids = {j for held in state.held.values() for j in held.values()}
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -9,6 +9,7 @@
 from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
+from bilberryroute.model import commands
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import desired as desired_lib
@@ -48,6 +49,9 @@
         self._desired = desired
         self._leadership = leadership
         self._transport: asyncio.DatagramTransport | None = None
+        self._behind: set[str] = set()
+        self._news = asyncio.Event()
+        machine.listeners.append(self._on_applied)
 
     async def on_start(self) -> None:
         """Opens the datagram socket."""
@@ -137,29 +141,64 @@
     def _replica_addresses(self) -> tuple[str, ...]:
         return tuple(m.address.datagram for m in self._group.members())
 
+    def _on_applied(
+        self, command: commands.Command, result: commands.Result
+    ) -> None:
+        """Notes which agents the command concerns."""
+        del result
+        match command:
+            case commands.ApplyTicket():
+                self._behind.update(self._board.agents.get())
+            case commands.PlaceJob(job_id=job_id):
+                self._behind.update(self._agents_of(job_id))
+            case commands.StartJob(job_id=job_id):
+                self._behind.update(self._agents_of(job_id))
+            case commands.StopJob(job_id=job_id):
+                self._behind.update(self._agents_of(job_id))
+            case commands.CancelJobs(job_ids=job_ids):
+                for job_id in job_ids:
+                    self._behind.update(self._agents_of(job_id))
+        if self._behind:
+            self._news.set()
+
+    def _agents_of(self, job_id: str) -> list[str]:
+        record = self._machine.state.jobs.get(job_id)
+        if record is None:
+            return []
+        names = [
+            self._board.worker_agent.get(part.worker, "")
+            for part in record.assignments
+        ]
+        return [name for name in names if name in self._board.agents.get()]
+
     @mode.Service.task
     async def _push_changes(self) -> None:
-        """Sends changed desired states at once, without waiting for renewals."""
-        seen = -1
+        """Sends changed desired states at once, not only at renewals."""
         while not self.should_stop:
-            seen = await self._board.applied.changed(seen)
+            await self._news.wait()
+            self._news.clear()
+            behind = self._behind
+            self._behind = set()
             if self._leadership.active():
-                self._push_all()
-
-    def _push_all(self) -> None:
-        for view in self._board.agents.get().values():
-            wanted = self._wanted(view.renewal)
-            if wanted.version == view.renewal.desired_version:
-                continue
-            push = wire.Grant(
-                term=self._group.term,
-                echo_ms=0,
-                lease_ms=0,
-                leader_id=self._cfg.replica_id,
-                replicas=(),
-                desired=wanted,
-            )
-            self._send(push, view.address)
+                for name in sorted(behind):
+                    self._push(name)
+
+    def _push(self, name: str) -> None:
+        view = self._board.agents.get().get(name)
+        if view is None:
+            return
+        wanted = self._wanted(view.renewal)
+        if wanted.version == view.renewal.desired_version:
+            return
+        push = wire.Grant(
+            term=self._group.term,
+            echo_ms=0,
+            lease_ms=0,
+            leader_id=self._cfg.replica_id,
+            replicas=(),
+            desired=wanted,
+        )
+        self._send(push, view.address)
 
     def _send(
         self, grant: wire.Grant, address: board_lib.DatagramAddress
