Make room by moves, displacement and reservations; learn run times

Jobs that fit nowhere now reclaim their guarantee, or stop others where that delays those less than it gains the job; long waits get room set aside, with backfill. Run times and memory are corrected by what was seen; workers that fail every task are quarantined and probed, bad jobs end as failed.

--- a/bilberryroute/scheduling/capacity.py
+++ b/bilberryroute/scheduling/capacity.py
@@ -22,6 +22,8 @@
         or memory.
       promised: Accelerators kept for a reclaimed guarantee, free or not yet.
       reserved: Accelerators kept for a large job, free or not yet.
+      reserved_until_ms: Clock reading until which jobs that end by then may
+        use what is reserved.
       in_service: Whether operators have it and its failure domain in service.
       quarantined: Whether it fails every task, and is left out.
       probing: Whether it is tried with one task after a quarantine.
@@ -34,6 +36,7 @@
     padding: int = 0
     promised: int = 0
     reserved: int = 0
+    reserved_until_ms: int = 0
     in_service: bool = True
     quarantined: bool = False
     probing: bool = False
--- /dev/null
+++ b/bilberryroute/scheduling/dispatch.py
@@ -0,0 +1,224 @@
+"""Serves the queue: who is tried first, and what each is given."""
+
+from bilberryroute.scheduling import decisions
+from bilberryroute.scheduling import estimates
+from bilberryroute.scheduling import freeing
+from bilberryroute.scheduling import placing
+from bilberryroute.scheduling import policy as policies
+from bilberryroute.scheduling import queueing
+from bilberryroute.scheduling import reclaim
+from bilberryroute.scheduling import state as states
+from bilberryroute.scheduling import table
+
+_PLACEMENTS_PER_DECISION = 64
+_PLANS_PER_DECISION = 3
+_RETRY_MS = 30_000
+_WORKERS_PER_RESERVATION = 20
+
+
+class Dispatcher:
+    """Tries waiting jobs in order and decides what they get."""
+
+    def __init__(
+        self,
+        policy: policies.Policy,
+        state: states.State,
+        queue: queueing.Queue,
+        expected: estimates.Estimates,
+    ):
+        self._policy = policy
+        self._state = state
+        self._queue = queue
+        self._expected = expected
+        self._placer = placing.Placer(policy, state, expected)
+        self._freeing = freeing.Freeing(policy, state, expected)
+        self._misfits: dict[object, tuple[int, int]] = {}
+        self._plans_left = 0
+
+    def enqueue(self, entry: table.Entry) -> None:
+        """Adds a job to the queue."""
+        rank = entry.job.submitted_ms
+        if self._policy.shortest_first:
+            rank = self._expected.left_ms(entry.job, entry.progress_ms)
+        self._queue.add(entry, rank)
+
+    def serve(self, now_ms: int) -> None:
+        """Tries the first job of each lot, in order of score."""
+        heads = [
+            (self._score(job_id), lot, job_id)
+            for lot, job_id in self._queue.heads()
+        ]
+        heads.sort(key=lambda each: each[0])
+        left = _PLACEMENTS_PER_DECISION
+        self._plans_left = _PLANS_PER_DECISION
+        for _, lot, job_id in heads:
+            while job_id is not None and left:
+                if not self._serve_one(self._state.entries[job_id], now_ms):
+                    break
+                left -= 1
+                job_id = self._queue.head(lot)
+
+    def _score(self, job_id: str):
+        """Returns a job's place in the order; the lowest is tried first."""
+        entry = self._state.entries[job_id]
+        job = entry.job
+        beyond = states.kind_rank(job.kind) > 0
+        value = float(job.submitted_ms)
+        if self._policy.shortest_first:
+            left_ms = self._expected.left_ms(job, entry.progress_ms)
+            value = left_ms * job.shape.accelerators
+        if self._policy.fair_shares:
+            value *= 1 + self._over_share(job.account)
+        return (beyond, value, job.submitted_ms, job.id)
+
+    def _over_share(self, account: str) -> float:
+        """Returns an account's use beyond its guarantee over its fair share."""
+        accounts = self._state.configuration.accounts
+        weights = sum(each.weight for each in accounts.values())
+        known = accounts.get(account)
+        if known is None or not weights:
+            return 0.0
+        share = self._state.accelerators * known.weight / weights
+        return self._state.beyond[account] / max(1.0, share)
+
+    def _serve_one(self, entry: table.Entry, now_ms: int) -> bool:
+        """Places a job, or starts to make room for it.
+
+        Returns:
+          Whether it was placed.
+        """
+        if self._placer.place_set_aside(entry):
+            return self._placed(entry)
+        if self._may_fit("free", entry, now_ms):
+            if self._placer.place_free(entry, now_ms):
+                return self._placed(entry)
+            self._note_misfit("free", entry, now_ms)
+        aside = self._state.set_asides.get(entry.job.id)
+        if aside is None:
+            self._make_room(entry, now_ms)
+        elif not aside.guaranteed and now_ms >= aside.ready_ms:
+            self._state.drop_set_aside(entry.job.id)
+            self._evict(entry, now_ms)
+        return False
+
+    def _placed(self, entry: table.Entry) -> bool:
+        self._queue.remove(entry.job.id)
+        self._state.drop_set_aside(entry.job.id)
+        place = decisions.Place(
+            job_id=entry.job.id,
+            attempt=entry.attempt,
+            assignments=entry.assignments,
+        )
+        self._state.out.append(place)
+        return True
+
+    def _make_room(self, entry: table.Entry, now_ms: int) -> None:
+        """Reclaims the job's guarantee, or else stops others if that pays."""
+        if self._policy.preemption and self._may_fit("own", entry, now_ms):
+            if self._reclaim(entry, now_ms):
+                return
+            self._note_misfit("own", entry, now_ms)
+        if not self._plans_left or not self._may_fit("any", entry, now_ms):
+            return
+        self._plans_left -= 1
+        if self._overdue(entry, now_ms):
+            self._reserve(entry, now_ms)
+        elif not self._displace(entry, now_ms):
+            self._note_misfit("any", entry, now_ms)
+
+    def _reclaim(self, entry: table.Entry, now_ms: int) -> bool:
+        """Stops borrowers so that a job gets its account's guarantee."""
+        plan = self._freeing.own_share(entry)
+        if plan is None:
+            return False
+        self._carry_out(entry, plan, now_ms, guaranteed=True)
+        return True
+
+    def _displace(self, entry: table.Entry, now_ms: int) -> bool:
+        """Stops others if that delays them less than it gains the job."""
+        if not (self._policy.displacement or self._policy.defragmentation):
+            return False
+        found = self._freeing.anywhere(entry, now_ms)
+        if found is None:
+            return False
+        soonest = self._freeing.soonest(entry, now_ms)
+        plan, delay_ms = found
+        gain_ms = 0 if soonest is None else soonest[1] - now_ms
+        if delay_ms >= gain_ms:
+            return False
+        self._carry_out(entry, plan, now_ms, guaranteed=False)
+        return True
+
+    def _overdue(self, entry: table.Entry, now_ms: int) -> bool:
+        """Returns whether a job has waited long enough for a reservation."""
+        if not self._policy.reservations:
+            return False
+        if now_ms - entry.waits_since_ms < self._policy.patience_ms:
+            return False
+        made = sum(
+            not aside.guaranteed for aside in self._state.set_asides.values()
+        )
+        workers = len(self._state.tree.nodes)
+        return made <= workers // _WORKERS_PER_RESERVATION
+
+    def _reserve(self, entry: table.Entry, now_ms: int) -> None:
+        """Sets room aside where it should be free soonest."""
+        found = self._freeing.soonest(entry, now_ms)
+        if found is None:
+            return
+        plan, ready_ms = found
+        ready_ms = min(ready_ms, now_ms + self._policy.reservation_ms)
+        aside = states.SetAside(
+            fit=plan.fit,
+            units=self._state.units(entry, plan.fit),
+            guaranteed=False,
+            since_ms=now_ms,
+            ready_ms=ready_ms,
+        )
+        self._state.set_aside(entry, aside)
+
+    def _evict(self, entry: table.Entry, now_ms: int) -> None:
+        """Stops whatever is not protected so that an overdue job starts."""
+        found = self._freeing.anywhere(entry, now_ms)
+        if found is None:
+            self._reserve(entry, now_ms)
+        else:
+            self._carry_out(entry, found[0], now_ms, guaranteed=False)
+
+    def _carry_out(
+        self, entry, plan: reclaim.Plan, now_ms: int, guaranteed: bool
+    ) -> None:
+        """Stops the victims and keeps their room for the job."""
+        reason = "its room is needed by another job"
+        if guaranteed:
+            reason = "its room is reclaimed by its owner"
+        for job_id in plan.victims:
+            victim = self._state.entries[job_id]
+            if victim.placed:
+                self._state.stop(victim, reason)
+        aside = states.SetAside(
+            fit=plan.fit,
+            units=self._state.units(entry, plan.fit),
+            guaranteed=guaranteed,
+            since_ms=now_ms,
+            ready_ms=now_ms + _RETRY_MS,
+        )
+        self._state.set_aside(entry, aside)
+
+    def _may_fit(self, where: str, entry: table.Entry, now_ms: int) -> bool:
+        """Returns whether anything changed since the job last did not fit."""
+        key = _misfit_key(where, entry)
+        version, at_ms = self._misfits.get(key, (-1, 0))
+        if version != self._state.version:
+            return True
+        return where == "any" and now_ms - at_ms >= _RETRY_MS
+
+    def _note_misfit(self, where, entry: table.Entry, now_ms: int) -> None:
+        key = _misfit_key(where, entry)
+        self._misfits[key] = (self._state.version, now_ms)
+
+
+def _misfit_key(where: str, entry: table.Entry):
+    """Returns what equal jobs share: they fit or misfit together."""
+    signature = queueing.signature_of(entry)
+    return (where, entry.job.account, entry.job.kind, signature)
--- /dev/null
+++ b/bilberryroute/scheduling/estimates.py
@@ -0,0 +1,111 @@
+"""Run times and memory as expected from what was seen, not as declared.
+
+Errors of declared values are multiplicative, so all is kept as logarithms,
+by client account and kind of job.
+"""
+
+import collections
+import dataclasses
+import math
+
+from bilberryroute.model import jobs
+
+_Group = tuple[str, jobs.JobKind]
+
+_DECLARED_VARIANCE = 1.0
+_TYPICAL_VARIANCE = 2.0
+_PRIOR_COUNT = 2.0
+_MEMORY_SAMPLES = 8
+_MEMORY_SAMPLES_MIN = 3
+_MEMORY_MARGIN = 1.15
+_OVERRUN_SHARE = 0.5
+_LEAST_LEFT_MS = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Moments:
+    """Count, mean and variance of a series, the latter with a prior."""
+
+    prior_variance: float
+    count: int = 0
+    mean: float = 0.0
+    squares: float = 0.0
+
+    def add(self, value: float) -> None:
+        self.count += 1
+        before = value - self.mean
+        self.mean += before / self.count
+        self.squares += before * (value - self.mean)
+
+    @property
+    def variance(self) -> float:
+        """Variance of one more value, about the mean known so far."""
+        weight = _PRIOR_COUNT + self.count
+        spread = _PRIOR_COUNT * self.prior_variance + self.squares
+        return spread / weight * (1 + 1 / (self.count + 0.5))
+
+
+class Estimates:
+    """Learns from jobs that ended.
+
+    Args:
+      correcting: Whether to correct at all, or to believe what is declared.
+    """
+
+    def __init__(self, correcting: bool):
+        self._correcting = correcting
+        self._errors: dict[_Group, _Moments] = {}
+        self._typical: dict[_Group, _Moments] = {}
+        self._memory: dict[_Group, collections.deque[float]] = {}
+
+    def ran(self, job: jobs.Job, ran_ms: int) -> None:
+        """Learns the whole run time of a job that is done."""
+        group = (job.account, job.kind)
+        actual = math.log(max(1, ran_ms))
+        declared = math.log(max(1, job.declared_ms))
+        errors = self._errors.setdefault(group, _Moments(_DECLARED_VARIANCE))
+        errors.add(actual - declared)
+        typical = self._typical.setdefault(group, _Moments(_TYPICAL_VARIANCE))
+        typical.add(actual)
+
+    def used(self, job: jobs.Job, memory_mb: int) -> None:
+        """Learns the memory that a job takes beside each accelerator."""
+        group = (job.account, job.kind)
+        samples = self._memory.setdefault(
+            group, collections.deque(maxlen=_MEMORY_SAMPLES)
+        )
+        samples.append(memory_mb / max(1, job.memory_mb_per_accelerator))
+
+    def total_ms(self, job: jobs.Job) -> int:
+        """Returns the expected run time of a whole job in milliseconds.
+
+        Two guesses are weighed by how well each has done: the declared time
+        with the usual error taken out, and what such jobs usually take.
+        """
+        group = (job.account, job.kind)
+        errors = self._errors.get(group)
+        if not self._correcting or errors is None:
+            return max(1, job.declared_ms)
+        shrunk = errors.count / (errors.count + _PRIOR_COUNT) * errors.mean
+        declared = math.log(max(1, job.declared_ms)) + shrunk
+        typical = self._typical[group]
+        weight = typical.variance / (typical.variance + errors.variance)
+        guess = weight * declared + (1 - weight) * typical.mean
+        return max(1, int(math.exp(guess)))
+
+    def left_ms(self, job: jobs.Job, ran_ms: int) -> int:
+        """Returns the expected run time left, given what was run.
+
+        A job that has outrun its estimate is expected to go on for a share
+        of what it ran.
+        """
+        left_ms = self.total_ms(job) - ran_ms
+        return max(left_ms, int(ran_ms * _OVERRUN_SHARE), _LEAST_LEFT_MS)
+
+    def memory_mb(self, job: jobs.Job) -> int:
+        """Returns the memory to expect beside each accelerator."""
+        declared_mb = job.memory_mb_per_accelerator
+        samples = self._memory.get((job.account, job.kind), ())
+        if not self._correcting or len(samples) < _MEMORY_SAMPLES_MIN:
+            return declared_mb
+        return int(declared_mb * max(samples) * _MEMORY_MARGIN)
--- a/bilberryroute/scheduling/events.py
+++ b/bilberryroute/scheduling/events.py
@@ -100,11 +100,13 @@
 
     Attributes:
       progress_ms: Work done, in milliseconds of run time.
+      memory_mb: Most memory taken beside each accelerator; 0 if not reported.
     """
 
     worker: str
     job_id: str
     progress_ms: int
+    memory_mb: int = 0
 
 
 Event = (
--- /dev/null
+++ b/bilberryroute/scheduling/lifecycle.py
@@ -0,0 +1,257 @@
+"""Takes in what happened to jobs, tasks and workers."""
+
+from bilberryroute.model import jobs
+from bilberryroute.scheduling import admission
+from bilberryroute.scheduling import dispatch
+from bilberryroute.scheduling import estimates
+from bilberryroute.scheduling import events
+from bilberryroute.scheduling import health
+from bilberryroute.scheduling import policy as policies
+from bilberryroute.scheduling import queueing
+from bilberryroute.scheduling import state as states
+from bilberryroute.scheduling import table
+
+_OVER_LIMIT_AT_MOST = 4
+_OUT_OF_SERVICE = "its failure domain or worker is out of service"
+
+
+class Lifecycle:
+    """Keeps the state in step with events; decides the stops they force."""
+
+    def __init__(
+        self,
+        policy: policies.Policy,
+        state: states.State,
+        queue: queueing.Queue,
+        expected: estimates.Estimates,
+        dispatcher: dispatch.Dispatcher,
+    ):
+        self._policy = policy
+        self._state = state
+        self._queue = queue
+        self._expected = expected
+        self._dispatcher = dispatcher
+        self._health = health.Health()
+        self.unchecked: dict[str, None] = {}
+        self.joined_ms = 0
+
+    def service_changed(self, now_ms: int) -> None:
+        """Moves jobs away from workers that operators took out."""
+        ramp_ms = self._policy.ramp_ms if self._policy.gentle_return else 0
+        self._state.refresh_service(now_ms, ramp_ms)
+        self._state.bindings_due = True
+        nodes = self._state.tree.nodes
+        leaving = [
+            entry
+            for entry in self._state.entries.values()
+            if entry.placed
+            and any(not nodes[name].in_service for name in entry.units)
+        ]
+        for entry in sorted(leaving, key=_leaving_order):
+            self._state.stop(entry, _OUT_OF_SERVICE, self._policy.migration)
+
+    def worker_joined(self, worker: jobs.Worker, now_ms: int) -> None:
+        """Adds a worker; a new incarnation has lost what the old one ran."""
+        node = self._state.tree.nodes.get(worker.name)
+        if node is not None:
+            if node.worker == worker:
+                return
+            self.worker_lost(worker.name)
+        node = self._state.tree.join(worker)
+        node.in_service = admission.in_service(
+            self._state.configuration, worker
+        )
+        self.joined_ms = now_ms
+        self._state.bindings_due = True
+        self._state.room_grew()
+
+    def worker_lost(self, name: str) -> None:
+        """Stops every gang that had a member on a lost worker."""
+        for entry in self._state.lose_worker(name):
+            if entry.placed:
+                reason = f"worker {name} is lost"
+                self._state.stop(entry, reason, checkpoint=False)
+        self._health.forget(name)
+        self._state.bindings_due = True
+
+    def job_queued(self, record: jobs.JobRecord, now_ms: int) -> None:
+        """Adds a job to the queue."""
+        if record.job.id in self._state.entries:
+            return
+        entry = table.Entry(
+            job=record.job,
+            attempt=record.attempt,
+            progress_ms=record.progress_ms,
+            waits_since_ms=now_ms,
+        )
+        self._expect_memory(entry)
+        self._state.entries[record.job.id] = entry
+        self.unchecked[record.job.id] = None
+        self._dispatcher.enqueue(entry)
+
+    def job_started(self, event: events.JobStarted, now_ms: int) -> None:
+        """Notes that all members of a gang were started."""
+        entry = self._current(event.job_id, event.attempt)
+        if entry is not None and entry.phase == jobs.JobPhase.RESERVED:
+            entry.phase = jobs.JobPhase.RUNNING
+            entry.started_ms = now_ms
+
+    def job_stopping(self, event: events.JobStopping) -> None:
+        """Notes a stop that was decided elsewhere."""
+        entry = self._current(event.job_id, event.attempt)
+        if entry is not None and entry.placed:
+            entry.phase = jobs.JobPhase.STOPPING
+            self._state.unprotect(entry)
+
+    def job_released(self, event: events.JobReleased, now_ms: int) -> None:
+        """Frees an attempt's accelerators; queues the job again if wanted."""
+        entry = self._current(event.job_id, event.attempt)
+        if entry is None or entry.phase == jobs.JobPhase.QUEUED:
+            return
+        self._state.release(entry)
+        if not event.requeued:
+            self.forget(event.job_id)
+            return
+        entry.phase = jobs.JobPhase.QUEUED
+        entry.progress_ms = event.progress_ms
+        entry.stops += entry.started_ms is not None
+        entry.started_ms = None
+        entry.waits_since_ms = now_ms
+        self._expect_memory(entry)
+        self._dispatcher.enqueue(entry)
+
+    def task_ended(self, event: events.TaskEnded, now_ms: int) -> None:
+        """Learns from the end of a task; a gang ends with its first loss."""
+        entry = self._current(event.job_id, event.attempt)
+        if entry is None or not entry.placed:
+            return
+        name = event.worker
+        match event.result:
+            case jobs.TaskResult.DONE:
+                self._task_done(entry, event)
+            case jobs.TaskResult.FAILED:
+                self._task_failed(entry, name, now_ms)
+            case jobs.TaskResult.OVER_LIMIT:
+                self._over_limit(entry, name)
+            case jobs.TaskResult.LOST | jobs.TaskResult.STOPPED:
+                reason = f"its task on worker {name} was lost"
+                self._state.stop(entry, reason, checkpoint=False)
+
+    def usage_reported(self, event: events.UsageReported) -> None:
+        """Learns what memory a running task takes."""
+        entry = self._state.entries.get(event.job_id)
+        if entry is None or not event.memory_mb or entry.memory_known:
+            return
+        entry.memory_known = True
+        self._expected.used(entry.job, event.memory_mb)
+
+    def probe_workers(self, now_ms: int) -> None:
+        """Lets quarantined workers be tried again when that is due."""
+        for name in self._health.due_probes(now_ms):
+            node = self._state.tree.nodes.get(name)
+            if node is not None and node.quarantined:
+                node.quarantined, node.probing = False, True
+                self._state.room_grew()
+
+    def restore(self, record: jobs.JobRecord, now_ms: int) -> None:
+        """Takes over a record that an earlier leader left."""
+        if record.phase == jobs.JobPhase.QUEUED:
+            self.job_queued(record, now_ms)
+            return
+        known = record.job.id in self._state.entries
+        if known or record.phase == jobs.JobPhase.ENDED:
+            return
+        entry = table.Entry(
+            job=record.job,
+            phase=record.phase,
+            attempt=record.attempt,
+            assignments=record.assignments,
+            progress_ms=record.progress_ms,
+        )
+        if record.phase == jobs.JobPhase.RUNNING:
+            entry.started_ms = now_ms
+        self._state.entries[record.job.id] = entry
+        complete = self._state.restore_hold(entry)
+        nodes = self._state.tree.nodes
+        if not entry.placed:
+            return
+        if not complete:
+            reason = "one of its workers is lost"
+            self._state.stop(entry, reason, checkpoint=False)
+        elif any(not nodes[name].in_service for name in entry.units):
+            self._state.stop(entry, _OUT_OF_SERVICE, self._policy.migration)
+
+    def forget(self, job_id: str) -> None:
+        """Drops a job that ended or left the queue."""
+        entry = self._state.entries.get(job_id)
+        if entry is None:
+            return
+        self._queue.remove(job_id)
+        self._state.drop_set_aside(job_id)
+        self._state.release(entry)
+        self.unchecked.pop(job_id, None)
+        del self._state.entries[job_id]
+
+    def _expect_memory(self, entry: table.Entry) -> None:
+        """Corrects a declared size, unless no worker could hold that."""
+        entry.memory_mb = self._expected.memory_mb(entry.job)
+        tree = self._state.tree
+        shape = entry.job.shape
+        if not admission.fits_when_empty(tree, shape, entry.need):
+            entry.memory_mb = 0
+
+    def _current(self, job_id: str, attempt: int) -> table.Entry | None:
+        """Returns the job if this is its present attempt."""
+        entry = self._state.entries.get(job_id)
+        if entry is None or entry.attempt != attempt:
+            return None
+        return entry
+
+    def _task_done(self, entry: table.Entry, event: events.TaskEnded) -> None:
+        node = self._state.tree.nodes.get(event.worker)
+        if self._health.succeeded(event.worker) and node is not None:
+            node.quarantined, node.probing = False, False
+            self._state.bindings_due = True
+            self._state.room_grew()
+        if event.worker == entry.assignments[0].worker:
+            total_ms = entry.progress_ms + event.ran_ms
+            self._expected.ran(entry.job, total_ms)
+
+    def _task_failed(self, entry: table.Entry, name: str, now_ms: int) -> None:
+        entry.failed_on.add(name)
+        job_id = entry.job.id
+        if self._policy.quarantine:
+            if self._health.failed(name, job_id, now_ms):
+                self._quarantine(name)
+            if self._health.is_bad(entry):
+                self._health.acquit(job_id)
+                count = len(entry.failed_on)
+                reason = f"it failed on {count} workers that serve others"
+                self._state.fail(entry, reason)
+                return
+        reason = f"its task on worker {name} failed"
+        self._state.stop(entry, reason, checkpoint=False)
+
+    def _quarantine(self, name: str) -> None:
+        node = self._state.tree.nodes.get(name)
+        if node is not None:
+            node.quarantined, node.probing = True, False
+            self._state.bindings_due = True
+
+    def _over_limit(self, entry: table.Entry, name: str) -> None:
+        """Tries again with twice the size, a bounded number of times."""
+        entry.over_limit += 1
+        tree, shape = self._state.tree, entry.job.shape
+        fits = admission.fits_when_empty(tree, shape, entry.need)
+        if entry.over_limit > _OVER_LIMIT_AT_MOST or not fits:
+            reason = f"the guard of worker {name} stopped it at every size"
+            self._state.fail(entry, reason)
+            return
+        reason = f"the guard of worker {name} stopped its task"
+        self._state.stop(entry, reason, checkpoint=False)
+
+
+def _leaving_order(entry: table.Entry):
+    """Guaranteed jobs first, then by kind: they find room first."""
+    rank = states.kind_rank(entry.job.kind)
+    return (not entry.protected, rank, entry.job.id)
--- a/bilberryroute/scheduling/placing.py
+++ b/bilberryroute/scheduling/placing.py
@@ -1,20 +1,27 @@
 """Where one waiting job goes: free room, or room to be reclaimed."""
 
-from bilberryroute.model import jobs
 from bilberryroute.scheduling import capacity
+from bilberryroute.scheduling import estimates
 from bilberryroute.scheduling import fitting
 from bilberryroute.scheduling import policy as policies
-from bilberryroute.scheduling import reclaim
 from bilberryroute.scheduling import state as states
 from bilberryroute.scheduling import table
 
+_NEVER_MS = 1 << 62
+
 
 class Placer:
     """Finds places and holds them in the state."""
 
-    def __init__(self, policy: policies.Policy, state: states.State):
+    def __init__(
+        self,
+        policy: policies.Policy,
+        state: states.State,
+        expected: estimates.Estimates,
+    ):
         self._policy = policy
         self._state = state
+        self._expected = expected
 
     def place_free(self, entry: table.Entry, now_ms: int) -> bool:
         """Holds free room for a job, in its own share if it can.
@@ -69,13 +76,19 @@
 
     def _room(self, entry: table.Entry, now_ms: int) -> fitting.Room:
         """Counts free room that nobody has set aside."""
+        job = entry.job
+        left_ms = self._expected.left_ms(job, entry.progress_ms)
+        ends_ms = now_ms + left_ms if self._policy.backfill else _NEVER_MS
 
         def room(node: capacity.Node) -> int:
             if node.opens_ms > now_ms or node.worker.name in entry.failed_on:
                 return 0
             if node.probing and not _may_probe(node, entry):
                 return 0
-            return node.room - node.promised - node.reserved
+            kept = node.promised
+            if node.reserved_until_ms < ends_ms:
+                kept += node.reserved
+            return node.room - kept
 
         return room
 
@@ -110,77 +123,9 @@
         if self._state.guarantees.follow(entry.job.account, entry.units):
             self._state.protect(entry)
 
-    def plan_reclaim(
-        self, entry: table.Entry, now_ms: int
-    ) -> reclaim.Plan | None:
-        """Plans which jobs to stop so that the job gets its own guarantee."""
-        state = self._state
-        account = entry.job.account
-        share = {
-            name: state.guarantees.left(account, name)
-            for name in state.guarantees.share(account)
-            if name not in entry.failed_on
-        }
-        nodes = state.tree.nodes
-        room = {name: nodes[name].room - nodes[name].promised for name in share}
-        victims = self._victims(share, now_ms, entry)
-        block = reclaim.Block(
-            shape=entry.job.shape, need=entry.need, room=room, share=share
-        )
-        return reclaim.cheapest(state.tree, block, victims)
-
-    def _victims(
-        self, names, now_ms: int, owner: table.Entry
-    ) -> list[reclaim.Victim]:
-        """Lists the jobs on some workers that the owner may have stopped."""
-        found: dict[str, reclaim.Victim] = {}
-        for name in names:
-            for job_id in self._state.tree.nodes[name].held:
-                if job_id in found:
-                    continue
-                entry = self._state.entries[job_id]
-                own = entry.protected and _yields(entry, owner)
-                if entry.protected and not own:
-                    continue
-                found[job_id] = reclaim.Victim(
-                    job_id=job_id,
-                    units=entry.units,
-                    cost=self.work_lost(entry, now_ms),
-                    own=own,
-                )
-        return list(found.values())
-
-    def work_lost(self, entry: table.Entry, now_ms: int) -> int:
-        """Returns what stopping costs, in accelerator-milliseconds.
-
-        A checkpoint keeps the progress; lost are the restart and, if the
-        checkpoint is young, what the present start itself has cost.
-        """
-        if entry.phase == jobs.JobPhase.STOPPING:
-            return 0
-        weight = _KIND_WEIGHTS[entry.job.kind]
-        width = sum(entry.units.values())
-        return width * RESTART_MS * weight * (1 + entry.stops)
-
-
-def _yields(entry: table.Entry, owner: table.Entry) -> bool:
-    """Returns whether a protected job gives way to one of its own account."""
-    if entry.job.account != owner.job.account:
-        return False
-    return states.kind_rank(entry.job.kind) > states.kind_rank(owner.job.kind)
-
 
 def _may_probe(node: capacity.Node, entry: table.Entry) -> bool:
     """Returns whether a job may try a worker that failed every task."""
     if node.held or entry.failed_on:
         return False
     return entry.job.shape.accelerators <= node.worker.accelerators
-
-
-RESTART_MS = 30_000
-
-_KIND_WEIGHTS = {
-    jobs.JobKind.URGENT: 50,
-    jobs.JobKind.PLANNED: 2,
-    jobs.JobKind.NIGHTLY: 1,
-}
--- a/bilberryroute/scheduling/reclaim.py
+++ b/bilberryroute/scheduling/reclaim.py
@@ -47,25 +47,40 @@
     share: dict[str, int]
 
 
-def cheapest(
-    tree: capacity.Capacity, block: Block, victims: list[Victim]
-) -> Plan | None:
-    """Returns the plan that loses least work, over all parts of the tree."""
-    plans = []
+def plans(
+    tree: capacity.Capacity,
+    block: Block,
+    victims: list[Victim],
+    *,
+    at_once: bool = False,
+) -> list[Plan]:
+    """Returns a plan for each part of the tree that can have one.
+
+    Args:
+      tree: All workers.
+      block: What is wanted.
+      victims: Jobs that may be stopped.
+      at_once: Whether costs run side by side: the largest counts, not the sum.
+
+    Returns:
+      The plans, the one with the least cost first.
+    """
+    on_worker: dict[str, list[Victim]] = {}
+    for victim in victims:
+        for name in victim.units:
+            on_worker.setdefault(name, []).append(victim)
+    found = []
     for names in parts(tree, block.shape, block.share):
-        inside = [
-            victim
-            for victim in victims
-            if any(n in victim.units for n in names)
-        ]
-        plan = _plan(tree, block, names, inside)
+        inside = {
+            victim.job_id: victim
+            for name in names
+            for victim in on_worker.get(name, ())
+        }
+        plan = _plan(tree, block, names, list(inside.values()), at_once)
         if plan is not None:
-            plans.append(plan)
-    return min(
-        plans,
-        key=lambda plan: (plan.cost, len(plan.fit), sorted(plan.fit)),
-        default=None,
-    )
+            found.append(plan)
+    found.sort(key=lambda plan: (plan.cost, len(plan.fit), sorted(plan.fit)))
+    return found
 
 
 def parts(tree, shape: config.Shape, names) -> list[list[str]]:
@@ -89,47 +104,74 @@
     return list(groups.values())
 
 
-def _plan(tree, block: Block, names, victims: list[Victim]) -> Plan | None:
+def _plan(
+    tree, block: Block, names, victims: list[Victim], at_once: bool
+) -> Plan | None:
     """Adds victims, cheapest per accelerator first, until the block fits."""
     inside = set(names)
 
-    def per_unit(victim):
+    def rank(victim):
+        if at_once:
+            return (victim.cost, victim.job_id)
         freed = sum(n for w, n in victim.units.items() if w in inside)
-        return (victim.cost / freed, victim.job_id)
+        return (victim.cost / max(1, freed), victim.job_id)
 
+    counting = _Counting(tree, block, names)
+    waiting = sorted(victims, key=rank, reverse=True)
     chosen: list[Victim] = []
-    waiting = sorted(victims, key=per_unit)
-    while not _fits(tree, block, names, chosen):
+    while not counting.enough():
         if not waiting:
             return None
-        chosen.append(waiting.pop(0))
+        chosen.append(waiting.pop())
+        counting.add(chosen[-1])
     for victim in sorted(chosen, key=lambda victim: -victim.cost):
-        fewer = [other for other in chosen if other is not victim]
-        if _fits(tree, block, names, fewer):
-            chosen = fewer
-    counts = _counts(tree, block, names, chosen)
+        counting.remove(victim)
+        if counting.enough():
+            chosen.remove(victim)
+        else:
+            counting.add(victim)
+    costs = [victim.cost for victim in chosen]
     return Plan(
-        fit=fitting.spread(counts, names, block.shape.accelerators),
+        fit=fitting.spread(counting.counts, names, block.shape.accelerators),
         victims=tuple(victim.job_id for victim in chosen),
-        cost=sum(victim.cost for victim in chosen),
+        cost=max(costs, default=0) if at_once else sum(costs),
     )
 
 
-def _fits(tree, block: Block, names, victims) -> bool:
-    counts = _counts(tree, block, names, victims)
-    return sum(counts.values()) >= block.shape.accelerators
-
-
-def _counts(tree, block: Block, names, victims) -> fitting.Fit:
-    """Returns how many accelerators of the block each worker could take."""
-    counts = {}
-    for name in names:
-        room = block.room.get(name, 0)
-        share = block.share[name]
-        for victim in victims:
-            freed = victim.units.get(name, 0)
-            room += freed
-            share += freed if victim.own else 0
-        worker = tree.nodes[name].worker
-        counts[name] = max(0, block.need.most(worker, min(room, share)))
-    return counts
+class _Counting:
+    """Counts what the block could take in one part as victims stop."""
+
+    def __init__(self, tree: capacity.Capacity, block: Block, names):
+        self._need = block.need
+        self._wanted = block.shape.accelerators
+        self._workers = {name: tree.nodes[name].worker for name in names}
+        self._room = {name: block.room.get(name, 0) for name in names}
+        self._share = {name: block.share[name] for name in names}
+        self.counts = {name: self._count(name) for name in names}
+        self._total = sum(self.counts.values())
+
+    def _count(self, name: str) -> int:
+        room = min(self._room[name], self._share[name])
+        return max(0, self._need.most(self._workers[name], room))
+
+    def enough(self) -> bool:
+        """Returns whether the whole block fits by now."""
+        return self._total >= self._wanted
+
+    def add(self, victim: Victim) -> None:
+        """Counts a victim's room as free."""
+        self._change(victim, 1)
+
+    def remove(self, victim: Victim) -> None:
+        """Counts a victim's room as held again."""
+        self._change(victim, -1)
+
+    def _change(self, victim: Victim, sign: int) -> None:
+        for name, units in victim.units.items():
+            if name not in self._workers:
+                continue
+            self._room[name] += sign * units
+            self._share[name] += sign * units if victim.own else 0
+            self._total -= self.counts[name]
+            self.counts[name] = self._count(name)
+            self._total += self.counts[name]
--- a/bilberryroute/scheduling/state.py
+++ b/bilberryroute/scheduling/state.py
@@ -1,11 +1,13 @@
 """What the scheduler knows: capacity, guarantees, jobs and set-asides."""
 
+import collections
 import dataclasses
 
 from bilberryroute.model import config
 from bilberryroute.model import jobs
 from bilberryroute.scheduling import admission
 from bilberryroute.scheduling import capacity
+from bilberryroute.scheduling import decisions
 from bilberryroute.scheduling import fitting
 from bilberryroute.scheduling import guarantees
 from bilberryroute.scheduling import table
@@ -34,7 +36,10 @@
     """The scheduler's whole state, changed by small steps only.
 
     Attributes:
+      beyond: Room that each account's jobs hold beyond its guarantee.
+      out: Decisions taken and not yet returned.
       version: Changes whenever room may have grown anywhere.
+      bindings_due: Whether guarantees must be bound anew.
     """
 
     def __init__(self):
@@ -43,7 +48,17 @@
         self.guarantees = guarantees.Guarantees(self.tree)
         self.entries: dict[str, table.Entry] = {}
         self.set_asides: dict[str, SetAside] = {}
+        self.beyond: collections.Counter[str] = collections.Counter()
+        self.out: list[decisions.Decision] = []
         self.version = 0
+        self.bindings_due = False
+
+    @property
+    def accelerators(self) -> int:
+        """All accelerators of workers that have joined."""
+        return sum(
+            node.worker.accelerators for node in self.tree.nodes.values()
+        )
 
     def room_grew(self) -> None:
         """Notes that jobs which did not fit may fit now."""
@@ -72,6 +87,7 @@
         )
         entry.attempt += 1
         entry.phase = jobs.JobPhase.RESERVED
+        self.beyond[entry.job.account] += entry.width
 
     def restore_hold(self, entry: table.Entry) -> bool:
         """Takes the accelerators that a restored record names.
@@ -91,11 +107,13 @@
                 each.accelerators,
                 entry.units[each.worker],
             )
+        self.beyond[entry.job.account] += entry.width
         return len(known) == len(entry.assignments)
 
     def release(self, entry: table.Entry) -> None:
         """Frees all that an attempt still holds."""
         self.unprotect(entry)
+        self.beyond[entry.job.account] -= entry.width
         for each in entry.assignments:
             self.tree.release(each.worker, entry.job.id, each.accelerators)
         entry.assignments = ()
@@ -110,6 +128,7 @@
         if self.guarantees.covers(account, entry.units):
             self.guarantees.use(account, entry.units)
             entry.protected = True
+            self.beyond[account] -= entry.width
         return entry.protected
 
     def unprotect(self, entry: table.Entry) -> None:
@@ -117,6 +136,7 @@
         if entry.protected:
             self.guarantees.unuse(entry.job.account, entry.units)
             entry.protected = False
+            self.beyond[entry.job.account] += entry.width
 
     def recount_protection(self) -> None:
         """Protects anew after bindings changed: urgent and long-running first.
@@ -130,7 +150,9 @@
                 self._forget(job_id)
         holding = [entry for entry in self.entries.values() if entry.units]
         for entry in holding:
-            entry.protected = False
+            if entry.protected:
+                entry.protected = False
+                self.beyond[entry.job.account] += entry.width
         for entry in sorted(holding, key=_protection_order):
             self.protect(entry)
         self.room_grew()
@@ -154,6 +176,7 @@
                 node.promised += units
             else:
                 node.reserved += units
+                node.reserved_until_ms = aside.ready_ms
 
     def drop_set_aside(self, job_id: str) -> None:
         """Gives up what was kept for a job, if anything was."""
@@ -175,6 +198,7 @@
                 node.promised -= units
             else:
                 node.reserved -= units
+                node.reserved_until_ms = 0
         self.room_grew()
 
     def lose_worker(self, name: str) -> list[table.Entry]:
@@ -188,7 +212,7 @@
         hit = [self.entries[job_id] for job_id in node.held]
         for entry in hit:
             self.unprotect(entry)
-            del entry.units[name]
+            self.beyond[entry.job.account] -= entry.units.pop(name)
         self.tree.lose(name)
         return hit
 
@@ -210,6 +234,29 @@
                 self.drop_set_aside(job_id)
         self.room_grew()
 
+    def stop(
+        self, entry: table.Entry, reason: str, checkpoint: bool = True
+    ) -> None:
+        """Decides to stop a placed job and to queue it again."""
+        entry.phase = jobs.JobPhase.STOPPING
+        self.unprotect(entry)
+        stop = decisions.Stop(
+            job_id=entry.job.id,
+            attempt=entry.attempt,
+            reason=reason,
+            checkpoint=checkpoint,
+            requeue=True,
+        )
+        self.out.append(stop)
+
+    def fail(self, entry: table.Entry, reason: str) -> None:
+        """Decides to stop a placed job and to end it as failed."""
+        entry.phase = jobs.JobPhase.STOPPING
+        failure = decisions.Fail(
+            job_id=entry.job.id, attempt=entry.attempt, reason=reason
+        )
+        self.out.append(failure)
+
 
 _KIND_RANK = {
     jobs.JobKind.URGENT: 0,
--- a/bilberryroute/scheduling/table.py
+++ b/bilberryroute/scheduling/table.py
@@ -23,6 +23,8 @@
       stops: How often it was stopped after a start.
       failed_on: Workers on which a task of it failed.
       over_limit: How often a worker's guard stopped it.
+      memory_mb: Memory to expect beside each accelerator; 0 if as declared.
+      memory_known: Whether its use of memory was learned from.
     """
 
     job: jobs.Job
@@ -37,19 +39,27 @@
     stops: int = 0
     failed_on: set[str] = dataclasses.field(default_factory=set)
     over_limit: int = 0
+    memory_mb: int = 0
+    memory_known: bool = False
 
     @property
     def placed(self) -> bool:
         """Whether it is reserved or running, and not yet told to stop."""
         return self.phase in (jobs.JobPhase.RESERVED, jobs.JobPhase.RUNNING)
 
+    @property
+    def width(self) -> int:
+        """Room held on all workers, with padding."""
+        return sum(self.units.values())
+
     @property
     def need(self) -> capacity.Need:
         """What each accelerator needs beside it, raised by a guard's stops."""
         factor = 2**self.over_limit
+        memory_mb = self.memory_mb or self.job.memory_mb_per_accelerator
         return capacity.Need(
             cores=self.job.cores_per_accelerator * factor,
-            memory_mb=self.job.memory_mb_per_accelerator * factor,
+            memory_mb=memory_mb * factor,
         )
 
     def ran_ms(self, now_ms: int) -> int:
