Keep a forgotten key from being taken for a new one

A resend after that was run again. An agent that has dropped a claim's key now says 'expired' to a key without a record, unless the claim is new or the request id carries a recent time (UUID version 7).

--- a/bilberryroute/agent/memory.py
+++ b/bilberryroute/agent/memory.py
@@ -11,6 +11,7 @@
 from bilberryroute.routing import protocol
 
 BYTES_MAX = 64 * 1_024 * 1_024
+RECORD_BYTES = 1_024
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -18,6 +19,7 @@
     """One key.
 
     Attributes:
+      claimed: Whether the key is a claim's, which may come again.
       reply: What is known; its state is `RUNNING` until the run ends.
       body: The endpoint's whole answer.
       answer_until: Monotonic instant until which the answer is kept.
@@ -25,16 +27,24 @@
     """
 
     reply: protocol.Reply
+    claimed: bool = False
     body: bytes = b""
     answer_until: int = 0
     key_until: int = 0
 
 
 class Memory:
-    """Records by key, with a bound on the bytes of answers."""
+    """Records by key, with a bound on their bytes.
+
+    Attributes:
+      bytes: Size of the answers and, roughly, of the records themselves.
+      has_forgotten: Whether a claim's key was ever dropped. From then on a
+        key without a record is new only if it is too young to be forgotten.
+    """
 
     def __init__(self, bytes_max: int = BYTES_MAX):
         self.bytes = 0
+        self.has_forgotten = False
         self._bytes_max = bytes_max
         self._records: dict[str, Record] = {}
         self._due: list[tuple[int, str]] = []
@@ -51,12 +61,15 @@
         self.expire(now)
         return self._records.get(key)
 
-    def start(self, key: str) -> Record:
+    def start(self, key: str, *, claimed: bool) -> Record:
         """Records that a key is being run."""
         reply = protocol.Reply(key=key, state=protocol.State.RUNNING)
-        record = Record(reply=reply)
-        self._records[key] = record
-        return record
+        return self._add(key, Record(reply=reply, claimed=claimed))
+
+    def fence(self, key: str, reply: protocol.Reply, until: int) -> Record:
+        """Records that a claim's key never runs."""
+        self._add(key, Record(reply=reply, claimed=True))
+        return self.end(key, reply, b"", answer_until=until, key_until=until)
 
     def prolong(self, record: Record, answer_until: int) -> None:
         """Keeps an answer that is being read for longer."""
@@ -73,7 +86,7 @@
         key_until: int,
     ) -> Record:
         """Records how a key ended, or that it is fenced."""
-        record = self._records.setdefault(key, Record(reply=reply))
+        record = self._records[key]
         record.reply = reply
         record.body = body
         record.answer_until = answer_until
@@ -96,12 +109,21 @@
             heapq.heappush(self._due, (record.answer_until, key))
             return
         if record.key_until <= now:
-            self.bytes -= len(record.body)
-            del self._records[key]
+            self._forget(key, record)
             return
         self._drop_answer(key, record)
         heapq.heappush(self._due, (record.key_until, key))
 
+    def _add(self, key: str, record: Record) -> Record:
+        self._records[key] = record
+        self.bytes += RECORD_BYTES
+        return record
+
+    def _forget(self, key: str, record: Record) -> None:
+        self.bytes -= len(record.body) + RECORD_BYTES
+        self.has_forgotten |= record.claimed
+        del self._records[key]
+
     def _drop_answer(self, key: str, record: Record) -> None:
         if record.reply.state is protocol.State.NOT_RUN:
             return
--- a/bilberryroute/agent/runs.py
+++ b/bilberryroute/agent/runs.py
@@ -66,9 +66,11 @@
 
     def begin(self, order: protocol.Dispatch, body: bytes) -> memory_lib.Record:
         """Starts the run of a key never seen, or refuses and records it."""
+        if self._may_be_forgotten(order):
+            return memory_lib.Record(reply=_expired(order.key))
         refusal = self._check(order)
         if refusal is None:
-            record = self._memory.start(order.key)
+            record = self._memory.start(order.key, claimed=not order.idempotent)
             self._runs[order.key] = asyncio.create_task(self._run(order, body))
             return record
         self._metrics.refused(refusal.reason)
@@ -80,13 +82,12 @@
     def fence(self, key: str, reason: str, kept_ms: int) -> memory_lib.Record:
         """Closes a key never seen for good."""
         until = self._clock.now() + kept_ms
-        return self._memory.end(
-            key,
-            _not_run(key, reason),
-            b"",
-            answer_until=until,
-            key_until=until,
-        )
+        return self._memory.fence(key, _not_run(key, reason), until)
+
+    def _may_be_forgotten(self, order: protocol.Dispatch) -> bool:
+        if order.idempotent or order.fresh:
+            return False
+        return self._memory.has_forgotten
 
     def _check(self, order: protocol.Dispatch) -> admission.Refusal | None:
         if not self._accepting:
@@ -187,6 +188,14 @@
     return protocol.Reply(key=key, state=protocol.State.NOT_RUN, reason=reason)
 
 
+def _expired(key: str) -> protocol.Reply:
+    return protocol.Reply(
+        key=key,
+        state=protocol.State.EXPIRED,
+        reason=protocol.Reason.EXPIRED,
+    )
+
+
 def _done(key: str, answer: endpoint_client.Answer) -> protocol.Reply:
     return protocol.Reply(
         key=key,
--- a/bilberryroute/entry/claims.py
+++ b/bilberryroute/entry/claims.py
@@ -133,7 +133,8 @@
         )
         call.attempts += 1
         key = outcomes.claim_key(call.account, call.id, claim.generation)
-        order = self._dispatcher.order(call, bound, key)
+        fresh = held.first or outcomes.made_at(call.id) is not None
+        order = self._dispatcher.order(call, bound, key, fresh=fresh)
         try:
             exchange = await run(bound, order, call)
         except calls.ReplyError as exc:
--- a/bilberryroute/entry/dispatching.py
+++ b/bilberryroute/entry/dispatching.py
@@ -148,7 +148,12 @@
             self.release(bound, self.clock.now() - began)
 
     def order(
-        self, call: calls.Call, view: wire.EndpointView | Bound, key: str
+        self,
+        call: calls.Call,
+        view: wire.EndpointView | Bound,
+        key: str,
+        *,
+        fresh: bool = True,
     ) -> protocol.Dispatch:
         """Returns the dispatch of a call to an endpoint under a key."""
         return protocol.Dispatch(
@@ -159,6 +164,7 @@
             service=call.service,
             endpoint=view.name,
             incarnation=view.incarnation,
+            fresh=fresh,
             term=self._board.term.get(),
             idempotent=call.idempotent,
             time_left_ms=max(1, call.left_ms(self.clock.now())),
--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -177,10 +177,7 @@
         limits = self._limits(call.service)
         if call.idempotent:
             return await self._attempts.run(call, limits)
-        if outcomes.is_expired(
-            call.id, limits.answer_kept_ms, self._clock.wall()
-        ):
-            raise errors.AnswerExpired("the request id is too old")
+        outcomes.check_age(call.id, limits.answer_kept_ms, self._clock.wall())
         return await self._claims.run(call, limits)
 
     def _limits(self, service: str) -> config.Service:
--- a/bilberryroute/routing/outcomes.py
+++ b/bilberryroute/routing/outcomes.py
@@ -69,10 +69,23 @@
     return 2 * answer_kept_ms + 2 * CLOCK_SKEW_MS
 
 
-def is_expired(request_id: str, answer_kept_ms: int, wall_ms: int) -> bool:
-    """Returns whether an id is too old for its claim to be still known."""
+def check_age(request_id: str, answer_kept_ms: int, wall_ms: int) -> None:
+    """Checks that the claim of an id that carries its time is still known.
+
+    Raises:
+      errors.AnswerExpired: If the id is too old.
+      errors.MalformedInput: If its time lies in the future.
+    """
     made = made_at(request_id)
-    return made is not None and wall_ms - made > answer_kept_ms + CLOCK_SKEW_MS
+    if made is None:
+        return
+    if wall_ms - made > answer_kept_ms + CLOCK_SKEW_MS:
+        raise errors.AnswerExpired("the request id is too old")
+    if made - wall_ms > CLOCK_SKEW_MS:
+        raise errors.MalformedInput(
+            "the time in the request id lies in the future",
+            remedy="Set the clock, then make a new request id.",
+        )
 
 
 def fingerprint(service: str, content_type: str, body: bytes) -> str:
--- a/bilberryroute/routing/protocol.py
+++ b/bilberryroute/routing/protocol.py
@@ -86,6 +86,7 @@
       attempt: Counts the runs that the entry has asked for; starts at 1.
       incarnation: Incarnation of the agent that the claim names; empty for
         an idempotent request.
+      fresh: Whether the key is too young to have been forgotten.
       term: Highest term that the entry has seen.
       time_left_ms: Milliseconds until the caller's deadline.
       kept_ms: How long the key can come again, in milliseconds.
@@ -99,6 +100,7 @@
     service: str
     endpoint: str
     incarnation: str
+    fresh: bool
     term: int
     idempotent: bool
     time_left_ms: int
