--- a/bilberryroute/api.py
+++ b/bilberryroute/api.py
@@ -24,10 +24,6 @@
 from bilberryroute import settings
 
 ACCOUNT_HEADER = "Bilberryroute-Account"
-REQUEST_ID_HEADER = "Bilberryroute-Request-Id"
-DEADLINE_HEADER = "Bilberryroute-Deadline-Ms"
-IDEMPOTENT_HEADER = "Bilberryroute-Idempotent"
-OUTCOME_HEADER = "Bilberryroute-Outcome"
 PROBLEM_TYPE = "application/problem+json"
 PROBLEM_PREFIX = "urn:bilberryroute:problem:"
 MIN_TOKEN_CHARS = 16
