--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -60,6 +60,7 @@
       errors.BilberryrouteError: If a service fails.
     """
     cfg = _load(daemon)
+    mode.Service.mundane_level = "debug"
     logs.configure(
         stream=env.stderr,
         level=cfg.log_level,
@@ -69,18 +70,24 @@
     )
     try:
         return asyncio.run(_serve(cfg, env))
+    except errors.BilberryrouteError:
+        raise
     except Exception as exc:
         raise _typed(exc) from exc
 
 
 def _load(daemon: Daemon) -> settings.Settings:
-    if daemon.settings:
-        from bilberryroute import settings_check
+    from bilberryroute import settings_check
 
+    if daemon.settings:
         return settings_check.load(daemon.settings)
     from bilberryroute import embedded
 
-    return embedded.embedded_settings()
+    cfg = embedded.embedded_settings()
+    settings_check.refuse_if_any(
+        settings_check.check_values("embedded system", cfg)
+    )
+    return cfg
 
 
 async def _serve(
@@ -91,14 +98,17 @@
 
     with _signals() as signals:
         service = process.build(cfg, env)
+        logs.show_position(service.position)
         await _start(service)
         _log.info("started", extra={"http": cfg.listen.http})
-        await _first(service.wait_until_stopped(), signals.get())
-        if service.crash_reason is None:
-            _log.info("draining")
-            # A second signal ends the wait.
-            await _first(service.drain(), signals.get())
-        await service.stop()
+        try:
+            await _first(service.wait_until_stopped(), signals.get())
+            if service.crash_reason is None:
+                _log.info("draining")
+                # A second signal ends the wait.
+                await _first(service.drain(), signals.get())
+        finally:
+            await service.stop()
     if service.crash_reason is not None:
         raise _typed(service.crash_reason)
     _log.info("stopped")
