Move jobs within their own guarantee; keep set-asides apart

Guarantees were late where the account's own jobs lay across its blocks, and where a job moved onto room promised to an owner. Own jobs now move within the share; a set-aside beyond guarantees yields to what is promised.

--- a/benchmarks/decisions_measures.py
+++ b/benchmarks/decisions_measures.py
@@ -14,6 +14,7 @@
 OFFSET_MS = 10_000
 OUT_GRACE_MS = 3_000
 RECLAIM_BOUND_MS = 10_000
+MEMORY_MARGIN = 1.3
 SETTLED_MS = 10_000
 CHECK_EVERY = {True: 1, False: 50}
 
@@ -137,12 +138,14 @@
     def _look(self, loop: loops.Loop) -> tuple[int, int]:
         """Returns free accelerators, and those the largest job can't use."""
         out = self._out(loop.clock.now())
+        since_ms, until_ms = self._workload.failing_span_ms
+        fails = since_ms <= loop.clock.now() < until_ms
 
         def room(node: capacity.Node) -> int:
-            gone = out and (
-                node.worker.failure_domain == self._workload.domain_out
-            )
-            return 0 if gone else len(node.free)
+            worker = node.worker
+            gone = out and worker.failure_domain == self._workload.domain_out
+            broken = fails and worker.name == self._workload.failing_worker
+            return 0 if gone or broken else len(node.free)
 
         free = sum(room(node) for node in self._tree.nodes.values())
         shapes = [
@@ -167,9 +170,11 @@
         return _pack([self._size(life) for life in lives], blocks)
 
     def _size(self, life: loops.Life) -> int:
-        """Returns the room that a job needs, with what it declares beside."""
+        """Returns the room that a job needs, with what it takes beside."""
         job = life.submission.job
-        need = capacity.Need(memory_mb=job.memory_mb_per_accelerator)
+        true_mb = int(life.submission.memory_mb * MEMORY_MARGIN)
+        declared_mb = job.memory_mb_per_accelerator
+        need = capacity.Need(memory_mb=max(true_mb, declared_mb))
         return need.units(self._workload.workers[0], job.shape.accelerators)
 
     def _look_at_debts(self, loop, now_ms: int, changed: bool) -> None:
--- a/bilberryroute/scheduling/dispatch.py
+++ b/bilberryroute/scheduling/dispatch.py
@@ -66,7 +66,8 @@
         value = float(job.submitted_ms)
         if self._policy.shortest_first:
             left_ms = self._expected.left_ms(job, entry.progress_ms)
-            value = left_ms * job.shape.accelerators
+            width = job.shape.accelerators**self._policy.width_exponent
+            value = left_ms * width
         if self._policy.fair_shares:
             value *= 1 + self._over_share(job.account)
         return (beyond, value, job.submitted_ms, job.id)
@@ -96,9 +97,12 @@
         aside = self._state.set_asides.get(entry.job.id)
         if aside is None:
             self._make_room(entry, now_ms)
-        elif not aside.guaranteed and now_ms >= aside.ready_ms:
+        elif now_ms >= aside.ready_ms:
             self._state.drop_set_aside(entry.job.id)
-            self._evict(entry, now_ms)
+            if aside.evicts:
+                self._evict(entry, now_ms)
+            else:
+                self._make_room(entry, now_ms)
         return False
 
     def _placed(self, entry: table.Entry) -> bool:
@@ -142,13 +146,26 @@
         if found is None:
             return False
         soonest = self._freeing.soonest(entry, now_ms)
-        plan, delay_ms = found
         gain_ms = 0 if soonest is None else soonest[1] - now_ms
-        if delay_ms >= gain_ms:
+        if found.delay_ms >= gain_ms:
             return False
-        self._carry_out(entry, plan, now_ms, guaranteed=False)
+        self._move(entry, found, now_ms)
         return True
 
+    def _move(self, entry, found: freeing.Outcome, now_ms: int) -> None:
+        """Carries out a plan and keeps room for the victims that move."""
+        self._carry_out(entry, found.plan, now_ms, guaranteed=False)
+        for job_id, fit in found.moves.items():
+            victim = self._state.entries[job_id]
+            aside = states.SetAside(
+                fit=fit,
+                units=self._state.units(victim, fit),
+                guaranteed=False,
+                since_ms=now_ms,
+                ready_ms=now_ms + _RETRY_MS,
+            )
+            self._state.set_aside(victim, aside)
+
     def _overdue(self, entry: table.Entry, now_ms: int) -> bool:
         """Returns whether a job has waited long enough for a reservation."""
         if not self._policy.reservations:
@@ -174,6 +191,7 @@
             guaranteed=False,
             since_ms=now_ms,
             ready_ms=ready_ms,
+            evicts=True,
         )
         self._state.set_aside(entry, aside)
 
@@ -183,7 +201,7 @@
         if found is None:
             self._reserve(entry, now_ms)
         else:
-            self._carry_out(entry, found[0], now_ms, guaranteed=False)
+            self._move(entry, found, now_ms)
 
     def _carry_out(
         self, entry, plan: reclaim.Plan, now_ms: int, guaranteed: bool
--- a/bilberryroute/scheduling/estimates.py
+++ b/bilberryroute/scheduling/estimates.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import math
+import statistics
 
 from bilberryroute.model import jobs
 
@@ -17,7 +18,6 @@
 _PRIOR_COUNT = 2.0
 _MEMORY_SAMPLES = 8
 _MEMORY_SAMPLES_MIN = 3
-_MEMORY_MARGIN = 1.15
 _OVERRUN_SHARE = 0.5
 _LEAST_LEFT_MS = 10_000
 
@@ -74,7 +74,8 @@
         samples = self._memory.setdefault(
             group, collections.deque(maxlen=_MEMORY_SAMPLES)
         )
-        samples.append(memory_mb / max(1, job.memory_mb_per_accelerator))
+        declared_mb = max(1, job.memory_mb_per_accelerator)
+        samples.append(math.log(memory_mb / declared_mb))
 
     def total_ms(self, job: jobs.Job) -> int:
         """Returns the expected run time of a whole job in milliseconds.
@@ -108,4 +109,6 @@
         samples = self._memory.get((job.account, job.kind), ())
         if not self._correcting or len(samples) < _MEMORY_SAMPLES_MIN:
             return declared_mb
-        return int(declared_mb * max(samples) * _MEMORY_MARGIN)
+        mean = statistics.fmean(samples)
+        spread = statistics.stdev(samples)
+        return int(declared_mb * math.exp(mean + spread))
--- a/bilberryroute/scheduling/freeing.py
+++ b/bilberryroute/scheduling/freeing.py
@@ -1,6 +1,7 @@
 """Plans which jobs stop so that a waiting job gets room, if that pays."""
 
 import collections
+import dataclasses
 
 from bilberryroute.model import jobs
 from bilberryroute.scheduling import capacity
@@ -19,6 +20,20 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """What a plan does to its victims.
+
+    Attributes:
+      moves: Where victims can go at once, by job.
+      delay_ms: Sum of their delays in milliseconds.
+    """
+
+    plan: reclaim.Plan
+    moves: dict[str, fitting.Fit]
+    delay_ms: int
+
+
 class Freeing:
     """Finds the cheapest jobs to stop, by purpose."""
 
@@ -33,7 +48,10 @@
         self._expected = expected
 
     def own_share(self, entry: table.Entry) -> reclaim.Plan | None:
-        """Plans how a job gets its account's guarantee, in place."""
+        """Plans how a job gets its account's guarantee, in place.
+
+        If the account's own jobs lie in the way, they move within its share.
+        """
         state = self._state
         account = entry.job.account
         nodes = state.tree.nodes
@@ -42,29 +60,74 @@
             for name in state.guarantees.share(account)
             if name not in entry.failed_on and nodes[name].sound
         }
+        if state.guarantees.idle(account) < entry.job.shape.accelerators and (
+            not self._own_victims(share, entry)
+        ):
+            return None
         room = {name: nodes[name].room - nodes[name].promised for name in share}
-        victims = self._victims(share, entry, self._work_lost)
         block = _block(entry, room, share)
+        victims = self._victims(share, entry, self._work_lost)
         plans = reclaim.plans(state.tree, block, victims)
-        return plans[0] if plans else None
+        if plans:
+            return plans[0]
+        victims = self._victims(share, entry, self._work_lost, whole=True)
+        for plan in reclaim.plans(state.tree, block, victims):
+            if self._fits_own_share(entry, plan):
+                return plan
+        return None
 
-    def anywhere(
-        self, entry: table.Entry, now_ms: int
-    ) -> tuple[reclaim.Plan, int] | None:
-        """Plans how a job gets room by stopping whatever is not protected.
+    def _own_victims(self, names, owner: table.Entry) -> bool:
+        """Returns whether jobs of the same account may make way."""
+        entries = self._state.entries
+        return any(
+            entries[job_id].protected and _yields(entries[job_id], owner)
+            for name in names
+            for job_id in self._state.tree.nodes[name].held
+        )
+
+    def _fits_own_share(self, entry: table.Entry, plan: reclaim.Plan) -> bool:
+        """Returns whether own jobs that make way fit the rest of the share."""
+        state = self._state
+        account = entry.job.account
+        own = [
+            state.entries[job_id]
+            for job_id in plan.victims
+            if state.entries[job_id].protected
+        ]
+        taken = collections.Counter(state.units(entry, plan.fit))
+        for victim in own:
+            taken.subtract(victim.units)
+
+        def room(node: capacity.Node) -> int:
+            name = node.worker.name
+            return state.guarantees.left(account, name) - taken[name]
+
+        for victim in sorted(own, key=lambda each: -each.width):
+            fit = fitting.find(state.tree, victim.job.shape, victim.need, room)
+            if fit is None:
+                return False
+            taken.update(state.units(victim, fit))
+        return True
+
+    def anywhere(self, entry: table.Entry, now_ms: int) -> Outcome | None:
+        """Plans how a job gets room by moving or stopping others.
+
+        Protected jobs move only; others may also stop until it is done.
 
         Returns:
-          The plan that delays the others least, and that delay: the sum over
-          jobs, in milliseconds. None if protected jobs are in the way.
+          The plan that delays the others least, if there is one.
         """
         block = self._open_block(entry, now_ms)
-        victims = self._victims(block.share, entry, self._restart_ms)
+        victims = self._victims(
+            block.share, entry, self._restart_ms, protected=True
+        )
         plans = reclaim.plans(self._state.tree, block, victims)
-        weighed = [
-            (plan, self._delay_ms(entry, plan, now_ms))
+        outcomes = [
+            self._outcome(entry, plan, now_ms)
             for plan in plans[:_PLANS_WEIGHED]
         ]
-        return min(weighed, key=lambda each: each[1], default=None)
+        possible = [each for each in outcomes if each is not None]
+        return min(possible, key=lambda each: each.delay_ms, default=None)
 
     def soonest(
         self, entry: table.Entry, now_ms: int
@@ -99,17 +162,33 @@
         return _block(entry, room, share)
 
     def _victims(
-        self, names, owner: table.Entry, cost, protected: bool = False
+        self,
+        names,
+        owner: table.Entry,
+        cost,
+        protected: bool = False,
+        whole: bool = False,
     ) -> list[reclaim.Victim]:
-        """Lists the jobs on some workers that may make way."""
+        """Lists the jobs on some workers that may make way.
+
+        Args:
+          names: The workers.
+          owner: For whom the jobs would make way.
+          cost: What stopping one of them costs.
+          protected: Whether jobs protected for other accounts count.
+          whole: Whether all jobs of the same account count.
+        """
         found: dict[str, reclaim.Victim] = {}
         for name in names:
             for job_id in self._state.tree.nodes[name].held:
                 if job_id in found:
                     continue
                 entry = self._state.entries[job_id]
-                own = entry.protected and _yields(entry, owner)
-                if entry.protected and not own and not protected:
+                same = entry.job.account == owner.job.account
+                own = entry.protected and (
+                    (whole and same) or _yields(entry, owner)
+                )
+                if entry.protected and not (own or protected):
                     continue
                 stopping = entry.phase == jobs.JobPhase.STOPPING
                 found[job_id] = reclaim.Victim(
@@ -134,28 +213,33 @@
         weight = _KIND_WEIGHTS[entry.job.kind]
         return self._policy.restart_ms * weight * _stops(entry)
 
-    def _delay_ms(self, entry, plan: reclaim.Plan, now_ms: int) -> int:
-        """Returns by how much a plan delays its victims, added up.
+    def _outcome(
+        self, entry, plan: reclaim.Plan, now_ms: int
+    ) -> Outcome | None:
+        """Follows what a plan does to its victims.
 
         Those that fit elsewhere move; the others wait until the job is done.
         """
         runs_ms = self._expected.left_ms(entry.job, entry.progress_ms)
         victims = [self._state.entries[job_id] for job_id in plan.victims]
         taken = collections.Counter(self._state.units(entry, plan.fit))
+        moves: dict[str, fitting.Fit] = {}
         delay_ms = 0
         for victim in sorted(victims, key=lambda each: -each.width):
             if victim.phase == jobs.JobPhase.STOPPING:
                 continue
-            weight = _KIND_WEIGHTS[victim.job.kind]
             delay_ms += self._restart_ms(victim)
-            moved = self._elsewhere(victim, victims, taken, now_ms)
-            if moved is not None and self._policy.defragmentation:
+            moved = None
+            if self._policy.defragmentation:
+                moved = self._elsewhere(victim, victims, taken, now_ms)
+            if moved is not None:
                 taken.update(self._state.units(victim, moved))
-            elif self._policy.displacement:
-                delay_ms += runs_ms * weight
+                moves[victim.job.id] = moved
+            elif victim.protected or not self._policy.displacement:
+                return None
             else:
-                return _NEVER_MS
-        return delay_ms
+                delay_ms += runs_ms * _KIND_WEIGHTS[victim.job.kind]
+        return Outcome(plan=plan, moves=moves, delay_ms=delay_ms)
 
     def _elsewhere(self, victim, victims, taken, now_ms: int):
         """Finds where a victim could go once all victims have stopped."""
@@ -173,9 +257,6 @@
         )
 
 
-_NEVER_MS = 1 << 62
-
-
 def _block(entry: table.Entry, room, share) -> reclaim.Block:
     return reclaim.Block(
         shape=entry.job.shape, need=entry.need, room=room, share=share
--- a/bilberryroute/scheduling/placing.py
+++ b/bilberryroute/scheduling/placing.py
@@ -44,9 +44,14 @@
         aside = state.set_asides.get(entry.job.id)
         if aside is None:
             return False
-        nodes = state.tree.nodes
-        if any(nodes[name].room < n for name, n in aside.units.items()):
+        if aside.units != state.units(entry, aside.fit):
+            state.drop_set_aside(entry.job.id)
             return False
+        for name, units in aside.units.items():
+            node = state.tree.nodes[name]
+            kept = 0 if aside.guaranteed else node.promised
+            if node.room - kept < units:
+                return False
         state.drop_set_aside(entry.job.id)
         state.hold(entry, aside.fit)
         state.protect(entry)
--- a/bilberryroute/scheduling/state.py
+++ b/bilberryroute/scheduling/state.py
@@ -23,6 +23,7 @@
       guaranteed: Whether it counts against its account's guarantee.
       since_ms: Clock reading at which it was made.
       ready_ms: Clock reading at which it is expected to be free.
+      evicts: Whether jobs still there at that time are stopped.
     """
 
     fit: fitting.Fit
@@ -30,6 +31,7 @@
     guaranteed: bool
     since_ms: int
     ready_ms: int = 0
+    evicts: bool = False
 
 
 class State:
