--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 
 from aiohttp import web
@@ -10,7 +11,9 @@
 from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import rights as rights_lib
 from bilberryroute import settings
 from bilberryroute.entry import answers
 from bilberryroute.entry import attempts
@@ -26,6 +29,8 @@
 DEADLINE_MAX_MS = 300_000
 IDEMPOTENT_KEPT_MS = 60_000
 
+_log = logging.getLogger(__name__)
+
 
 class RequestService(Service):
     """Takes callers' requests and answers each with its outcome.
@@ -61,6 +66,15 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
+    @property
+    def in_flight(self) -> int:
+        """Returns how many requests are being answered."""
+        return self._in_flight
+
+    def queue_lengths(self) -> dict[str, int]:
+        """Returns how many requests wait for an endpoint, by service."""
+        return self._dispatcher.queue_lengths()
+
     def register(self, app: web.Application) -> None:
         """Adds the route."""
         app.router.add_post("/v1/services/{service}/requests", self._handle)
@@ -107,7 +121,11 @@
         self._in_flight += 1
         self._idle.clear()
         try:
-            return await self._answer(req, await self._read(req))
+            call = await self._read(req)
+            with logs.fields(
+                request_id=call.id, account=call.account, service=call.service
+            ):
+                return await self._answer(req, call)
         except errors.BilberryrouteError as exc:
             api.count_error(self.metrics, exc)
             resp = api.problem_response(exc)
@@ -123,7 +141,9 @@
         headers = req.headers
         account = outcomes.check_id(
             "account",
-            api.require_account(req, headers.get(protocol.ACCOUNT_HEADER, "")),
+            rights_lib.require_account(
+                req, headers.get(protocol.ACCOUNT_HEADER, "")
+            ),
         )
         given = headers.get(protocol.REQUEST_ID_HEADER)
         request_id = given or self._new_id()
@@ -162,6 +182,10 @@
             api.count_error(self.metrics, exc)
             resp = api.problem_response(exc)
             outcome = exc.outcome
+            # Refusals can be many, so only what was left open is loud.
+            unknown = outcome is errors.Outcome.UNKNOWN
+            level = logging.WARNING if unknown else logging.DEBUG
+            _log.log(level, "request ended as %s: %s", outcome, exc.message)
         labels = {"service": call.service, "outcome": str(outcome)}
         self.metrics.requests.inc(labels)
         resp.headers[protocol.OUTCOME_HEADER] = str(outcome)
@@ -177,10 +201,7 @@
         limits = self._limits(call.service)
         if call.idempotent:
             return await self._attempts.run(call, limits)
-        if outcomes.is_expired(
-            call.id, limits.answer_kept_ms, self._clock.wall()
-        ):
-            raise errors.AnswerExpired("the request id is too old")
+        outcomes.check_age(call.id, limits.answer_kept_ms, self._clock.wall())
         return await self._claims.run(call, limits)
 
     def _limits(self, service: str) -> config.Service:
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -5,9 +5,12 @@
 from aiohttp import web
 
 from bilberryroute import context
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
+from bilberryroute.model import commands
+from bilberryroute.model import jobs
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import control as control_lib
 from bilberryroute.replica import desired as desired_lib
@@ -54,6 +57,8 @@
         self._server: grpc.aio.Server | None = None
         self._join(env)
         metrics.refresh_with(self._refresh)
+        self._metrics = metrics
+        self.machine.listeners.append(self._count)
 
     def _join(self, env: context.Environment) -> None:
         """Builds the controllers; all share the board."""
@@ -127,10 +132,28 @@
     def _refresh(self, metrics: metrics_lib.Metrics) -> None:
         """Sets the gauges that are read only when asked for."""
         group = self.group
-        metrics.term.set({}, group.term)
         metrics.log_index.set({"point": "committed"}, group.commit_index)
         metrics.log_index.set({"point": "applied"}, group.applied_index)
-        metrics.revision.set({}, self.machine.state.configuration.revision)
+        metrics.leading.set({}, int(group.is_leader()))
+        phases = [r.phase for r in self.machine.state.jobs.values()]
+        queued = phases.count(jobs.JobPhase.QUEUED)
+        metrics.queue_length.set({"queue": "jobs"}, queued)
+
+    def _count(
+        self, command: commands.Command, result: commands.Result
+    ) -> None:
+        labels = {
+            "kind": type(command).__name__,
+            "result": type(result).__name__,
+        }
+        self._metrics.commands.inc(labels)
+
+    def position(self) -> logs.Position:
+        """Returns this replica's term and the revision that it has applied."""
+        return logs.Position(
+            term=self.group.term,
+            revision=self.machine.state.configuration.revision,
+        )
 
 
 def _group_config(cfg: settings.Settings) -> group_lib.GroupConfig:
