--- a/tests/processes/test_tickets.py
+++ b/tests/processes/test_tickets.py
@@ -155,6 +155,27 @@
     accepted[operator.number] = answer.json()["digest"]
 
 
+async def test_ticket_without_a_majority_is_not_accepted(launch):
+    """The followers are down, then the leader dies with its log's tail."""
+    cluster = await launch(LAYOUT)
+    await operators.Operator(cluster).apply(accounts=[{"name": "before"}])
+    leader = await cluster.leader()
+    followers = [r.id for r in cluster.replicas if r.id != leader]
+    for name in followers:
+        cluster.children[name].kill()
+    pending = asyncio.ensure_future(post_ticket(cluster, "e1", 2, "tail"))
+    await asyncio.wait([pending], timeout=1.0)
+    cluster.children[leader].kill()
+    for name in followers:
+        cluster.children[name].start()
+    answer = await pending
+    kept = await cluster.get("e2", "/v1/tickets/2")
+    if answer is not None and answer.status == 200:
+        assert kept.status == 200, "an accepted ticket is gone"
+    other = await post_ticket(cluster, "e2", 2, "other-content")
+    assert other.status == (409 if kept.status == 200 else 200)
+
+
 async def test_burst_and_return_after_many_changes(launch):
     """A burst in force in time; then processes that missed 500 changes."""
     cluster = await launch(LAYOUT)
