--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -8,14 +8,11 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
-from bilberryroute import settings
-from bilberryroute.consensus import group as group_lib
 from bilberryroute.model import commands
 from bilberryroute.model import control
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
-from bilberryroute.replica import leadership as leadership_lib
-from bilberryroute.replica import proposer as proposer_lib
+from bilberryroute.replica import parts as parts_lib
 from bilberryroute.replica import queries as query_lib
 from bilberryroute.state import machine as machine_lib
 from bilberryroute.transport import codec
@@ -37,24 +34,18 @@
 
     def __init__(
         self,
-        cfg: settings.Settings,
-        board: board_lib.ReplicaBoard,
-        group: group_lib.ReplicaGroup,
-        leadership: leadership_lib.Leadership,
-        machine: machine_lib.StateMachine,
-        proposer: proposer_lib.Proposer,
+        parts: parts_lib.ReplicaParts,
         desk: query_lib.QueryDesk,
-        clock: clock_lib.Clock,
     ):
         super().__init__()
-        self._cfg = cfg
-        self._board = board
-        self._group = group
-        self._leadership = leadership
-        self._machine = machine
-        self._proposer = proposer
+        self._cfg = parts.cfg
+        self._board = parts.board
+        self._group = parts.group
+        self._leadership = parts.leadership
+        self._machine = parts.machine
+        self._proposer = parts.proposer
         self._desk = desk
-        self._clock = clock
+        self._clock = parts.clock
 
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the methods to a server that has not started yet."""
--- a/bilberryroute/replica/endpoints.py
+++ b/bilberryroute/replica/endpoints.py
@@ -3,10 +3,8 @@
 import mode
 
 from bilberryroute import clock as clock_lib
-from bilberryroute import settings
 from bilberryroute.model import wire
-from bilberryroute.replica import board as board_lib
-from bilberryroute.replica import leadership as leadership_lib
+from bilberryroute.replica import parts as parts_lib
 
 CHECK_MS = clock_lib.Millis(100)
 
@@ -14,18 +12,12 @@
 class EndpointController(mode.Service):
     """Keeps the table of endpoints whose agents hold a lease."""
 
-    def __init__(
-        self,
-        cfg: settings.Settings,
-        board: board_lib.ReplicaBoard,
-        leadership: leadership_lib.Leadership,
-        clock: clock_lib.Clock,
-    ):
+    def __init__(self, parts: parts_lib.ReplicaParts):
         super().__init__()
-        self._lease_ms = cfg.timing.agent_lease_ms
-        self._board = board
-        self._leadership = leadership
-        self._clock = clock
+        self._lease_ms = parts.cfg.timing.agent_lease_ms
+        self._board = parts.board
+        self._leadership = parts.leadership
+        self._clock = parts.clock
 
     @mode.Service.task
     async def _collect(self) -> None:
--- a/bilberryroute/replica/jobs.py
+++ b/bilberryroute/replica/jobs.py
@@ -2,27 +2,22 @@
 
 import asyncio
 import contextlib
-import random
 
 import mode
 
 from bilberryroute import clock as clock_lib
-from bilberryroute import settings
-from bilberryroute.consensus import group as group_lib
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import desired as desired_lib
 from bilberryroute.replica import events as event_rules
-from bilberryroute.replica import leadership as leadership_lib
+from bilberryroute.replica import parts as parts_lib
 from bilberryroute.replica import progress
-from bilberryroute.replica import proposer as proposer_lib
 from bilberryroute.scheduling import decisions
 from bilberryroute.scheduling import events
 from bilberryroute.scheduling import policy as policy_lib
 from bilberryroute.scheduling import scheduler as scheduler_lib
-from bilberryroute.state import machine as machine_lib
 
 
 class JobController(mode.Service):
@@ -32,33 +27,22 @@
       scheduler: The scheduler of the present term, or None.
     """
 
-    def __init__(
-        self,
-        cfg: settings.Settings,
-        board: board_lib.ReplicaBoard,
-        group: group_lib.ReplicaGroup,
-        leadership: leadership_lib.Leadership,
-        machine: machine_lib.StateMachine,
-        desired: desired_lib.DesiredStates,
-        proposer: proposer_lib.Proposer,
-        clock: clock_lib.Clock,
-        rng: random.Random,
-    ):
+    def __init__(self, parts: parts_lib.ReplicaParts):
         super().__init__()
         self.scheduler: scheduler_lib.Scheduler | None = None
-        self._cfg = cfg
-        self._board = board
-        self._group = group
-        self._machine = machine
-        self._proposer = proposer
-        self._clock = clock
-        self._rng = rng
-        self._leadership = leadership
-        self._desired = desired
+        self._cfg = parts.cfg
+        self._board = parts.board
+        self._group = parts.group
+        self._machine = parts.machine
+        self._proposer = parts.proposer
+        self._clock = parts.clock
+        self._rng = parts.rng
+        self._leadership = parts.leadership
+        self._desired = parts.desired
         self._inbox: list[events.Event] = []
         self._ended: set[board_lib.TaskKey] = set()
         self._moving: set[str] = set()
-        machine.listeners.append(self._on_applied)
+        parts.machine.listeners.append(self._on_applied)
 
     def _on_applied(
         self, command: commands.Command, result: commands.Result
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -5,16 +5,11 @@
 
 import mode
 
-from bilberryroute import clock as clock_lib
 from bilberryroute import errors
-from bilberryroute import settings
-from bilberryroute.consensus import group as group_lib
 from bilberryroute.model import commands
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
-from bilberryroute.replica import desired as desired_lib
-from bilberryroute.replica import leadership as leadership_lib
-from bilberryroute.state import machine as machine_lib
+from bilberryroute.replica import parts as parts_lib
 from bilberryroute.transport import codec
 
 logger = logging.getLogger(__name__)
@@ -30,28 +25,19 @@
     change before that instant.
     """
 
-    def __init__(
-        self,
-        cfg: settings.Settings,
-        board: board_lib.ReplicaBoard,
-        group: group_lib.ReplicaGroup,
-        leadership: leadership_lib.Leadership,
-        machine: machine_lib.StateMachine,
-        desired: desired_lib.DesiredStates,
-        clock: clock_lib.Clock,
-    ):
+    def __init__(self, parts: parts_lib.ReplicaParts):
         super().__init__()
-        self._cfg = cfg
-        self._board = board
-        self._group = group
-        self._machine = machine
-        self._clock = clock
-        self._desired = desired
-        self._leadership = leadership
+        self._cfg = parts.cfg
+        self._board = parts.board
+        self._group = parts.group
+        self._machine = parts.machine
+        self._clock = parts.clock
+        self._desired = parts.desired
+        self._leadership = parts.leadership
         self._transport: asyncio.DatagramTransport | None = None
         self._behind: set[str] = set()
         self._news = asyncio.Event()
-        machine.listeners.append(self._on_applied)
+        parts.machine.listeners.append(self._on_applied)
 
     async def on_start(self) -> None:
         """Opens the datagram socket."""
--- /dev/null
+++ b/bilberryroute/replica/parts.py
@@ -0,0 +1,68 @@
+"""What the controllers of one replica share."""
+
+import dataclasses
+import random
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import settings
+from bilberryroute.consensus import group as group_lib
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import desired as desired_lib
+from bilberryroute.replica import leadership as leadership_lib
+from bilberryroute.replica import proposer as proposer_lib
+from bilberryroute.state import machine as machine_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaParts:
+    """The parts that a replica's controllers are built on.
+
+    Attributes:
+      board: What controllers tell one another.
+      group: This replica's part in the replicated log.
+      leadership: Whether this replica may act as leader.
+      machine: The state machine that the log drives.
+      desired: Desired states of agents, versioned.
+      proposer: Puts commands into the log.
+    """
+
+    cfg: settings.Settings
+    board: board_lib.ReplicaBoard
+    group: group_lib.ReplicaGroup
+    leadership: leadership_lib.Leadership
+    machine: machine_lib.StateMachine
+    desired: desired_lib.DesiredStates
+    proposer: proposer_lib.Proposer
+    clock: clock_lib.Clock
+    rng: random.Random
+
+
+def build(
+    cfg: settings.Settings, clock: clock_lib.Clock, rng: random.Random
+) -> ReplicaParts:
+    """Returns the parts of one replica, none of them started."""
+    board = board_lib.new_board()
+    machine = machine_lib.StateMachine()
+    desired = desired_lib.DesiredStates()
+    group = group_lib.ReplicaGroup(_group_config(cfg), machine, clock, rng)
+    return ReplicaParts(
+        cfg=cfg,
+        board=board,
+        group=group,
+        leadership=leadership_lib.Leadership(board, group, desired, clock),
+        machine=machine,
+        desired=desired,
+        proposer=proposer_lib.Proposer(group, clock),
+        clock=clock,
+        rng=rng,
+    )
+
+
+def _group_config(cfg: settings.Settings) -> group_lib.GroupConfig:
+    return group_lib.GroupConfig(
+        replica_id=cfg.replica_id,
+        members=cfg.replicas,
+        data_folder=cfg.data_folder,
+        timing=cfg.timing,
+        log=cfg.log,
+    )
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -4,16 +4,13 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
-from bilberryroute import settings
-from bilberryroute.consensus import group as group_lib
 from bilberryroute.consensus import records
 from bilberryroute.model import jobs
 from bilberryroute.model import queries
-from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import desired as desired_lib
 from bilberryroute.replica import jobs as job_controller
+from bilberryroute.replica import parts as parts_lib
 from bilberryroute.state import jobs as job_rules
-from bilberryroute.state import machine as machine_lib
 
 
 class QueryDesk:
@@ -21,19 +18,15 @@
 
     def __init__(
         self,
-        cfg: settings.Settings,
-        board: board_lib.ReplicaBoard,
-        group: group_lib.ReplicaGroup,
-        machine: machine_lib.StateMachine,
+        parts: parts_lib.ReplicaParts,
         controller: job_controller.JobController,
-        clock: clock_lib.Clock,
     ):
-        self._cfg = cfg
-        self._board = board
-        self._group = group
-        self._machine = machine
+        self._cfg = parts.cfg
+        self._board = parts.board
+        self._group = parts.group
+        self._machine = parts.machine
         self._controller = controller
-        self._clock = clock
+        self._clock = parts.clock
 
     def answer(self, query: queries.Query) -> queries.Answer:
         """Returns the answer; only a leader may call this.
--- a/bilberryroute/replica/workers.py
+++ b/bilberryroute/replica/workers.py
@@ -5,12 +5,8 @@
 import mode
 
 from bilberryroute import clock as clock_lib
-from bilberryroute import settings
 from bilberryroute.model import commands
-from bilberryroute.replica import board as board_lib
-from bilberryroute.replica import leadership as leadership_lib
-from bilberryroute.replica import proposer as proposer_lib
-from bilberryroute.state import machine as machine_lib
+from bilberryroute.replica import parts as parts_lib
 
 LOST_RENEWALS = 3
 CHECK_MS = clock_lib.Millis(250)
@@ -19,22 +15,14 @@
 class WorkerController(mode.Service):
     """Turns reports, and their absence, into `JoinWorker` and `LoseWorker`."""
 
-    def __init__(
-        self,
-        cfg: settings.Settings,
-        board: board_lib.ReplicaBoard,
-        leadership: leadership_lib.Leadership,
-        machine: machine_lib.StateMachine,
-        proposer: proposer_lib.Proposer,
-        clock: clock_lib.Clock,
-    ):
+    def __init__(self, parts: parts_lib.ReplicaParts):
         super().__init__()
-        self._board = board
-        self._leadership = leadership
-        self._machine = machine
-        self._proposer = proposer
-        self._clock = clock
-        self._silence_ms = LOST_RENEWALS * cfg.timing.renewal_ms
+        self._board = parts.board
+        self._leadership = parts.leadership
+        self._machine = parts.machine
+        self._proposer = parts.proposer
+        self._clock = parts.clock
+        self._silence_ms = LOST_RENEWALS * parts.cfg.timing.renewal_ms
 
     @mode.Service.task
     async def _check_presence(self) -> None:
