Explore seeded schedules of the consensus core and prove its mechanisms

Founding is one write, so that a crash cannot leave half of it.

The mechanisms are taken away by patches in the tests.

--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -5,7 +5,9 @@
 import pathlib
 import random
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Protocol
 
 import grpc.aio
@@ -49,11 +51,13 @@
       replica_id: Which of the members this is.
       members: The replicas that found the group together.
       data_folder: Where all files are kept.
+      routes: gRPC address by replica id, in place of the group's own.
     """
 
     replica_id: str
     members: tuple[settings.ReplicaAddress, ...]
     data_folder: str
+    routes: Mapping[str, str] = field(default_factory=dict)
     timing: settings.Timing = settings.Timing()
     log: settings.Log = settings.Log()
 
@@ -239,16 +243,15 @@
     @Service.task
     async def _found_group(self) -> None:
         own = self._cfg.address
-        while not self.should_stop and not self._core.hard_state.group:
+        while not self.should_stop and not self._core.journal.hard_state.group:
             membership = await founding.founders(
                 self._hello(), own, self._cfg.members
             )
-            if membership is not None and not self._core.hard_state.group:
-                self._handle(
-                    self._core.found(
-                        membership, self._core.id, self._clock.now()
-                    )
-                )
+            if (
+                membership is not None
+                and not self._core.journal.hard_state.group
+            ):
+                self._handle(self._core.found(membership, self._clock.now()))
                 return
             await self.sleep(clock_lib.seconds(founding.RETRY_MS))
 
@@ -329,10 +332,12 @@
         return peer
 
     def _address_of(self, member_id: str) -> str | None:
+        name = records.replica_id(member_id)
+        if name in self._cfg.routes:
+            return self._cfg.routes[name]
         member = self._core.membership.find(member_id)
         if member is not None:
             return member.address.grpc
-        name = records.replica_id(member_id)
         return next((m.grpc for m in self._cfg.members if m.id == name), None)
 
     def _apply(self, entries: tuple[records.Entry, ...]) -> None:
@@ -437,7 +442,7 @@
         own = self._cfg.address
         return peers.Hello(
             id=self._core.id,
-            group=self._core.hard_state.group,
+            group=self._core.journal.hard_state.group,
             grpc=own.grpc,
             datagram=own.datagram,
             failure_domain=own.failure_domain,
--- a/bilberryroute/consensus/memory_log.py
+++ b/bilberryroute/consensus/memory_log.py
@@ -65,6 +65,11 @@
         """Returns the membership that held at an entry."""
         return next(m for i, m in reversed(self._memberships) if i <= index)
 
+    def memberships_from(self, index: int) -> list[records.Membership]:
+        """Returns the membership that held at an entry and all later ones."""
+        later = [m for i, m in self._memberships if i > index]
+        return [self.membership_at(index), *later]
+
     def between(self, first: int, last: int) -> tuple[records.Entry, ...]:
         """Returns the entries from `first` to `last`, both included."""
         start = max(0, first - self._base_index - 1)
--- a/bilberryroute/consensus/progress.py
+++ b/bilberryroute/consensus/progress.py
@@ -46,6 +46,31 @@
         self.in_flight.clear()
         self.probing = True
 
+    def may_send(self, last_index: int, window: int) -> bool:
+        """Returns whether a further batch may be in flight now."""
+        allowed = 1 if self.probing else window
+        return self.next_index <= last_index and len(self.in_flight) < allowed
+
+    def note_sent(self, index: int) -> None:
+        """Notes a batch up to `index`, which is taken to arrive."""
+        self.next_index = index + 1
+        self.in_flight.append(index)
+
+    def begin_snapshot(self, snapshot: records.Snapshot) -> None:
+        """Turns to sending a snapshot, as the log is too short."""
+        self.snapshot = snapshot
+        self.want_chunk(snapshot.index, 0)
+
+    def want_chunk(self, index: int, offset: int) -> None:
+        """Notes which piece of the snapshot the peer wants next."""
+        if self.snapshot is not None and self.snapshot.index == index:
+            self.offset = offset
+            self.chunk_sent_ms = NEVER_MS
+
+    def chunk_due(self, now: int, repeat_ms: int) -> bool:
+        """Returns whether to send the wanted piece now, perhaps again."""
+        return now >= self.chunk_sent_ms + repeat_ms
+
 
 def quorum_value(values: Iterable[int], quorum: int) -> int:
     """Returns the largest value that `quorum` of the values reach."""
--- /dev/null
+++ b/tests/consensus/test_exploration.py
@@ -0,0 +1,184 @@
+"""Explores seeded schedules; `EXPLORE_SEEDS=first:count` runs other ones."""
+
+import os
+
+import pytest
+
+from bilberryroute.consensus import core as core_lib
+from bilberryroute.consensus import election as election_lib
+from bilberryroute.consensus import journal as journal_lib
+from bilberryroute.consensus import leading as leading_lib
+from bilberryroute.consensus import records
+from tests.consensus import faults
+from tests.consensus import scenarios
+from tests.consensus import simulation as simulation_lib
+
+_CHUNKS = 4
+_FIRST, _COUNT = map(int, os.environ.get("EXPLORE_SEEDS", "0:3000").split(":"))
+_MUTANT_SEEDS = 300
+
+
+@pytest.fixture(autouse=True)
+def small_batches(monkeypatch):
+    """Has entries and snapshots cross the network in small pieces."""
+    monkeypatch.setattr(leading_lib, "BATCH_ENTRIES", 2)
+    monkeypatch.setattr(leading_lib, "CHUNK_BYTES", 3)
+
+
+def _explore(seed: int) -> None:
+    simulation = simulation_lib.Simulation(
+        seed, size=3 + seed % 3, spares=1 + seed % 2
+    )
+    try:
+        faults.explore(simulation)
+    except Exception as exc:
+        exc.add_note(f"seed {seed}:\n" + "\n".join(simulation.log))
+        raise
+
+
+@pytest.mark.parametrize("chunk", range(_CHUNKS))
+def test_invariants_hold_under_every_schedule(chunk):
+    for seed in range(_FIRST + chunk, _FIRST + _COUNT, _CHUNKS):
+        _explore(seed)
+
+
+def _forget_vote(patch):
+    """Term and vote are not written."""
+
+    def set_term(self, term, vote):
+        self.hard_state = records.HardState(
+            term=term, vote=vote, group=self.hard_state.group
+        )
+
+    patch.setattr(journal_lib.Journal, "set_term", set_term)
+
+
+def _answer_before_sync(patch):
+    """Answers do not wait for the disk."""
+    send = core_lib.Core._send
+    patch.setattr(
+        core_lib.Core,
+        "_send",
+        lambda self, receiver, body, after=0: send(self, receiver, body),
+    )
+
+
+def _vote_while_leader_heard(patch):
+    """Votes are granted while a leader may rely on its lease."""
+    patch.setattr(core_lib.Core, "_hears_leader", lambda self, now: False)
+
+
+def _vote_right_after_restart(patch):
+    """A restarted replica votes at once."""
+    init = election_lib.Election.__init__
+
+    def forgetful(self, **arguments):
+        init(self, **arguments)
+        self._heard_ms = -(10**9)
+
+    patch.setattr(election_lib.Election, "__init__", forgetful)
+
+
+def _lease_from_answer(patch):
+    """The lease counts from the answer's arrival, not from the sending."""
+    reply = core_lib.Core._on_reply
+
+    def keep_clock(self, sender, body, now):
+        if self._leading is not None:
+            self._leading.now = now
+        reply(self, sender, body, now)
+
+    def note_reply(self, sender, body):
+        original(self, sender, body)
+        if sender in self.peers:
+            self.peers[sender].acked_ms = self.now
+
+    original = leading_lib.Leading.note_reply
+    patch.setattr(core_lib.Core, "_on_reply", keep_clock)
+    patch.setattr(leading_lib.Leading, "note_reply", note_reply)
+
+
+def _commit_older_terms(patch):
+    """Entries of older terms are committed by counting."""
+    patch.setattr(core_lib.Core, "_is_own_term", lambda self, index: True)
+
+
+def _vote_for_shorter_log(patch):
+    """Votes do not look at the candidate's log."""
+
+    def grants(self, sender, req):
+        vote = self._journal.hard_state.vote
+        if req.pre:
+            return req.term > self._journal.term
+        return req.term == self._journal.term and vote in ("", sender)
+
+    patch.setattr(election_lib.Election, "_grants", grants)
+
+
+def _vote_after_lost_disk(patch):
+    """An emptied folder keeps its identity."""
+    patch.setattr(simulation_lib.Simulation, "amnesia", True)
+
+
+def _change_any_time(patch):
+    """Changes of membership need not wait for one another."""
+    patch.setattr(core_lib.Core, "_may_change_membership", lambda self: True)
+
+
+def _change_before_own_term(patch):
+    """A new leader changes the membership before it has committed."""
+    patch.setattr(core_lib.Core, "own_term_committed", lambda self: True)
+
+
+def _stand_without_pre_vote(patch):
+    """Replicas raise the term without asking first."""
+    patch.setattr(
+        core_lib.Core,
+        "_become_pre_candidate",
+        core_lib.Core._become_candidate,
+    )
+
+
+def _lead_without_majority(patch):
+    """A leader stays one while it hears nobody."""
+    patch.setattr(core_lib.Core, "_hears_majority", lambda self, now: True)
+
+
+# The mechanism taken away, the first seed of 300 that show it, the report.
+MUTANTS = {
+    _forget_vote: (10, "voted twice"),
+    _answer_before_sync: (136, "voted twice|lacks committed"),
+    _lease_from_answer: (347, "leases overlap|elected in a lease"),
+    _vote_for_shorter_log: (0, "lacks committed"),
+    _vote_after_lost_disk: (17, "lacks committed|voted twice"),
+    _change_any_time: (482, "lacks committed|committed, now"),
+}
+SCENARIO_MUTANTS = {
+    _vote_while_leader_heard: scenarios.silent_link,
+    _vote_right_after_restart: scenarios.restart_under_lease,
+    _commit_older_terms: scenarios.older_term_is_not_counted,
+    _change_before_own_term: scenarios.change_waits_for_own_term,
+    _stand_without_pre_vote: scenarios.isolated_follower_returns,
+    _lead_without_majority: scenarios.isolated_leader_steps_down,
+}
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda m: m.__name__)
+def test_exploration_fails_without(mutant, monkeypatch):
+    seed, report = MUTANTS[mutant]
+    mutant(monkeypatch)
+    with pytest.raises(simulation_lib.Violation, match=report):
+        for tried in range(seed, seed + _MUTANT_SEEDS):
+            _explore(tried)
+
+
+@pytest.mark.parametrize("scenario", SCENARIO_MUTANTS.values())
+def test_scenario_holds(scenario):
+    scenario()
+
+
+@pytest.mark.parametrize("mutant", SCENARIO_MUTANTS, ids=lambda m: m.__name__)
+def test_scenario_fails_without(mutant, monkeypatch):
+    mutant(monkeypatch)
+    with pytest.raises(simulation_lib.Violation):
+        SCENARIO_MUTANTS[mutant]()
