--- /dev/null
+++ b/bilberryroute/agent/requests.py
@@ -0,0 +1,120 @@
+"""Internal API of the agent: entries dispatch, re-attach and read answers."""
+
+import asyncio
+import dataclasses
+
+from aiohttp import web
+from mode import Service
+
+from bilberryroute import api
+from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import memory as memory_lib
+from bilberryroute.agent import runs
+from bilberryroute.routing import protocol
+
+WAIT_MAX_MS = 10_000
+
+
+class RequestService(Service):
+    """Serves entries; the runs themselves are in `runs.Runner`.
+
+    Attributes:
+      incarnation: Changes with every start of this process.
+      metrics: Counters of the process.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        board: board_lib.AgentBoard,
+        clock: clock_lib.Clock,
+        incarnation: str,
+        metrics: metrics_lib.Metrics | None = None,
+    ):
+        super().__init__()
+        self.incarnation = incarnation
+        self.metrics = metrics or metrics_lib.Metrics()
+        self._cfg = cfg
+        self._board = board
+        self._clock = clock
+        self._runner = runs.Runner(cfg, board, clock, self.metrics)
+        self._began = clock.now()
+
+    def register(self, app: web.Application) -> None:
+        """Adds the routes."""
+        app.router.add_post(protocol.DISPATCH_PATH, self._dispatch)
+        app.router.add_post(protocol.ATTACH_PATH, self._attach)
+
+    async def drain(self) -> None:
+        """Takes nothing new once the entries had time to notice; finishes."""
+        self._board.draining.set(True)
+        timing = self._cfg.timing
+        notice_ms = max(timing.balancer_lag_ms, 3 * timing.renewal_ms)
+        await asyncio.sleep(clock_lib.seconds(notice_ms))
+        await self._runner.finish()
+
+    async def on_stop(self) -> None:
+        """Closes the connections to endpoints."""
+        await self._runner.close()
+
+    @Service.task
+    async def _follow_announcements(self) -> None:
+        cell = self._board.announcements
+        while not self.should_stop:
+            await cell.changed(cell.version)
+            self._runner.slots.serve_all()
+
+    async def _dispatch(self, req: web.Request) -> web.Response:
+        order = protocol.decode(
+            req.headers.get(protocol.DISPATCH_HEADER), protocol.Dispatch
+        )
+        body = await api.read_body(req, self._cfg.limits.body_bytes)
+        if not order.idempotent and order.incarnation != self.incarnation:
+            return self._stale(order.key)
+        record = self._runner.get(order.key) or self._runner.begin(order, body)
+        return await self._reply(order.key, record, order.wait_ms)
+
+    async def _attach(self, req: web.Request) -> web.Response:
+        ask = protocol.decode(
+            req.headers.get(protocol.DISPATCH_HEADER), protocol.Attach
+        )
+        if ask.incarnation != self.incarnation:
+            return self._stale(ask.key)
+        record = self._runner.get(ask.key)
+        if record is None:
+            record = self._runner.fence(
+                ask.key, protocol.Reason.NEVER_SEEN, ask.kept_ms
+            )
+        if ask.offset:
+            self._runner.prolong(record)
+        return await self._reply(ask.key, record, ask.wait_ms, ask.offset)
+
+    def _stale(self, key: str) -> web.Response:
+        reply = protocol.Reply(
+            key=key,
+            state=protocol.State.STALE,
+            reason=protocol.Reason.STALE_INCARNATION,
+            up_ms=self._clock.now() - self._began,
+        )
+        return self._respond(reply)
+
+    async def _reply(
+        self,
+        key: str,
+        record: memory_lib.Record,
+        wait_ms: int,
+        offset: int = 0,
+    ) -> web.Response:
+        await self._runner.wait(key, min(wait_ms, WAIT_MAX_MS))
+        segment = record.body[offset : offset + protocol.SEGMENT_BYTES]
+        return self._respond(record.reply, segment)
+
+    def _respond(
+        self, reply: protocol.Reply, body: bytes = b""
+    ) -> web.Response:
+        reply = dataclasses.replace(reply, incarnation=self.incarnation)
+        headers = {protocol.REPLY_HEADER: protocol.encode(reply)}
+        return web.Response(body=body, headers=headers)
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -29,12 +29,13 @@
       outcome: What is known about the request that met the error.
       exit_status: Exit code of a command that ends with it.
       retry_after_ms: When a new try makes sense, in milliseconds, or None.
+      extensions: More members of the problem document, by name.
     """
 
     kind: ClassVar[str] = "internal"
     remedy: str = "Report it with the log lines of this request."
     http_status: ClassVar[int] = http.HTTPStatus.INTERNAL_SERVER_ERROR
-    outcome: ClassVar[Outcome] = Outcome.UNKNOWN
+    outcome: Outcome = Outcome.UNKNOWN
     exit_status: ClassVar[status.ExitStatus] = status.ExitStatus.ERROR
 
     def __init__(
@@ -43,12 +44,16 @@
         *,
         remedy: str | None = None,
         retry_after_ms: int | None = None,
+        outcome: Outcome | None = None,
     ):
         super().__init__(message)
         self.message = message
         self.retry_after_ms = retry_after_ms
+        self.extensions: dict[str, object] = {}
         if remedy is not None:
             self.remedy = remedy
+        if outcome is not None:
+            self.outcome = outcome
 
     def __str__(self) -> str:
         return f"{self.message} ({self.remedy})"
@@ -269,3 +274,22 @@
         "Move the data folder away and let the host rejoin as a new replica;"
         " see docs/operations/replace-a-host.md."
     )
+
+
+def all_kinds() -> tuple[type[BilberryrouteError], ...]:
+    """Returns every class of the tree that is loaded, the base first."""
+    found = [BilberryrouteError]
+    for kind in found:
+        found.extend(kind.__subclasses__())
+    return tuple(found)
+
+
+def by_kind(kind: str) -> type[BilberryrouteError]:
+    """Returns the error class of a kind, or the base for an unknown one.
+
+    Only classes that take a message as their one positional argument qualify.
+    """
+    return _KINDS.get(kind, BilberryrouteError)
+
+
+_KINDS = {k.kind: k for k in all_kinds() if k != NotLeader}
--- /dev/null
+++ b/bilberryroute/process.py
@@ -0,0 +1,114 @@
+"""Joins the roles of one process behind one HTTP server."""
+
+import asyncio
+from typing import Protocol
+
+import mode
+from aiohttp import web
+
+from bilberryroute import api
+from bilberryroute import context
+from bilberryroute import lifecycle
+from bilberryroute import logs
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import rights as rights_lib
+from bilberryroute import settings
+from bilberryroute.transport import http as http_lib
+
+
+class RoleService(Protocol):
+    """What every role offers besides being a `mode.Service`."""
+
+    def register(self, app: web.Application) -> None:
+        """Adds the role's routes."""
+
+    def position(self) -> logs.Position:
+        """Returns the term and revision that the role has seen."""
+
+    def ready(self) -> bool:
+        """Says whether the role can do its work now."""
+
+    async def drain(self) -> None:
+        """Returns once nothing in flight would be cut off by a stop."""
+
+
+class Process(mode.Service):
+    """One process with the roles that its settings name.
+
+    Attributes:
+      roles: The roles, in the order of starting.
+    """
+
+    def __init__(self, cfg: settings.Settings, env: context.Environment):
+        super().__init__()
+        self.metrics = metrics_lib.Metrics()
+        self.roles = [_role(r, cfg, env, self.metrics) for r in _ordered(cfg)]
+        app = self._application(cfg)
+        self.metrics.refresh_with(self._refresh)
+        self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
+
+    def _application(self, cfg: settings.Settings) -> web.Application:
+        rights = rights_lib.load(cfg.tokens)
+        app = api.new_application(cfg.limits, self.metrics, rights)
+        probes = lifecycle.Lifecycle()
+        probes.register(app)
+        for name, role in zip(_ordered(cfg), self.roles, strict=True):
+            probes.ready_when(name, role.ready)
+            role.register(app)
+        return app
+
+    async def on_start(self) -> None:
+        """Starts the roles, then listens."""
+        for role in self.roles:
+            await self.add_runtime_dependency(role)
+        await self.add_runtime_dependency(self.http)
+
+    def position(self) -> logs.Position:
+        """Returns the highest term and revision that a role has seen."""
+        positions = [role.position() for role in self.roles]
+        return logs.Position(
+            term=max(each.term for each in positions),
+            revision=max(each.revision for each in positions),
+        )
+
+    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
+        position = self.position()
+        metrics.term.set({}, position.term)
+        metrics.revision.set({}, position.revision)
+
+    async def drain(self) -> None:
+        """Prepares a stop that cuts off nothing in flight."""
+        await asyncio.gather(*(role.drain() for role in self.roles))
+
+
+def build(cfg: settings.Settings, env: context.Environment) -> Process:
+    """Returns the process that the settings describe, not yet started."""
+    return Process(cfg, env)
+
+
+def _ordered(cfg: settings.Settings) -> list[settings.Role]:
+    """Returns the roles with those first that others depend on."""
+    order = (settings.Role.REPLICA, settings.Role.AGENT, settings.Role.ENTRY)
+    return [role for role in order if role in cfg.roles]
+
+
+def _role(
+    role: settings.Role,
+    cfg: settings.Settings,
+    env: context.Environment,
+    metrics: metrics_lib.Metrics,
+) -> RoleService:
+    """Builds one role; imports it here, so that others cost no memory."""
+    match role:
+        case settings.Role.REPLICA:
+            from bilberryroute.replica import service as replica_service
+
+            return replica_service.ReplicaRole(cfg, env, metrics)
+        case settings.Role.AGENT:
+            from bilberryroute.agent import service as agent_service
+
+            return agent_service.AgentRole(cfg, env, metrics)
+        case settings.Role.ENTRY:
+            from bilberryroute.entry import service as entry_service
+
+            return entry_service.EntryRole(cfg, env, metrics)
--- /dev/null
+++ b/bilberryroute/scheduling/placing.py
@@ -0,0 +1,136 @@
+"""Where one waiting job goes: free room, or room to be reclaimed."""
+
+from bilberryroute.scheduling import capacity
+from bilberryroute.scheduling import estimates
+from bilberryroute.scheduling import fitting
+from bilberryroute.scheduling import policy as policies
+from bilberryroute.scheduling import state as states
+from bilberryroute.scheduling import table
+
+_NEVER_MS = 1 << 62
+
+
+class Placer:
+    """Finds places and holds them in the state."""
+
+    def __init__(
+        self,
+        policy: policies.Policy,
+        state: states.State,
+        expected: estimates.Estimates,
+    ):
+        self._policy = policy
+        self._state = state
+        self._expected = expected
+
+    def place_free(self, entry: table.Entry, now_ms: int) -> bool:
+        """Holds free room for a job, in its own share if it can.
+
+        Returns:
+          Whether the job now holds all its accelerators.
+        """
+        fit = self._find_free(entry, now_ms)
+        if fit is None:
+            return False
+        self._state.hold(entry, fit)
+        protected = self._state.protect(entry)
+        if not protected and self._policy.rebinding:
+            self._follow(entry)
+        return True
+
+    def place_set_aside(self, entry: table.Entry) -> bool:
+        """Holds the room set aside for a job once all of it is free."""
+        state = self._state
+        aside = state.set_asides.get(entry.job.id)
+        if aside is None:
+            return False
+        if aside.units != state.units(entry, aside.fit):
+            state.drop_set_aside(entry.job.id)
+            return False
+        for name, units in aside.units.items():
+            node = state.tree.nodes[name]
+            kept = 0 if aside.guaranteed else node.promised
+            if node.room - kept < units:
+                return False
+        state.drop_set_aside(entry.job.id)
+        state.hold(entry, aside.fit)
+        state.protect(entry)
+        return True
+
+    def _find_free(self, entry, now_ms: int) -> fitting.Fit | None:
+        """Finds free room: own share first, then common, then borrowed."""
+        anywhere = self._find(entry, self._room(entry, now_ms))
+        own = self._find(entry, self._own_room(entry))
+        if own is not None:
+            return own
+        if anywhere is None:
+            return None
+        common = self._find(entry, self._common_room(entry, now_ms))
+        if common is not None or not self._policy.borrowing:
+            return common
+        return anywhere
+
+    def _find(self, entry, room) -> fitting.Fit | None:
+        return fitting.find(
+            self._state.tree,
+            entry.job.shape,
+            entry.need,
+            room,
+            best=self._policy.best_fit,
+        )
+
+    def _room(self, entry: table.Entry, now_ms: int) -> fitting.Room:
+        """Counts free room that nobody has set aside."""
+        job = entry.job
+        left_ms = self._expected.left_ms(job, entry.progress_ms)
+        ends_ms = now_ms + left_ms if self._policy.backfill else _NEVER_MS
+
+        def room(node: capacity.Node) -> int:
+            if node.opens_ms > now_ms or node.worker.name in entry.failed_on:
+                return 0
+            if node.probing and not _may_probe(node, entry):
+                return 0
+            kept = node.promised
+            if node.reserved_until_ms < ends_ms:
+                kept += node.reserved
+            return node.room - kept
+
+        return room
+
+    def _own_room(self, entry: table.Entry) -> fitting.Room:
+        """Counts free room within the job's own guarantee."""
+        left = self._state.guarantees.left
+
+        def room(node: capacity.Node) -> int:
+            name = node.worker.name
+            if name in entry.failed_on or not node.sound:
+                return 0
+            return min(node.room - node.promised, left(entry.job.account, name))
+
+        return room
+
+    def _common_room(self, entry: table.Entry, now_ms: int) -> fitting.Room:
+        """Counts free room that is bound for nobody."""
+        free = self._room(entry, now_ms)
+        bound = self._state.guarantees.bound
+        protected = self._state.guarantees.protected_on
+
+        def room(node: capacity.Node) -> int:
+            name = node.worker.name
+            others = node.used - protected(name) + node.promised
+            common = node.worker.accelerators - bound[name] - others
+            return min(free(node), common)
+
+        return room
+
+    def _follow(self, entry: table.Entry) -> None:
+        """Binds an idle block of the account to where the job now lies."""
+        if self._state.guarantees.follow(entry.job.account, entry.units):
+            self._state.protect(entry)
+
+
+def _may_probe(node: capacity.Node, entry: table.Entry) -> bool:
+    """Returns whether a job may try a worker that failed every task."""
+    if node.held or entry.failed_on:
+        return False
+    return entry.job.shape.accelerators <= node.worker.accelerators
--- /dev/null
+++ b/bilberryroute/scheduling/reclaim.py
@@ -0,0 +1,177 @@
+"""Which jobs to stop so that a block becomes free, at least work lost."""
+
+import dataclasses
+
+from bilberryroute.model import config
+from bilberryroute.scheduling import capacity
+from bilberryroute.scheduling import fitting
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Victim:
+    """A job that may be stopped.
+
+    Attributes:
+      units: Room that it holds, by worker.
+      cost: Work lost by stopping it, in accelerator-milliseconds.
+      own: Whether it uses the share that the block is taken from.
+    """
+
+    job_id: str
+    units: dict[str, int]
+    cost: int
+    own: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """Where a block will lie once the victims have stopped."""
+
+    fit: fitting.Fit
+    victims: tuple[str, ...]
+    cost: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Block:
+    """What is wanted, and how far each worker may serve it.
+
+    Attributes:
+      room: Free room on each worker that may be used.
+      share: Most room that may be taken, by worker; `own` victims raise it.
+    """
+
+    shape: config.Shape
+    need: capacity.Need
+    room: dict[str, int]
+    share: dict[str, int]
+
+
+def plans(
+    tree: capacity.Capacity,
+    block: Block,
+    victims: list[Victim],
+    *,
+    at_once: bool = False,
+) -> list[Plan]:
+    """Returns a plan for each part of the tree that can have one.
+
+    Args:
+      tree: All workers.
+      block: What is wanted.
+      victims: Jobs that may be stopped.
+      at_once: Whether costs run side by side: the largest counts, not the sum.
+
+    Returns:
+      The plans, the one with the least cost first.
+    """
+    on_worker: dict[str, list[Victim]] = {}
+    for victim in victims:
+        for name in victim.units:
+            on_worker.setdefault(name, []).append(victim)
+    found = []
+    for names in parts(tree, block.shape, block.share):
+        inside = {
+            victim.job_id: victim
+            for name in names
+            for victim in on_worker.get(name, ())
+        }
+        plan = _plan(tree, block, names, list(inside.values()), at_once)
+        if plan is not None:
+            found.append(plan)
+    found.sort(key=lambda plan: (plan.cost, len(plan.fit), sorted(plan.fit)))
+    return found
+
+
+def parts(tree, shape: config.Shape, names) -> list[list[str]]:
+    """Groups workers by the part of the tree that must hold the block."""
+    groups: dict[object, list[str]] = {}
+    for name in names:
+        node = tree.nodes.get(name)
+        if node is None or not node.in_service:
+            continue
+        domain = node.worker.failure_domain
+        if shape.failure_domain not in ("", domain):
+            continue
+        match shape.adjacency:
+            case config.Adjacency.WORKER:
+                key: object = name
+            case config.Adjacency.RACK:
+                key = node.rack
+            case config.Adjacency.FAILURE_DOMAIN:
+                key = domain
+        groups.setdefault(key, []).append(name)
+    return list(groups.values())
+
+
+def _plan(
+    tree, block: Block, names, victims: list[Victim], at_once: bool
+) -> Plan | None:
+    """Adds victims, cheapest per accelerator first, until the block fits."""
+    inside = set(names)
+
+    def rank(victim):
+        if at_once:
+            return (victim.cost, victim.job_id)
+        freed = sum(n for w, n in victim.units.items() if w in inside)
+        return (victim.cost / max(1, freed), victim.job_id)
+
+    counting = _Counting(tree, block, names)
+    waiting = sorted(victims, key=rank, reverse=True)
+    chosen: list[Victim] = []
+    while not counting.enough():
+        if not waiting:
+            return None
+        chosen.append(waiting.pop())
+        counting.add(chosen[-1])
+    for victim in sorted(chosen, key=lambda victim: -victim.cost):
+        counting.remove(victim)
+        if counting.enough():
+            chosen.remove(victim)
+        else:
+            counting.add(victim)
+    costs = [victim.cost for victim in chosen]
+    return Plan(
+        fit=fitting.spread(counting.counts, names, block.shape.accelerators),
+        victims=tuple(victim.job_id for victim in chosen),
+        cost=max(costs, default=0) if at_once else sum(costs),
+    )
+
+
+class _Counting:
+    """Counts what the block could take in one part as victims stop."""
+
+    def __init__(self, tree: capacity.Capacity, block: Block, names):
+        self._need = block.need
+        self._wanted = block.shape.accelerators
+        self._workers = {name: tree.nodes[name].worker for name in names}
+        self._room = {name: block.room.get(name, 0) for name in names}
+        self._share = {name: block.share[name] for name in names}
+        self.counts = {name: self._count(name) for name in names}
+        self._total = sum(self.counts.values())
+
+    def _count(self, name: str) -> int:
+        room = min(self._room[name], self._share[name])
+        return max(0, self._need.most(self._workers[name], room))
+
+    def enough(self) -> bool:
+        """Returns whether the whole block fits by now."""
+        return self._total >= self._wanted
+
+    def add(self, victim: Victim) -> None:
+        """Counts a victim's room as free."""
+        self._change(victim, 1)
+
+    def remove(self, victim: Victim) -> None:
+        """Counts a victim's room as held again."""
+        self._change(victim, -1)
+
+    def _change(self, victim: Victim, sign: int) -> None:
+        for name, units in victim.units.items():
+            if name not in self._workers:
+                continue
+            self._room[name] += sign * units
+            self._share[name] += sign * units if victim.own else 0
+            self._total -= self.counts[name]
+            self.counts[name] = self._count(name)
+            self._total += self.counts[name]
--- /dev/null
+++ b/bilberryroute/scheduling/scheduler.py
@@ -0,0 +1,141 @@
+"""The scheduler: events in, decisions out, no clock and no I/O of its own."""
+
+import random
+
+from bilberryroute.model import jobs
+from bilberryroute.scheduling import admission
+from bilberryroute.scheduling import checks
+from bilberryroute.scheduling import decisions
+from bilberryroute.scheduling import dispatch
+from bilberryroute.scheduling import estimates
+from bilberryroute.scheduling import events
+from bilberryroute.scheduling import explaining
+from bilberryroute.scheduling import lifecycle
+from bilberryroute.scheduling import policy as policies
+from bilberryroute.scheduling import queueing
+from bilberryroute.scheduling import state as states
+from bilberryroute.scheduling import table
+
+_SETTLE_MS = 2_000
+
+
+class Scheduler:
+    """Decides what runs where; counts its own decisions as taken."""
+
+    def __init__(self, policy: policies.Policy, rng: random.Random):
+        self._rng = rng
+        self._state = states.State()
+        queue = queueing.Queue()
+        expected = estimates.Estimates(policy.correction)
+        self._dispatcher = dispatch.Dispatcher(
+            policy, self._state, queue, expected
+        )
+        self._lifecycle = lifecycle.Lifecycle(
+            policy, self._state, queue, expected, self._dispatcher
+        )
+        self._restored: list[jobs.JobRecord] = []
+
+    def observe(self, event: events.Event, now_ms: int) -> None:
+        """Takes in one event.
+
+        Args:
+          event: What happened.
+          now_ms: Clock reading in milliseconds.
+        """
+        lives = self._lifecycle
+        match event:
+            case events.ConfigurationChanged(configuration=configuration):
+                self._state.configuration = configuration
+                self._state.guarantees.configure(configuration)
+                lives.service_changed(now_ms)
+            case events.WorkerJoined(worker=worker):
+                lives.worker_joined(worker, now_ms)
+            case events.WorkerLost(name=name):
+                lives.worker_lost(name)
+            case events.JobQueued(record=record):
+                lives.job_queued(record, now_ms)
+            case events.JobRemoved(job_id=job_id):
+                lives.forget(job_id)
+            case events.JobStarted():
+                lives.job_started(event, now_ms)
+            case events.JobStopping():
+                lives.job_stopping(event)
+            case events.JobReleased():
+                lives.job_released(event, now_ms)
+            case events.TaskEnded():
+                lives.task_ended(event, now_ms)
+            case events.JobRestored(record=record):
+                self._restored.append(record)
+            case events.UsageReported():
+                lives.usage_reported(event)
+
+    def decide(self, now_ms: int) -> list[decisions.Decision]:
+        """Returns the decisions due now, all counted as taken.
+
+        Args:
+          now_ms: Clock reading in milliseconds.
+        """
+        self._restore(now_ms)
+        self._state.open_due(now_ms)
+        self._lifecycle.probe_workers(now_ms)
+        if self._state.bindings_due:
+            self._state.bindings_due = False
+            if self._state.guarantees.repair():
+                self._state.recount_protection()
+        self._refuse_impossible(now_ms)
+        self._dispatcher.serve(now_ms)
+        taken, self._state.out = self._state.out, []
+        return taken
+
+    def explain(self, job_id: str, now_ms: int) -> decisions.Explanation | None:
+        """Says in words why a job waits, or None if it is not known."""
+        entry = self._state.entries.get(job_id)
+        if entry is None:
+            return None
+        return explaining.explain(self._state, entry, now_ms)
+
+    def shortfalls(self) -> tuple[decisions.Shortfall, ...]:
+        """Returns the guarantees that capacity in service does not hold."""
+        return self._state.guarantees.shortfalls()
+
+    def check(self) -> list[decisions.Violation]:
+        """Checks all invariants from scratch."""
+        return checks.check(self._state)
+
+    def _restore(self, now_ms: int) -> None:
+        """Takes over the records given to a new leader's scheduler."""
+        records, self._restored = self._restored, []
+        for record in records:
+            self._lifecycle.restore(record, now_ms)
+        if records:
+            self._state.guarantees.repair()
+            self._state.recount_protection()
+
+    def _refuse_impossible(self, now_ms: int) -> None:
+        """Refuses new jobs that would not fit even into empty workers."""
+        unchecked = self._lifecycle.unchecked
+        if not unchecked or not self._state.tree.nodes:
+            return
+        if now_ms - self._lifecycle.joined_ms < _SETTLE_MS:
+            return
+        for job_id in list(unchecked):
+            reason = self._impossible(self._state.entries[job_id])
+            if reason:
+                refusal = decisions.Refuse(job_id=job_id, reason=reason)
+                self._state.out.append(refusal)
+                self._lifecycle.forget(job_id)
+        unchecked.clear()
+
+    def _impossible(self, entry: table.Entry) -> str:
+        """Says why a job can never run, or returns nothing."""
+        job, tree = entry.job, self._state.tree
+        if admission.fits_when_empty(tree, job.shape, entry.need):
+            return ""
+        size = admission.largest(tree, job.shape, entry.need)
+        return (
+            f"no {job.shape.adjacency} can hold"
+            f" {job.shape.accelerators} accelerators with"
+            f" {job.cores_per_accelerator} cores and"
+            f" {job.memory_mb_per_accelerator} MB each; the largest"
+            f" shape that exists is {size} accelerators"
+        )
