Change the membership by command, and trust no unsynced log

ReplicaGroup.change_members adds a learner, promotes or removes, one at a time; a change after which the replicas that answer would be no majority is refused. An emptied folder greets its peers under a new identity and the leader takes it in as a learner if its replica id is known.

Found by reading: after a failed sync the content may sit in the system's cache only, and a restart would have taken it for durable; opening now copies the log to a new segment first. Found by the test that fails each call in turn: a crash while opening left a torn segment before the last one; a segment's first record now appears whole.

Streams carry batches and are answered now and then, so that a connection on which everything vanishes is replaced.

--- a/bilberryroute/consensus/files.py
+++ b/bilberryroute/consensus/files.py
@@ -9,11 +9,10 @@
 
 
 class Files:
-    """Files of one folder, which it makes if need be."""
+    """Files of one folder, which `lock` makes if need be."""
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
-        folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
 
     def names(self) -> list[str]:
         """Returns the names of all files, sorted."""
@@ -34,6 +33,7 @@
         Raises:
           BlockingIOError: If another process holds it.
         """
+        self.folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
         descriptor = self.open_append(name)
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -60,10 +60,6 @@
         finally:
             os.close(descriptor)
 
-    def truncate(self, descriptor: int, size: int) -> None:
-        """Cuts a file to a size in bytes."""
-        os.ftruncate(descriptor, size)
-
     def rename(self, old: str, new: str) -> None:
         """Gives a file a new name."""
         os.replace(self.folder / old, self.folder / new)
--- a/bilberryroute/consensus/founding.py
+++ b/bilberryroute/consensus/founding.py
@@ -1,45 +1,86 @@
-"""First boot of a group: who founds it, and with which data folders.
+"""First boot of a replica: found a group, be found, or come back empty.
 
-One member named by the settings founds the group, and only while every other
-member answers that its folder belongs to no group. So an emptied folder
-never founds again while any other member remembers the group.
+One replica named by the settings founds the group, and only while every other
+one answers that its folder belongs to no group. So an emptied folder never
+founds again while any other replica remembers the group; it comes back under
+a new identity, as a learner.
 """
 
 import asyncio
+from collections.abc import Sequence
 
 from bilberryroute import settings
-from bilberryroute.consensus import peers
+from bilberryroute.consensus import changes
+from bilberryroute.consensus import greeting
 from bilberryroute.consensus import records
 
 RETRY_MS = 200
 
 
-async def founders(
-    own: peers.Hello,
-    address: settings.ReplicaAddress,
-    members: tuple[settings.ReplicaAddress, ...],
+async def greet_all(
+    own: greeting.Hello, addresses: Sequence[str]
+) -> list[greeting.Hello | None]:
+    """Greets replicas; returns an answer or None for each."""
+    greetings = (greeting.greet(address, own) for address in addresses)
+    return list(await asyncio.gather(*greetings))
+
+
+def founders(
+    own: greeting.Hello,
+    members: Sequence[settings.ReplicaAddress],
+    answers: Sequence[greeting.Hello | None],
 ) -> records.Membership | None:
     """Returns the first membership, if this replica is to found the group.
 
     Args:
-      own: This replica's identity.
-      address: This replica's address.
+      own: This replica.
       members: All replicas in the settings.
+      answers: What the other replicas answered, in their order.
     """
-    if address.id != min(m.id for m in members):
+    own_name = records.replica_id(own.id)
+    if own_name != min(m.id for m in members):
         return None
-    others = [m for m in members if m.id != address.id]
-    answers = await asyncio.gather(*(peers.greet(m.grpc, own) for m in others))
-    found = [records.Member(id=own.id, address=address)]
-    for member, answer in zip(others, answers, strict=True):
-        if not _may_found(member, answer):
-            return None
-        found.append(records.Member(id=answer.id, address=member))
-    return records.Membership(members=tuple(found))
-
-
-def _may_found(
-    member: settings.ReplicaAddress, answer: peers.Hello | None
+    others = [m for m in members if m.id != own_name]
+    if not all(map(_may_be_founder, others, answers)):
+        return None
+    ids = {own_name: own.id}
+    ids |= {m.id: a.id for m, a in zip(others, answers, strict=True)}
+    return records.Membership(
+        members=tuple(records.Member(id=ids[m.id], address=m) for m in members)
+    )
+
+
+def welcome(
+    membership: records.Membership, hello: greeting.Hello
+) -> changes.Change | None:
+    """Returns how a leader takes back a replica that lost its disk.
+
+    A replica whose name is no member's waits for an operator's command.
+    """
+    if hello.group or membership.find(hello.id) is not None:
+        return None
+    name = records.replica_id(hello.id)
+    known = [m for m in membership.members if m.replica_id == name]
+    if not known:
+        return None
+    for member in known:
+        if not member.voter:
+            return changes.Remove(id=member.id)
+    return changes.AddLearner(address=address_of(hello), id=hello.id)
+
+
+def address_of(hello: greeting.Hello) -> settings.ReplicaAddress:
+    """Returns where the replica that sent a greeting listens."""
+    return settings.ReplicaAddress(
+        id=records.replica_id(hello.id),
+        grpc=hello.grpc,
+        datagram=hello.datagram,
+        failure_domain=hello.failure_domain,
+    )
+
+
+def _may_be_founder(
+    member: settings.ReplicaAddress, answer: greeting.Hello | None
 ) -> bool:
     if answer is None or answer.group:
         return False
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -1,13 +1,12 @@
 """One replica of the group: the core, its storage and its carrier joined."""
 
 import asyncio
-import concurrent.futures
 import pathlib
 import random
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import Protocol
 
 import grpc.aio
@@ -17,14 +16,19 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute import settings
+from bilberryroute.consensus import carrier
+from bilberryroute.consensus import changes
 from bilberryroute.consensus import core as core_lib
 from bilberryroute.consensus import files
 from bilberryroute.consensus import founding
+from bilberryroute.consensus import greeting
 from bilberryroute.consensus import memory_log
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import peers
+from bilberryroute.consensus import proposals
 from bilberryroute.consensus import records
 from bilberryroute.consensus import storage
+from bilberryroute.consensus import writer
 
 PROPOSE_TIMEOUT_MS = 3_000
 KEPT_SHARE = 4
@@ -76,15 +80,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Applied:
-    """A command that is committed and applied here."""
-
-    index: int
-    term: int
-    result: object
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoleState:
     """What the role cell holds."""
@@ -116,17 +111,13 @@
         self._applier = applier
         self._clock = clock
         self._rng = rng
-        self._storage = store
         self._core: core_lib.Core | None = None
-        self._executor = concurrent.futures.ThreadPoolExecutor(
-            max_workers=1, thread_name_prefix="log"
-        )
-        self._writes: list[messages.Write] = []
-        self._write_wanted = asyncio.Event()
-        self._synced = 0
-        self._held: deque[messages.Send] = deque()
-        self._proposals: dict[int, tuple[int, asyncio.Future[Applied]]] = {}
-        self._peers: dict[str, peers.Peer] = {}
+        if store is None:
+            folder = files.Files(pathlib.Path(cfg.data_folder))
+            store = storage.LogStorage(folder, cfg.log.segment_bytes)
+        self._proposals = proposals.Proposals()
+        self._carrier = carrier.Carrier(self._address_of, clock, rng)
+        self._writer = writer.Writer(store, self._carrier.send)
         self._wake_timer = asyncio.Event()
         self.role_cell = blackboard.Cell(
             RoleState(role=messages.Role.FOLLOWER, term=0, leader_id=None)
@@ -138,7 +129,7 @@
 
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the handler for other replicas to a server not yet started."""
-        handler = peers.handler(self._on_envelope, self._on_hello)
+        handler = peers.handler(self._on_envelope, self._on_hello, self._clock)
         server.add_generic_rpc_handlers((handler,))
 
     @property
@@ -197,7 +188,7 @@
 
     async def propose(
         self, payload: bytes, timeout_ms: int = PROPOSE_TIMEOUT_MS
-    ) -> Applied:
+    ) -> proposals.Applied:
         """Commits a command, applies it and returns its result.
 
         Raises:
@@ -209,18 +200,34 @@
         outputs = self._core.propose(payload, self._clock.now())
         return await self._commit(outputs, timeout_ms)
 
+    async def change_members(
+        self, change: changes.Change, timeout_ms: int = PROPOSE_TIMEOUT_MS
+    ) -> tuple[records.Member, ...]:
+        """Adds, promotes or removes one replica; returns all members.
+
+        Raises:
+          errors.NotLeader: If this replica does not lead; nothing changed.
+          errors.Refused: If the change is not safe or makes no sense.
+          errors.Unavailable: If another change is on its way, or the replica
+            to add does not answer.
+          errors.CommitUnknown: If leadership or time was lost meanwhile.
+        """
+        self._require_running()
+        if not self.is_leader():
+            raise errors.NotLeader(self._other_leader())
+        if isinstance(change, changes.AddLearner) and not change.id:
+            change = await self._identify(change)
+        now = self._clock.now()
+        membership = changes.apply(self._core, change, now)
+        outputs = self._core.change_membership(membership, now)
+        await self._commit(outputs, timeout_ms)
+        return membership.members
+
     # Service.
 
     async def on_start(self) -> None:
         """Recovers the log; raises `errors.StorageError` if it cannot."""
-        if self._storage is None:
-            folder = files.Files(pathlib.Path(self._cfg.data_folder))
-            self._storage = storage.LogStorage(
-                folder, self._cfg.log.segment_bytes
-            )
-        recovered = await self._in_thread(
-            self._storage.open, self._cfg.replica_id
-        )
+        recovered = await self._writer.open(self._cfg.replica_id)
         log = memory_log.MemoryLog(recovered.snapshot, recovered.entries)
         if log.snapshot.index:
             self._restore(log.snapshot)
@@ -235,23 +242,20 @@
 
     async def on_stop(self) -> None:
         """Fails what waits and gives the folder back."""
-        self._fail_proposals(errors.CommitUnknown("the replica stops"))
-        if self._storage is not None:
-            await self._in_thread(self._storage.close)
-        self._executor.shutdown(wait=False)
+        self._proposals.fail("the replica stops")
+        self._carrier.keep_only(set())
+        await self._writer.close()
 
     @Service.task
-    async def _found_group(self) -> None:
-        own = self._cfg.address
-        while not self.should_stop and not self._core.journal.hard_state.group:
-            membership = await founding.founders(
-                self._hello(), own, self._cfg.members
-            )
-            if (
-                membership is not None
-                and not self._core.journal.hard_state.group
-            ):
-                self._handle(self._core.found(membership, self._clock.now()))
+    async def _join_group(self) -> None:
+        names = [m for m in self._cfg.members if m.id != self._cfg.replica_id]
+        while not self.should_stop and not self._group:
+            addresses = [self._route(m.id, m.grpc) for m in names]
+            answers = await founding.greet_all(self._hello(), addresses)
+            first = founding.founders(self._hello(), self._cfg.members, answers)
+            if first is not None and not self._group:
+                self._handle(self._core.found(first, self._clock.now()))
+                self._wake_timer.set()
                 return
             await self.sleep(clock_lib.seconds(founding.RETRY_MS))
 
@@ -272,20 +276,13 @@
     @Service.task
     async def _run_writer(self) -> None:
         while not self.should_stop:
-            await self._write_wanted.wait()
-            self._write_wanted.clear()
-            batch = self._writes
-            self._writes = []
-            if not batch:
-                continue
             try:
-                await self._in_thread(self._storage.write, batch)
+                synced = await self._writer.sync()
             except errors.StorageError as exc:
-                self._fail(exc)
+                if not self.should_stop:
+                    self._fail(exc)
                 return
-            self._synced = batch[-1].sequence
-            self._release()
-            self._handle(self._core.synced(self._synced, self._clock.now()))
+            self._handle(self._core.synced(synced, self._clock.now()))
 
     # What the core asks for.
 
@@ -293,52 +290,27 @@
         for output in outputs:
             match output:
                 case messages.Write():
-                    self._writes.append(output)
-                    self._write_wanted.set()
-                case messages.Send() if output.after > self._synced:
-                    self._held.append(output)
+                    self._writer.put(output)
                 case messages.Send():
-                    self._send(output.envelope)
+                    self._writer.send(output)
                 case messages.Apply():
                     self._apply(output.entries)
                 case messages.Restore():
                     self._restore(output.snapshot)
                 case messages.RoleChanged():
                     self._note_role(output)
-
-    def _release(self) -> None:
-        held = self._held
-        self._held = deque()
-        for output in held:
-            if output.after > self._synced:
-                self._held.append(output)
-            else:
-                self._send(output.envelope)
-
-    def _send(self, envelope: messages.Envelope) -> None:
-        peer = self._peers.get(envelope.receiver) or self._connect(
-            envelope.receiver
-        )
-        if peer is not None:
-            peer.send(envelope)
-
-    def _connect(self, member_id: str) -> peers.Peer | None:
-        address = self._address_of(member_id)
-        if address is None:
-            return None
-        peer = peers.Peer(address, self._rng)
-        self._peers[member_id] = peer
-        self.add_future(peer.run())
-        return peer
+        self._compact()
 
     def _address_of(self, member_id: str) -> str | None:
         name = records.replica_id(member_id)
-        if name in self._cfg.routes:
-            return self._cfg.routes[name]
         member = self._core.membership.find(member_id)
         if member is not None:
-            return member.address.grpc
-        return next((m.grpc for m in self._cfg.members if m.id == name), None)
+            return self._route(name, member.address.grpc)
+        known = (m.grpc for m in self._cfg.members if m.id == name)
+        return self._route(name, next(known, None))
+
+    def _route(self, name: str, address: str | None) -> str | None:
+        return self._cfg.routes.get(name, address)
 
     def _apply(self, entries: tuple[records.Entry, ...]) -> None:
         for entry in entries:
@@ -347,22 +319,18 @@
                 result = self._applier.apply(
                     entry.index, entry.term, entry.payload
                 )
+            else:
+                self._note_members()
             self.applied_cell.set(entry.index)
-            self._resolve(entry, result)
-        self._compact()
+            self._proposals.resolve(entry, result)
 
-    def _resolve(self, entry: records.Entry, result: object) -> None:
-        term, future = self._proposals.pop(entry.index, (0, None))
-        if future is None or future.done():
-            return
-        if term == entry.term:
-            future.set_result(
-                Applied(index=entry.index, term=term, result=result)
-            )
-        else:
-            future.set_exception(errors.CommitUnknown("leadership was lost"))
+    def _note_members(self) -> None:
+        members = self._core.membership.members
+        self._carrier.keep_only({m.id for m in members})
 
     def _compact(self) -> None:
+        if self._core.role is messages.Role.HALTED:
+            return
         index = self.applied_index
         bound = self._cfg.log.snapshot_entries
         if index - self._core.log.snapshot.index >= bound:
@@ -382,38 +350,20 @@
         )
         self._wake_timer.set()
         if change.role is not messages.Role.LEADER:
-            self._fail_proposals(errors.CommitUnknown("leadership was lost"))
+            self._proposals.fail("leadership was lost")
 
     # Shared.
 
     async def _commit(
         self, outputs: list[messages.Output], timeout_ms: int
-    ) -> Applied:
+    ) -> proposals.Applied:
         index = self._core.log.last_index
-        future = asyncio.get_running_loop().create_future()
-        self._proposals[index] = (self._core.term, future)
+        future = self._proposals.add(index)
         self._handle(outputs)
-        try:
-            async with asyncio.timeout(clock_lib.seconds(timeout_ms)):
-                return await future
-        except TimeoutError as exc:
-            raise errors.CommitUnknown(
-                f"not committed within {timeout_ms} ms"
-            ) from exc
-        finally:
-            if self._proposals.get(index, (0, None))[1] is future:
-                del self._proposals[index]
-
-    def _fail_proposals(self, exc: errors.BilberryrouteError) -> None:
-        proposals = self._proposals
-        self._proposals = {}
-        for _, future in proposals.values():
-            if not future.done():
-                future.set_exception(exc)
+        return await self._proposals.outcome(index, future, timeout_ms)
 
     def _fail(self, exc: errors.StorageError) -> None:
         self.failure = exc
-        self._held.clear()
         self.log.error("storage failed, the replica stops acknowledging")
         self._handle(self._core.halt())
 
@@ -432,22 +382,46 @@
             return
         self._handle(self._core.step(envelope, self._clock.now()))
 
-    async def _on_hello(self, hello: peers.Hello) -> peers.Hello:
-        del hello
+    async def _on_hello(self, hello: greeting.Hello) -> greeting.Hello:
         if self._core is None:
             raise errors.Unavailable("the replica starts")
+        if self.is_leader():
+            self._welcome(hello)
         return self._hello()
 
-    def _hello(self) -> peers.Hello:
+    def _welcome(self, hello: greeting.Hello) -> None:
+        change = founding.welcome(self._core.membership, hello)
+        if change is None:
+            return
+        now = self._clock.now()
+        try:
+            membership = changes.apply(self._core, change, now)
+            self._handle(self._core.change_membership(membership, now))
+        except (errors.Refused, errors.Unavailable) as exc:
+            # It greets again soon.
+            self.log.info("cannot take back %s yet: %s", hello.id, exc)
+
+    async def _identify(self, change: changes.AddLearner) -> changes.AddLearner:
+        address = self._route(change.address.id, change.address.grpc)
+        answer = await greeting.greet(address, self._hello())
+        if answer is None:
+            raise errors.Unavailable(f"nobody answers at {address}")
+        if records.replica_id(answer.id) != change.address.id:
+            raise errors.Refused(f"{answer.id} answers at {address}")
+        if answer.group not in ("", self._group):
+            raise errors.Refused(f"{answer.id} belongs to another group")
+        return replace(change, id=answer.id)
+
+    @property
+    def _group(self) -> str:
+        return self._core.journal.hard_state.group
+
+    def _hello(self) -> greeting.Hello:
         own = self._cfg.address
-        return peers.Hello(
+        return greeting.Hello(
             id=self._core.id,
-            group=self._core.journal.hard_state.group,
+            group=self._group,
             grpc=own.grpc,
             datagram=own.datagram,
             failure_domain=own.failure_domain,
         )
-
-    async def _in_thread(self, call, *args):
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._executor, call, *args)
--- a/bilberryroute/consensus/peers.py
+++ b/bilberryroute/consensus/peers.py
@@ -17,19 +17,21 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute.consensus import greeting
 from bilberryroute.consensus import messages
 from bilberryroute.transport import codec
 
-SERVICE = "bilberryroute.consensus"
-STREAM = f"/{SERVICE}/Stream"
-HELLO = f"/{SERVICE}/Hello"
+STREAM = "Stream"
 QUEUE_MESSAGES = 1_024
 FIRST_BACKOFF_MS = 50
 LAST_BACKOFF_MS = 1_000
-HELLO_TIMEOUT_MS = 500
+CONNECT_TIMEOUT_MS = 1_000
+ANSWER_EVERY_MS = 200
+SILENT_MS = 1_500
+BATCH_MESSAGES = 64
 _CHANNEL_OPTIONS = (
     ("grpc.initial_reconnect_backoff_ms", FIRST_BACKOFF_MS),
-    ("grpc.min_reconnect_backoff_ms", FIRST_BACKOFF_MS),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", LAST_BACKOFF_MS),
     ("grpc.use_local_subchannel_pool", 1),
 )
@@ -52,26 +54,8 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Hello:
-    """Who a replica is; sent and answered.
-
-    Attributes:
-      id: Identity of the data folder.
-      group: Group it is bound to, or empty.
-      grpc: Address of its gRPC server.
-      datagram: Address of its datagram socket.
-    """
-
-    id: str
-    group: str
-    grpc: str
-    datagram: str
-    failure_domain: str = ""
-
-
 _wire_decoder = codec.Decoder(_Wire)
-_hello_decoder = codec.Decoder(Hello)
+_batch_decoder = codec.Decoder(list[bytes])
 
 
 def encode(envelope: messages.Envelope) -> bytes:
@@ -86,99 +70,142 @@
     )
 
 
-def decode(payload: bytes) -> messages.Envelope:
-    """Returns the envelope.
+def decode_batch(payload: bytes) -> list[messages.Envelope]:
+    """Returns the envelopes of one stream message.
 
     Raises:
-      errors.MalformedInput: If the payload is not one.
+      errors.MalformedInput: If the payload is none.
     """
-    wire = _wire_decoder.decode(payload)
-    return messages.Envelope(
-        group=wire.group,
-        sender=wire.sender,
-        receiver=wire.receiver,
-        body=_bodies.decode(wire.body),
-    )
+    return [
+        messages.Envelope(
+            group=wire.group,
+            sender=wire.sender,
+            receiver=wire.receiver,
+            body=_bodies.decode(wire.body),
+        )
+        for wire in map(_wire_decoder.decode, _batch_decoder.decode(payload))
+    ]
 
 
 def handler(
     on_envelope: Callable[[messages.Envelope], None],
-    on_hello: Callable[[Hello], Awaitable[Hello]],
+    on_hello: Callable[[greeting.Hello], Awaitable[greeting.Hello]],
+    clock: clock_lib.Clock,
 ) -> grpc.GenericRpcHandler:
     """Returns the handler that a gRPC server serves to other replicas."""
 
     async def stream(
         requests: AsyncIterator[bytes], context: grpc.aio.ServicerContext
-    ) -> bytes:
+    ) -> AsyncIterator[bytes]:
+        answered_ms = clock.now()
         async for payload in requests:
             try:
-                on_envelope(decode(payload))
+                for envelope in decode_batch(payload):
+                    on_envelope(envelope)
             except errors.MalformedInput as exc:
                 await context.abort(
                     grpc.StatusCode.INVALID_ARGUMENT, exc.message
                 )
-        return b""
+            if clock.now() >= answered_ms + ANSWER_EVERY_MS:
+                answered_ms = clock.now()
+                yield b""
 
     async def hello(payload: bytes, context: grpc.aio.ServicerContext) -> bytes:
         try:
-            return codec.encode(await on_hello(_hello_decoder.decode(payload)))
+            return codec.encode(await on_hello(greeting.decode(payload)))
         except errors.BilberryrouteError as exc:
             return await context.abort(grpc.StatusCode.UNAVAILABLE, exc.message)
 
     return grpc.method_handlers_generic_handler(
-        SERVICE,
+        greeting.SERVICE,
         {
-            "Stream": grpc.stream_unary_rpc_method_handler(stream),
-            "Hello": grpc.unary_unary_rpc_method_handler(hello),
+            STREAM: grpc.stream_stream_rpc_method_handler(stream),
+            greeting.METHOD: grpc.unary_unary_rpc_method_handler(hello),
         },
     )
 
 
-async def greet(address: str, own: Hello) -> Hello | None:
-    """Returns who listens at an address, or None if nobody answers."""
-    async with grpc.aio.insecure_channel(address) as channel:
-        call = channel.unary_unary(HELLO)
-        timeout = clock_lib.seconds(HELLO_TIMEOUT_MS)
-        try:
-            return _hello_decoder.decode(
-                await call(codec.encode(own), timeout=timeout)
-            )
-        except (grpc.RpcError, errors.MalformedInput):
-            return None
-
-
 class Peer:
-    """Sender of one direction, which reconnects until it is stopped."""
+    """Sender of one direction, which reconnects until it is stopped.
+
+    The receiver answers a little now and then, so that a connection on which
+    everything vanishes is noticed and replaced.
+    """
 
-    def __init__(self, address: str, rng: random.Random):
+    def __init__(
+        self, address: str, clock: clock_lib.Clock, rng: random.Random
+    ):
         self.address = address
+        self._clock = clock
         self._rng = rng
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_MESSAGES)
         self._backoff_ms = FIRST_BACKOFF_MS
+        self._sent_ms = 0
+        self._unanswered_ms: int | None = None
 
     def send(self, envelope: messages.Envelope) -> None:
         """Queues an envelope, or drops it if the queue is full."""
-        try:
+        with contextlib.suppress(asyncio.QueueFull):
             self._queue.put_nowait(encode(envelope))
-        except asyncio.QueueFull:
-            return
 
     async def run(self) -> None:
         """Keeps a stream open and sends what is queued."""
         while True:
-            with contextlib.suppress(grpc.RpcError, asyncio.InvalidStateError):
-                await self._run_stream()
+            with contextlib.suppress(
+                grpc.RpcError, asyncio.InvalidStateError, TimeoutError
+            ):
+                await self._run_channel()
             await asyncio.sleep(clock_lib.seconds(self._next_backoff()))
             self._drop_queue()
 
-    async def _run_stream(self) -> None:
+    async def _run_channel(self) -> None:
         options = list(_CHANNEL_OPTIONS)
         async with grpc.aio.insecure_channel(self.address, options) as channel:
-            await channel.channel_ready()
+            async with asyncio.timeout(clock_lib.seconds(CONNECT_TIMEOUT_MS)):
+                await channel.channel_ready()
             self._backoff_ms = FIRST_BACKOFF_MS
-            call = channel.stream_unary(STREAM)()
-            while True:
-                await call.write(await self._queue.get())
+            self._unanswered_ms = None
+            path = f"/{greeting.SERVICE}/{STREAM}"
+            await self._run_call(channel.stream_stream(path)())
+
+    async def _run_call(self, call: grpc.aio.StreamStreamCall) -> None:
+        parts = (self._write(call), self._read(call), self._watch())
+        tasks = [asyncio.ensure_future(part) for part in parts]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            call.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _write(self, call: grpc.aio.StreamStreamCall) -> None:
+        while True:
+            batch = [await self._queue.get()]
+            while len(batch) < BATCH_MESSAGES and not self._queue.empty():
+                batch.append(self._queue.get_nowait())
+            self._note_sent()
+            await call.write(codec.encode(batch))
+
+    async def _read(self, call: grpc.aio.StreamStreamCall) -> None:
+        async for _ in call:
+            self._unanswered_ms = None
+
+    async def _watch(self) -> None:
+        while not self._is_silent():
+            await asyncio.sleep(clock_lib.seconds(ANSWER_EVERY_MS))
+
+    def _note_sent(self) -> None:
+        now = self._clock.now()
+        paused = now >= self._sent_ms + SILENT_MS // 2
+        if self._unanswered_ms is None or paused:
+            # After a pause, what was sent before may never be answered.
+            self._unanswered_ms = now
+        self._sent_ms = now
+
+    def _is_silent(self) -> bool:
+        since = self._unanswered_ms
+        return since is not None and self._sent_ms >= since + SILENT_MS
 
     def _next_backoff(self) -> int:
         backoff = self._backoff_ms
--- a/bilberryroute/consensus/storage.py
+++ b/bilberryroute/consensus/storage.py
@@ -101,6 +101,8 @@
         Raises:
           errors.StorageError: If that fails, now or at any time before.
         """
+        if self._segment is None:
+            raise errors.StorageError("the log is closed")
         if self._failure is not None:
             raise errors.StorageError(f"log failed before: {self._failure}")
         try:
@@ -139,46 +141,54 @@
         self._size += len(content)
 
     def _checkpoint(self, write: messages.Write) -> None:
-        name = f"{_SNAPSHOT}{write.snapshot.index:020d}"
+        name = _snapshot_name(write.snapshot.index)
         self._write_file(name, codec.encode(write.snapshot))
         record = Record(
             checkpoint=write.snapshot.index,
             hard_state=write.hard_state,
             entries=write.tail,
         )
-        self._start_segment()
-        self._append(frames.frame(codec.encode(record)))
+        self._start_segment(record)
         self._remove_before(self._number, name)
 
-    def _start_segment(self) -> None:
+    def _start_segment(self, first: Record | None = None) -> None:
+        """Starts a segment, which with a first record appears whole."""
         if self._segment is not None:
             self._files.close(self._segment)
             self._segment = None
         self._number += 1
-        self._segment = self._files.open_append(_segment_name(self._number))
-        self._files.sync_folder()
         self._size = 0
+        name = _segment_name(self._number)
+        if first is not None:
+            self._size = self._write_file(name, codec.encode(first))
+        self._segment = self._files.open_append(name)
+        if first is None:
+            self._files.sync_folder()
 
     def _remove_before(self, number: int, snapshot: str) -> None:
         for name in self._files.names():
             old_segment = name.startswith(_SEGMENT) and (
                 name < _segment_name(number)
             )
-            old_snapshot = name.startswith(_SNAPSHOT) and name < snapshot
-            if old_segment or old_snapshot:
+            old_snapshot = name.startswith(_SNAPSHOT) and name != snapshot
+            leftover = name.endswith(_TEMPORARY)
+            if old_segment or old_snapshot or leftover:
                 self._files.remove(name)
 
-    def _write_file(self, name: str, payload: bytes) -> None:
+    def _write_file(self, name: str, payload: bytes) -> int:
+        """Writes a file of one frame, all or nothing; returns its size."""
+        content = frames.frame(payload)
         temporary = name + _TEMPORARY
         self._files.remove(temporary)
         descriptor = self._files.open_append(temporary)
         try:
-            self._files.write(descriptor, frames.frame(payload))
+            self._files.write(descriptor, content)
             self._files.sync(descriptor)
         finally:
             self._files.close(descriptor)
         self._files.rename(temporary, name)
         self._files.sync_folder()
+        return len(content)
 
     def _create(self, replica: str) -> None:
         leftover = [n for n in self._files.names() if n.startswith(_SNAPSHOT)]
@@ -186,15 +196,18 @@
             raise errors.LogDamaged("the identity file is missing")
         for name in self._segments():
             self._files.remove(name)
-        self._start_segment()
         empty = Record(checkpoint=0, hard_state=records.HardState())
-        self._append(frames.frame(codec.encode(empty)))
+        self._start_segment(empty)
         token = secrets.token_hex(_TOKEN_BYTES)
         identity = Identity(id=records.identity(replica, token))
         self._write_file(_IDENTITY, codec.encode(identity))
 
     def _segments(self) -> list[str]:
-        return [n for n in self._files.names() if n.startswith(_SEGMENT)]
+        return [
+            n
+            for n in self._files.names()
+            if n.startswith(_SEGMENT) and not n.endswith(_TEMPORARY)
+        ]
 
     def _recover(self) -> Recovered:
         identity = _identity_decoder.decode(self._single(_IDENTITY))
@@ -206,11 +219,24 @@
         )
         checkpoint = self._replay(recovered)
         if checkpoint:
-            name = f"{_SNAPSHOT}{checkpoint:020d}"
-            payload = self._single(name)
+            payload = self._single(_snapshot_name(checkpoint))
             recovered.snapshot = _snapshot_decoder.decode(payload)
+        self._renew(recovered, checkpoint)
         return recovered
 
+    def _renew(self, recovered: Recovered, checkpoint: int) -> None:
+        """Copies the log, as what was read need not be on the disk.
+
+        After a failed sync, content may be in the system's cache alone.
+        """
+        record = Record(
+            checkpoint=checkpoint,
+            hard_state=recovered.hard_state,
+            entries=tuple(recovered.entries),
+        )
+        self._start_segment(record)
+        self._remove_before(self._number, _snapshot_name(checkpoint))
+
     def _single(self, name: str) -> bytes:
         if name not in self._files.names():
             raise errors.LogDamaged(f"{name} is missing")
@@ -220,12 +246,10 @@
         return found.payloads[0]
 
     def _replay(self, recovered: Recovered) -> int:
+        """Replays from the last segment that stands for all before it."""
         checkpoint = None
-        segments = self._segments()
-        for position, name in enumerate(segments):
-            last = position == len(segments) - 1
-            for payload in self._payloads(name, last=last):
-                record = _decode(payload, name)
+        for name, replayed in self._live_segments():
+            for record in replayed:
                 if record.checkpoint is not None:
                     checkpoint = record.checkpoint
                     recovered.entries = []
@@ -237,26 +261,39 @@
             raise errors.LogDamaged("the log lacks its first entries")
         return checkpoint
 
-    def _payloads(self, name: str, *, last: bool) -> tuple[bytes, ...]:
+    def _live_segments(self) -> list[tuple[str, list[Record]]]:
+        live: list[tuple[str, list[Record]]] = []
+        names = self._segments()
+        if not names:
+            raise errors.LogDamaged("the log is missing")
+        for name in reversed(names):
+            replayed = self._records(name, last=name == names[-1])
+            live.insert(0, (name, replayed))
+            if replayed and replayed[0].checkpoint is not None:
+                break
+        numbers = [int(name.removeprefix(_SEGMENT)) for name, _ in live]
+        if numbers != list(range(numbers[0], numbers[-1] + 1)):
+            raise errors.LogDamaged("a segment of the log is missing")
+        self._number = numbers[-1]
+        return live
+
+    def _records(self, name: str, *, last: bool) -> list[Record]:
         content = self._files.read(name)
         found = frames.scan(content)
         torn = found.size < len(content)
         if found.damaged or (torn and not last):
             raise errors.LogDamaged(f"{name} is damaged at byte {found.size}")
-        if last:
-            self._number = int(name.removeprefix(_SEGMENT))
-            self._segment = self._files.open_append(name)
-            self._size = found.size
-            if torn:
-                self._files.truncate(self._segment, found.size)
-                self._files.sync(self._segment)
-        return found.payloads
+        return [_decode(payload, name) for payload in found.payloads]
 
 
 def _segment_name(number: int) -> str:
     return f"{_SEGMENT}{number:012d}"
 
 
+def _snapshot_name(index: int) -> str:
+    return f"{_SNAPSHOT}{index:020d}"
+
+
 def _decode(payload: bytes, name: str) -> Record:
     try:
         return _record_decoder.decode(payload)
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -307,6 +307,7 @@
                     self.observer.on_state(node.applied, node.state)
                 case messages.RoleChanged():
                     self._note_role(node, output)
+        self._compact(node)
         self._start_sync(node)
         self._set_timer(node)
 
@@ -317,10 +318,12 @@
             node.state = zlib.crc32(b"%d" % node.state + entry.payload)
             node.applied = entry.index
             self.observer.on_state(entry.index, node.state)
+
+    def _compact(self, node: Node) -> None:
         if node.applied - node.core.log.snapshot.index >= SNAPSHOT_ENTRIES:
             payload = b"%d" % node.state
-            self._handle(
-                node, node.core.compact(node.applied, payload, KEPT_ENTRIES)
+            node.pending += node.core.compact(
+                node.applied, payload, KEPT_ENTRIES
             )
 
     def _note_role(self, node: Node, change: messages.RoleChanged) -> None:
