Check what callers are told against what ran, under eight kinds of fault

Cause of the change of the run header: an endpoint that was asked for a run that it had never seen closed the request id, and then refused the next run of the same id, whose refusal was passed on as the answer. Endpoints now close one run (Bilberryroute-Run), not the id.

A claim on an agent that is gone cannot be settled, so an entry now asks an agent that it has not heard of for 200 ms whether it is there, and as which incarnation, before it claims.

--- a/bilberryroute/agent/endpoint_client.py
+++ b/bilberryroute/agent/endpoint_client.py
@@ -182,7 +182,7 @@
 def _headers(order: protocol.Dispatch) -> dict[str, str]:
     return {
         protocol.REQUEST_ID_HEADER: order.request_id,
-        protocol.ATTEMPT_HEADER: str(order.attempt),
+        protocol.RUN_HEADER: order.key,
         protocol.ACCOUNT_HEADER: order.account,
         protocol.DEADLINE_HEADER: str(order.time_left_ms),
     }
--- a/bilberryroute/agent/requests.py
+++ b/bilberryroute/agent/requests.py
@@ -47,6 +47,7 @@
         """Adds the routes."""
         app.router.add_post(protocol.DISPATCH_PATH, self._dispatch)
         app.router.add_post(protocol.ATTACH_PATH, self._attach)
+        app.router.add_get(protocol.INCARNATION_PATH, self._say_incarnation)
 
     async def drain(self) -> None:
         """Takes nothing new once the entries had time to notice; finishes."""
@@ -77,6 +78,11 @@
         record = self._runner.get(order.key) or self._runner.begin(order, body)
         return await self._reply(order.key, record, order.wait_ms)
 
+    async def _say_incarnation(self, req: web.Request) -> web.Response:
+        return self._respond(
+            protocol.Reply(key="", state=protocol.State.RUNNING)
+        )
+
     async def _attach(self, req: web.Request) -> web.Response:
         ask = protocol.decode(
             req.headers.get(protocol.DISPATCH_HEADER), protocol.Attach
--- a/bilberryroute/entry/claims.py
+++ b/bilberryroute/entry/claims.py
@@ -80,7 +80,7 @@
         generation = 1
         try:
             while generation <= outcomes.GENERATIONS_MAX:
-                view = await self._dispatcher.acquire(call, limits)
+                view = await self._acquire_live(call, limits)
                 answered = await self._run_generation(call, view, generation)
                 if answered is not None:
                     return answered
@@ -91,6 +91,40 @@
                 raise
             return await self._close(call, generation, exc)
 
+    async def _acquire_live(
+        self, call: calls.Call, limits: config.Service
+    ) -> wire.EndpointView:
+        """Returns an endpoint whose agent answered a moment ago.
+
+        A claim on an agent that is gone could not be settled any more.
+        """
+        avoid: set[str] = set()
+        while True:
+            view = await self._dispatcher.acquire(call, limits, avoid)
+            try:
+                incarnation = await self._incarnation(view)
+                return dataclasses.replace(view, incarnation=incarnation)
+            except calls.ReplyError as exc:
+                self._dispatcher.observe(view.name, exc.reason)
+                self._dispatcher.metrics.retried(exc.reason)
+                self._dispatcher.release(view)
+                avoid.add(view.name)
+                await self._back_off(call, len(avoid))
+            except BaseException:
+                self._dispatcher.release(view)
+                raise
+
+    async def _incarnation(self, view: wire.EndpointView) -> str:
+        agents = self._dispatcher.agents
+        recent = agents.recent_incarnation(view.http)
+        return recent or await agents.incarnation(view.http)
+
+    async def _back_off(self, call: calls.Call, tries: int) -> None:
+        wait_ms = retries.backoff_ms(tries, self._rng)
+        if wait_ms >= call.left_ms(self._dispatcher.clock.now()):
+            raise errors.DeadlineExceeded("no agent answered in time")
+        await asyncio.sleep(clock_lib.seconds(wait_ms))
+
     async def _run_generation(
         self, call: calls.Call, view: wire.EndpointView, generation: int
     ) -> calls.Answered | None:
--- a/bilberryroute/entry/forward.py
+++ b/bilberryroute/entry/forward.py
@@ -5,7 +5,9 @@
 is abandoned with its connection, and a new connection asks for the same key.
 """
 
+import contextlib
 import dataclasses
+from collections.abc import Iterator
 
 import aiohttp
 
@@ -19,6 +21,7 @@
 
 CONNECT_TIMEOUT_MS = 1_000
 REATTACHES_MAX = 2
+CONTACT_RECENT_MS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,6 +40,14 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Contact:
+    """When an agent answered last, and as which incarnation."""
+
+    incarnation: str
+    at: int
+
+
 class AgentClient:
     """Dispatches to agents and re-attaches to what runs there."""
 
@@ -49,6 +60,7 @@
         self._timing = timing
         self._clock = clock
         self._metrics = metrics
+        self._contacts: dict[str, Contact] = {}
         self._sessions = sessions.Sessions(
             retired_ms=timing.probe_ms + timing.probe_timeout_ms
         )
@@ -126,6 +138,29 @@
         """Returns whether to turn to another agent, if that is allowed."""
         return call.idempotent and failures >= REATTACHES_MAX
 
+    async def incarnation(self, address: str) -> str:
+        """Returns the incarnation of an agent that answers at once.
+
+        Raises:
+          calls.ReplyError: If it does not answer.
+        """
+        url = f"http://{address}{protocol.INCARNATION_PATH}"
+        timeout = _timeout(self._timing.probe_timeout_ms)
+        with self._reply_errors(address):
+            pool = self._sessions.of(address)
+            async with pool.get(url, timeout=timeout) as resp:
+                exchange = await self._read(resp, "", 0)
+        self._note_contact(address, exchange.reply)
+        return exchange.reply.incarnation
+
+    def recent_incarnation(self, address: str) -> str | None:
+        """Returns an agent's incarnation if it answered a moment ago."""
+        contact = self._contacts.get(address)
+        if contact is None:
+            return None
+        age_ms = self._clock.now() - contact.at
+        return contact.incarnation if age_ms <= CONTACT_RECENT_MS else None
+
     async def _exchange(
         self,
         address: str,
@@ -134,19 +169,27 @@
         body: bytes,
     ) -> Exchange:
         url = f"http://{address}{protocol.DISPATCH_PATH}"
+        offset = 0
         if isinstance(message, protocol.Attach):
             url += f"/{call.id}/attach"
+            offset = message.offset
         left_ms = call.left_ms(self._clock.now())
         total_ms = min(left_ms, message.wait_ms + self._timing.probe_timeout_ms)
-        try:
+        with self._reply_errors(address):
             async with self._sessions.of(address).post(
                 url,
                 data=body,
                 headers={protocol.DISPATCH_HEADER: protocol.encode(message)},
                 timeout=_timeout(total_ms),
             ) as resp:
-                offset = getattr(message, "offset", 0)
-                return await self._read(resp, message.key, offset)
+                exchange = await self._read(resp, message.key, offset)
+        self._note_contact(address, exchange.reply)
+        return exchange
+
+    @contextlib.contextmanager
+    def _reply_errors(self, address: str) -> Iterator[None]:
+        try:
+            yield
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -169,6 +212,11 @@
                 protocol.Reason.AGENT_MALFORMED, sent=True
             ) from exc
 
+    def _note_contact(self, address: str, reply: protocol.Reply) -> None:
+        self._contacts[address] = Contact(
+            incarnation=reply.incarnation, at=self._clock.now()
+        )
+
     async def _read(
         self, resp: aiohttp.ClientResponse, key: str, offset: int
     ) -> Exchange:
--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -158,9 +158,12 @@
             resp = answers.new_response(answered)
             outcome = errors.Outcome.ANSWERED
         except errors.BilberryrouteError as exc:
-            exc.outcome = _outcome_of(exc, call)
-            api.count_error(self.metrics, exc)
-            resp = api.problem_response(exc)
+            resp = self._problem(exc, call)
+            outcome = exc.outcome
+        except Exception:  # The caller gets no traceback, the log does.
+            self.log.exception("request %s failed", call.id)
+            exc = errors.OutcomeUnknown("unexpected error")
+            resp = self._problem(exc, call)
             outcome = exc.outcome
         labels = {"service": call.service, "outcome": str(outcome)}
         self.metrics.requests.inc(labels)
@@ -171,6 +174,13 @@
             await self._answers.send(req, resp, call, answered)
         return resp
 
+    def _problem(
+        self, exc: errors.BilberryrouteError, call: calls.Call
+    ) -> web.Response:
+        exc.outcome = _outcome_of(exc, call)
+        api.count_error(self.metrics, exc)
+        return api.problem_response(exc)
+
     async def _run(self, call: calls.Call) -> calls.Answered:
         if not self._accepting:
             raise errors.Draining("this entry is leaving")
--- a/bilberryroute/routing/protocol.py
+++ b/bilberryroute/routing/protocol.py
@@ -16,7 +16,7 @@
 DISPATCH_HEADER = "Bilberryroute-Dispatch"
 REPLY_HEADER = "Bilberryroute-Reply"
 REQUEST_ID_HEADER = "Bilberryroute-Request-Id"
-ATTEMPT_HEADER = "Bilberryroute-Attempt"
+RUN_HEADER = "Bilberryroute-Run"
 ATTEMPTS_HEADER = "Bilberryroute-Attempts"
 ACCOUNT_HEADER = "Bilberryroute-Account"
 IDEMPOTENT_HEADER = "Bilberryroute-Idempotent"
@@ -26,6 +26,7 @@
 STATE_HEADER = "Bilberryroute-State"
 
 DISPATCH_PATH = "/internal/v1/requests"
+INCARNATION_PATH = "/internal/v1/incarnation"
 ATTACH_PATH = DISPATCH_PATH + "/{id}/attach"
 SEGMENT_BYTES = 262_144
 
--- a/tests/requests/conftest.py
+++ b/tests/requests/conftest.py
@@ -1,37 +1,115 @@
 import collections
 import contextlib
 import dataclasses
+import random
 
 import aiohttp
 import pytest
 
 from tests.requests import fakes
+from tests.utils import relay
 
 
 @dataclasses.dataclass
 class Stack:
-    """Two entries, agents with an endpoint each, and the log of claims."""
+    """Two entries, agents with an endpoint each, and the log of claims.
+
+    With `relayed`, relays stand before each agent and each endpoint.
+    """
 
     log: fakes.FakeLog
     ran: collections.Counter
     session: aiohttp.ClientSession
+    cleanup: contextlib.AsyncExitStack
+    timing: dict[str, int]
+    relayed: bool
     agents: list[fakes.AgentProcess]
     endpoints: list[fakes.RecordingEndpoint]
     entries: list[fakes.EntryProcess]
+    to_agents: list[relay.TcpRelay]
+    to_endpoints: list[relay.TcpRelay]
 
     def see(self) -> None:
         """Shows all endpoints to both entries."""
-        views = [view for agent in self.agents for view in agent.views()]
+        views = []
+        for number, agent in enumerate(self.agents):
+            via = self.to_agents[number].address if self.relayed else ""
+            views += agent.views(via)
         for entry in self.entries:
             entry.see(*views)
 
+    async def add_endpoint(self, run_ms: int) -> None:
+        """Starts an agent with its endpoint, and the relays."""
+        number = len(self.agents)
+        endpoint = fakes.RecordingEndpoint(f"e{number}", self.ran, run_ms)
+        await endpoint.served.start()
+        self.cleanup.push_async_callback(endpoint.served.stop)
+        self.endpoints.append(endpoint)
+        if self.relayed:
+            self.to_endpoints.append(await self._relay(endpoint.served.address))
+        self.agents.append(fakes.AgentProcess(f"a{number}", **self.timing))
+        await self._start_agent(number)
+        if self.relayed:
+            address = self.agents[number].served.address
+            self.to_agents.append(await self._relay(address))
+
+    async def kill_agent(self, number: int) -> None:
+        """Kills an agent."""
+        await self.agents[number].kill()
+
+    async def restart_agent(self, number: int) -> None:
+        """Starts an agent again at its address, with a new incarnation."""
+        old = self.agents[number]
+        incarnation = str(int(old.incarnation) + 1)
+        new = fakes.AgentProcess(old.name, incarnation, **self.timing)
+        self.agents[number] = new
+        port = int(old.served.address.rpartition(":")[2])
+        await self._start_agent(number, port)
+        self.see()
+
+    async def restart_entry(self, number: int) -> None:
+        """Kills an entry and starts another in its place."""
+        old = self.entries[number]
+        old.served.abort()
+        await old.stop()
+        port = int(old.served.address.rpartition(":")[2])
+        await self.start_entry(number, port)
+
+    async def start_entry(self, number: int, port: int = 0) -> None:
+        """Starts an entry."""
+        name = f"n{number}"
+        entry = fakes.EntryProcess(name, self.log, number, **self.timing)
+        await entry.start(port)
+        self.cleanup.push_async_callback(entry.stop)
+        self.entries[number:] = [entry, *self.entries[number + 1 :]]
+        self.see()
+
+    async def _start_agent(self, number: int, port: int = 0) -> None:
+        agent = self.agents[number]
+        endpoint = self.endpoints[number]
+        address = endpoint.served.address
+        if self.relayed:
+            address = self.to_endpoints[number].address
+        agent.announce(endpoint, address=address, answers_probes=True)
+        await agent.start(port)
+        self.cleanup.push_async_callback(agent.stop)
+
+    async def _relay(self, target: str) -> relay.TcpRelay:
+        before = relay.TcpRelay(target, random.Random(0))
+        await before.start()
+        self.cleanup.push_async_callback(before.stop)
+        return before
+
 
 @pytest.fixture
 async def make_stack():
     async with contextlib.AsyncExitStack() as cleanup:
 
         async def make(
-            agents: int = 2, run_ms: int = 0, **timing: int
+            agents: int = 2,
+            run_ms: int = 0,
+            relayed: bool = False,
+            **timing: int,
         ) -> Stack:
             stack = Stack(
                 log=fakes.FakeLog(),
@@ -39,27 +117,20 @@
                 session=aiohttp.ClientSession(
                     connector=aiohttp.TCPConnector(limit=0)
                 ),
+                cleanup=cleanup,
+                timing=timing,
+                relayed=relayed,
                 agents=[],
                 endpoints=[],
                 entries=[],
+                to_agents=[],
+                to_endpoints=[],
             )
-            for i in range(agents):
-                endpoint = fakes.RecordingEndpoint(f"e{i}", stack.ran, run_ms)
-                await endpoint.served.start()
-                cleanup.push_async_callback(endpoint.served.stop)
-                agent = fakes.AgentProcess(f"a{i}", **timing)
-                await agent.served.start()
-                cleanup.push_async_callback(agent.stop)
-                agent.announce(endpoint)
-                stack.endpoints.append(endpoint)
-                stack.agents.append(agent)
-            for i in range(2):
-                entry = fakes.EntryProcess(f"n{i}", stack.log, i, **timing)
-                await entry.start()
-                cleanup.push_async_callback(entry.stop)
-                stack.entries.append(entry)
+            for _ in range(agents):
+                await stack.add_endpoint(run_ms)
+            for number in range(2):
+                await stack.start_entry(number)
             cleanup.push_async_callback(stack.session.close)
-            stack.see()
             return stack
 
         yield make
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -75,12 +75,19 @@
             self.app, access_log=None, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        site = web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True)
         await site.start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
         return self.address
 
+    def abort(self) -> None:
+        """Resets all connections."""
+        if self._runner is not None and self._runner.server is not None:
+            for conn in self._runner.server.connections:
+                if conn.transport is not None:
+                    conn.transport.abort()
+
     async def stop(self) -> None:
         """Stops what runs."""
         if self._runner is not None:
@@ -98,27 +105,53 @@
         self.status = 200
         self.active = 0
         self.peak = 0
+        self.answers: dict[str, bytes] = {}
+        self.fenced: set[str] = set()
         app = web.Application(client_max_size=1 << 24)
         app.router.add_post("/", self.handle)
+        app.router.add_get("/requests/{id}", self.probe)
         self.served = Served(app)
 
     async def handle(self, req: web.Request) -> web.StreamResponse:
         """Runs one request and writes it down."""
         request_id = req.headers["Bilberryroute-Request-Id"]
         body = await req.read()
+        run = req.headers["Bilberryroute-Run"]
+        if run in self.fenced:
+            return web.Response(status=409)
         self.ran[request_id] += 1
+        self.answers[run] = b""
         self.active += 1
         self.peak = max(self.peak, self.active)
         try:
             await asyncio.sleep(clock_lib.seconds(self.run_ms))
         finally:
             self.active -= 1
+        answer = b"%s:%s" % (request_id.encode(), body)
+        self.answers[run] = answer
         return web.Response(
-            body=b"%s:%s" % (request_id.encode(), body),
+            body=answer,
             status=self.status,
             headers={"Bilberryroute-Request-Id": request_id},
         )
 
+    async def probe(self, req: web.Request) -> web.Response:
+        """Says what became of a run; one never seen never happens."""
+        request_id = req.match_info["id"]
+        run = req.headers["Bilberryroute-Run"]
+        answer = self.answers.get(run)
+        state = "done" if answer else "running"
+        if answer is None:
+            self.fenced.add(run)
+            state = "not_run"
+        return web.Response(
+            body=answer or b"",
+            headers={
+                "Bilberryroute-State": state,
+                "Bilberryroute-Request-Id": request_id,
+            },
+        )
+
 
 def make_settings(host: str, **timing: int) -> settings.Settings:
     return settings.Settings(
@@ -154,13 +187,16 @@
         self.requests.register(app)
         self.served = Served(app)
 
+    async def start(self, port: int = 0) -> None:
+        """Starts the services and their server; endpoints stay as they are."""
+        await self.requests.start()
+        await self.served.start(port)
+
     def announce(self, endpoint: RecordingEndpoint, **fields: object) -> None:
         """Announces an endpoint as if it had posted."""
+        known = {"address": endpoint.served.address} | fields
         announced = endpoints.Announcement(
-            name=endpoint.name,
-            service=SERVICE,
-            address=endpoint.served.address,
-            **fields,
+            name=endpoint.name, service=SERVICE, **known
         )
         known = self.board.announcements.get()
         self.board.announcements.set(known | {endpoint.name: announced})
@@ -188,6 +224,13 @@
         await self.served.stop()
         await self.requests.stop()
 
+    async def kill(self) -> None:
+        """Ends everything at once, as a killed process would."""
+        self.served.abort()
+        for run in list(self.requests._runner._runs.values()):
+            run.cancel()
+        await self.stop()
+
 
 class EntryProcess:
     """An entry's request path with its own blackboard."""
@@ -220,10 +263,10 @@
         """Puts endpoints on the blackboard."""
         self.board.endpoints.set(tuple(views))
 
-    async def start(self) -> None:
+    async def start(self, port: int = 0) -> None:
         """Starts the service and its server."""
         await self.requests.start()
-        await self.served.start()
+        await self.served.start(port)
 
     async def stop(self) -> None:
         """Stops what runs."""
--- /dev/null
+++ b/tests/requests/test_faults.py
@@ -0,0 +1,113 @@
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from bilberryroute import clock as clock_lib
+from tests.requests import load
+
+COUNT = 2_000
+AGENTS = 4
+TIMING = {"probe_ms": 150, "probe_timeout_ms": 250}
+
+
+async def pause(duration_ms: int) -> None:
+    await asyncio.sleep(clock_lib.seconds(duration_ms))
+
+
+async def kill_agents(stack, rng: random.Random) -> None:
+    number = rng.randrange(AGENTS)
+    await stack.kill_agent(number)
+    await pause(150)
+    await stack.restart_agent(number)
+
+
+async def kill_endpoints(stack, rng: random.Random) -> None:
+    endpoint = rng.choice(stack.endpoints)
+    port = int(endpoint.served.address.rpartition(":")[2])
+    endpoint.served.abort()
+    await endpoint.served.stop()
+    await pause(150)
+    await endpoint.served.start(port)
+
+
+async def kill_entries(stack, rng: random.Random) -> None:
+    await stack.restart_entry(rng.randrange(2))
+
+
+async def freeze_agents(stack, rng: random.Random) -> None:
+    before = rng.choice(stack.to_agents)
+    before.cut()
+    await pause(300)
+    before.heal()
+
+
+async def silence_agents(stack, rng: random.Random) -> None:
+    await silence(rng.choice(stack.to_agents))
+
+
+async def silence_endpoints(stack, rng: random.Random) -> None:
+    await silence(rng.choice(stack.to_endpoints))
+
+
+async def silence(before) -> None:
+    before.forward.swallow = before.backward.swallow = True
+    await pause(30)
+    before.heal()
+
+
+async def cut_answers(stack, rng: random.Random) -> None:
+    before = rng.choice(stack.to_agents + stack.to_endpoints)
+    before.backward.reset = 0.3
+    await pause(100)
+    before.heal()
+
+
+async def repeat(chaos, stack, seed: int) -> None:
+    rng = random.Random(seed)
+    while True:
+        await pause(250)
+        await chaos(stack, rng)
+
+
+@contextlib.asynccontextmanager
+async def faults(stack, chaoses):
+    tasks = [
+        asyncio.create_task(repeat(chaos, stack, seed))
+        for seed, chaos in enumerate(chaoses)
+    ]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+    for result in ended:
+        assert isinstance(result, asyncio.CancelledError), result
+
+
+@pytest.mark.parametrize(
+    "chaoses",
+    [
+        (kill_agents,),
+        (kill_endpoints,),
+        (kill_entries,),
+        (freeze_agents,),
+        (silence_agents,),
+        (silence_endpoints,),
+        (cut_answers,),
+        (kill_agents, silence_endpoints),
+    ],
+    ids=lambda chaoses: "+".join(chaos.__name__ for chaos in chaoses),
+)
+async def test_no_caller_is_told_an_untruth(make_stack, chaoses):
+    relayed = not set(chaoses) <= {kill_agents, kill_endpoints, kill_entries}
+    stack = await make_stack(AGENTS, run_ms=5, relayed=relayed, **TIMING)
+    async with faults(stack, chaoses):
+        ledger = await load.run(stack, COUNT, seed=1)
+    await pause(200)
+    assert len(ledger.told) == COUNT
+    assert ledger.violations(stack.ran) == []
+    assert max(endpoint.peak for endpoint in stack.endpoints) <= 8
+    assert ledger.outcomes()["answered"] > COUNT / 2
