--- a/bilberryroute/cli/system.py
+++ b/bilberryroute/cli/system.py
@@ -1,10 +1,14 @@
 """Commands on the system as a whole and on single processes."""
 
+from collections.abc import Iterator
+
 from bilberryroute import status
 from bilberryroute.cli import checks
 from bilberryroute.cli import client
 from bilberryroute.model import queries
 
+Table = tuple[tuple[str, ...], list[tuple[object, ...]]]
+
 
 @client.command
 async def show_status(
@@ -59,18 +63,28 @@
         ("revision", view.revision),
         ("jobs", counts or "none"),
     )
-    out.line()
-    out.table(
+    for header, rows in _tables(view):
+        if rows:
+            out.line()
+            out.table(header, rows)
+    for sentence in (*view.shortfalls, *view.violations):
+        out.line(f"! {sentence}")
+
+
+def _tables(view: queries.StatusView) -> Iterator[Table]:
+    yield (
         ("replica", "role", "match index", "heard ms ago"),
         [(r.id, r.role, r.match_index, r.heard_ms_ago) for r in view.replicas],
     )
-    out.line()
-    out.table(
+    yield (
+        ("entry", "revision"),
+        [(e.name, e.revision) for e in view.entries],
+    )
+    yield (
         ("failure domain", "in service"),
         [(d.name, _yes(d.in_service)) for d in view.failure_domains],
     )
-    out.line()
-    out.table(
+    yield (
         ("agent", "failure domain", "revision", "lease left ms", "draining"),
         [
             (
@@ -83,8 +97,7 @@
             for a in view.agents
         ],
     )
-    out.line()
-    out.table(
+    yield (
         (
             "worker",
             "rack",
@@ -105,8 +118,6 @@
             for w in view.workers
         ],
     )
-    for sentence in (*view.shortfalls, *view.violations):
-        out.line(f"! {sentence}")
 
 
 def _yes(value: bool) -> str:
--- a/bilberryroute/entry/operators.py
+++ b/bilberryroute/entry/operators.py
@@ -116,8 +116,8 @@
         match result:
             case commands.JobAccepted():
                 return await self._accepted(job)
-            case commands.JobRefused(kind=kind, message=message):
-                raise errors.by_kind(kind)(message)
+            case commands.JobRefused():
+                raise _job_refusal(result)
         raise _unexpected(result)
 
     async def _accepted(self, job: jobs.Job) -> web.Response:
@@ -169,8 +169,9 @@
         unknown = [each for each in model.job_ids if each not in known]
         if unknown:
             raise errors.NotFound(
-                f"there is no job {unknown[0]!r}, and {len(unknown) - 1} more"
-                " of the ids do not exist; nothing was cancelled"
+                f"{len(unknown)} of {len(model.job_ids)} jobs do not exist,"
+                f" such as {unknown[0]!r}; nothing was cancelled",
+                remedy="Check the ids; `bilberryroute job list` lists them.",
             )
         return await self._cancel(model.job_ids)
 
@@ -189,6 +190,16 @@
         return api.json_response(await self._control.query(queries.GetStatus()))
 
 
+def _job_refusal(result: commands.JobRefused) -> errors.BilberryrouteError:
+    kind = errors.by_kind(result.kind)
+    if kind is errors.NotFound:
+        return errors.NotFound(
+            result.message,
+            remedy="Check the name, or set the client account by a ticket.",
+        )
+    return kind(result.message)
+
+
 def _ticket_refusal(
     result: commands.TicketRefused,
 ) -> errors.BilberryrouteError:
--- a/bilberryroute/rights.py
+++ b/bilberryroute/rights.py
@@ -239,6 +239,6 @@
     if not named:
         raise errors.MalformedInput(
             "no client account is named",
-            remedy=f"Set the header {ACCOUNT_HEADER}.",
+            remedy=f"Set the header {ACCOUNT_HEADER}, or give --account.",
         )
     return named
--- a/bilberryroute/settings_check.py
+++ b/bilberryroute/settings_check.py
@@ -83,7 +83,7 @@
     lines = "".join(f"\n  {problem}" for problem in problems)
     count = len(problems)
     noun = "problem" if count == 1 else "problems"
-    raise errors.SettingsError(f"{count} {noun} in the settings:{lines}\n")
+    raise errors.SettingsError(f"{count} {noun} in the settings:{lines}")
 
 
 def check(path: str) -> tuple[settings.Settings | None, list[Problem]]:
@@ -140,7 +140,7 @@
     path: str, prefix: str, raw: dict[str, Any], kind: type[msgspec.Struct]
 ) -> Iterator[Problem]:
     fields = {f.name: f for f in msgspec.structs.fields(kind)}
-    for name in raw.keys() - fields.keys():
+    for name in (name for name in raw if name not in fields):
         yield Problem(
             file=path,
             key=prefix + name,
