Keep tokens of malformed requests out of the logs

aiohttp logs a request that it cannot parse with the offending line, so that a token with one wrong byte came into the log (the new test failed so). Its logger is silent now; errors of handlers are logged by the middleware.

--- a/bilberryroute/logs.py
+++ b/bilberryroute/logs.py
@@ -13,6 +13,7 @@
 from pythonjsonlogger import msgspec as json_formatter
 
 _FORMAT = "%(levelname)s %(name)s %(message)s"
+_HTTP_PARSER_LOGGER = "aiohttp.server"
 _RENAMED = {"levelname": "level", "name": "logger", "exc_info": "traceback"}
 
 _fields: contextvars.ContextVar[Mapping[str, object]] = contextvars.ContextVar(
@@ -84,6 +85,9 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
+    # aiohttp logs malformed requests with their headers, tokens included;
+    # errors of handlers are logged by `api`.
+    logging.getLogger(_HTTP_PARSER_LOGGER).setLevel(logging.CRITICAL)
 
 
 def show_position(position: Callable[[], Position]) -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,10 +1,15 @@
+import asyncio
 import io
 import json
 import logging
 
 import pytest
+from aiohttp import web
 
+from bilberryroute import api
 from bilberryroute import logs
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
 
 
 @pytest.fixture
@@ -57,3 +62,16 @@
         logging.getLogger("bilberryroute.test").exception("failed")
     (line,) = lines()
     assert "ValueError: x" in line["traceback"]
+
+
+async def test_malformed_request_leaves_no_token_in_the_logs(lines):
+    app = api.new_application(settings.Limits(), metrics_lib.Metrics())
+    runner = api.new_runner(app, settings.Limits())
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    reader, writer = await asyncio.open_connection(*runner.addresses[0])
+    writer.write(b"GET / HTTP/1.1\r\nAuthorization: Bearer secret\x00\r\n\r\n")
+    assert b"400" in await reader.readline()
+    writer.close()
+    await runner.cleanup()
+    assert "secret" not in json.dumps(lines())
