--- a/bilberryroute/cli/client.py
+++ b/bilberryroute/cli/client.py
@@ -178,7 +178,13 @@
     path = options.token_file or env.variables.get(TOKEN_FILE_VARIABLE, "")
     if not path:
         return {}
-    return {"Authorization": f"Bearer {read_file(env, path).decode().strip()}"}
+    words = read_file(env, path).split()
+    if len(words) != 1 or not words[0].isascii():
+        raise errors.UsageError(
+            f"{path} does not hold one token",
+            remedy="Name a file whose only content is the bearer token.",
+        )
+    return {"Authorization": f"Bearer {words[0].decode()}"}
 
 
 def read_file(env: context.Environment, path: str) -> bytes:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -142,6 +142,17 @@
     assert "wrong-token" not in env.stderr.getvalue()
 
 
+@pytest.mark.parametrize("content", [b"", b"two secret", b"secret\xff"])
+async def test_token_file_must_hold_one_token(run, tmp_path, content):
+    path = tmp_path / "bad"
+    path.write_bytes(content)
+    env = await run(
+        *("status", "--token-file", str(path)),
+        expected=status.ExitStatus.USAGE,
+    )
+    assert "secret" not in env.stderr.getvalue()
+
+
 async def test_status_shows_tables_and_checks(run, entry):
     env = await run("status")
     assert "leader:    r1 in term 3\n" in env.stdout.getvalue()
