--- a/bilberryroute/api.py
+++ b/bilberryroute/api.py
@@ -27,6 +27,7 @@
 
 T = TypeVar("T")
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Middleware = Callable[[web.Request, Handler], Awaitable[web.StreamResponse]]
 
 
 class MethodNotAllowed(errors.Refused):
@@ -65,7 +66,7 @@
     )
 
 
-def error_middleware(metrics: metrics_lib.Metrics) -> Handler:
+def error_middleware(metrics: metrics_lib.Metrics) -> Middleware:
     """Returns the middleware that turns errors into counted problems."""
 
     @web.middleware
@@ -115,7 +116,7 @@
             return errors.MalformedInput(exc.reason or "bad request")
 
 
-def bounds_middleware(limits: settings.Limits) -> Handler:
+def bounds_middleware(limits: settings.Limits) -> Middleware:
     """Returns the middleware that bounds the headers as a whole."""
 
     @web.middleware
@@ -173,7 +174,9 @@
     return decode_json(await read_body(req, bound), kind)
 
 
-def json_response(body: object, status: int = http.HTTPStatus.OK):
+def json_response(
+    body: object, status: int = http.HTTPStatus.OK
+) -> web.Response:
     """Returns a JSON answer of a data class or model."""
     return web.Response(
         body=msgspec.json.encode(body),
--- a/bilberryroute/rights.py
+++ b/bilberryroute/rights.py
@@ -26,6 +26,7 @@
 RESTRICTED = web.RequestKey("restricted", bool)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Middleware = Callable[[web.Request, Handler], Awaitable[web.StreamResponse]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -115,7 +116,7 @@
     return words
 
 
-def middleware(rights: Rights) -> Handler:
+def middleware(rights: Rights) -> Middleware:
     """Returns the middleware that sets `req[OPERATOR]`, `req[ACCOUNT]`.
 
     With token files set, a request without a token passes with no right, so
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,6 +1,12 @@
+import json
+
+import hypothesis
 import pytest
+from hypothesis import strategies
 
+from bilberryroute import api
 from bilberryroute import errors
+from bilberryroute.entry import operator_models as models
 from tests.utils import entries
 
 OPERATOR = entries.bearer(entries.OPERATOR)
@@ -283,3 +289,53 @@
     answer = await entry.client.post("/v1/drain", headers=OPERATOR)
     assert answer.status == 202
     assert entry.drained
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(
+        strategies.sampled_from(
+            ["number", "accounts", "name", "shape", "accelerators", "id"]
+        ),
+        inner,
+        max_size=4,
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.given(value=JSON, cut=strategies.integers(0, 40))
+@hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+def test_any_body_is_a_model_or_malformed(value, cut):
+    payload = json.dumps(value).encode()
+    for body in (payload, payload[:cut]):
+        for model in (
+            models.TicketModel,
+            models.JobModel,
+            models.CancelModel,
+        ):
+            try:
+                assert isinstance(api.decode_json(body, model), model)
+            except errors.MalformedInput:
+                continue
+
+
+@hypothesis.given(
+    names=strategies.sets(strategies.from_regex(r"\A[a-z0-9]{1,8}\Z")),
+    rng=strategies.randoms(use_true_random=False),
+)
+@hypothesis.settings(max_examples=50, derandomize=True, deadline=None)
+def test_digest_does_not_depend_on_the_order_of_objects(names, rng):
+    accounts = [models.AccountModel(name=name) for name in names]
+    shuffled = accounts[:]
+    rng.shuffle(shuffled)
+    first, second = (
+        models.to_ticket(models.TicketModel(number=1, accounts=tuple(each)))
+        for each in (accounts, shuffled)
+    )
+    assert models.digest(first) == models.digest(second)
