--- a/bilberryroute/cli/system.py
+++ b/bilberryroute/cli/system.py
@@ -1,10 +1,15 @@
 """Commands on the system as a whole and on single processes."""
 
+from collections.abc import Iterator
+
 from bilberryroute import status
 from bilberryroute.cli import checks
 from bilberryroute.cli import client
+from bilberryroute.model import config
 from bilberryroute.model import queries
 
+Table = tuple[tuple[str, ...], list[tuple[object, ...]]]
+
 
 @client.command
 async def show_status(
@@ -28,7 +33,8 @@
     if session.output.as_json:
         session.output.json(view)
     else:
-        _show_tables(session, view)
+        answer = await session.call("GET", "/v1/configuration")
+        _show_tables(session, view, answer.decode(config.Configuration))
     return status.ExitStatus.SUCCESS
 
 
@@ -51,7 +57,11 @@
     return status.ExitStatus.CHECK_FAILED
 
 
-def _show_tables(session: client.Session, view: queries.StatusView) -> None:
+def _show_tables(
+    session: client.Session,
+    view: queries.StatusView,
+    configuration: config.Configuration,
+) -> None:
     out = session.output
     counts = ", ".join(f"{c.jobs} {c.phase}" for c in view.jobs)
     out.fields(
@@ -59,18 +69,60 @@
         ("revision", view.revision),
         ("jobs", counts or "none"),
     )
-    out.line()
-    out.table(
+    tables = (*_configuration_tables(configuration), *_tables(view))
+    for header, rows in tables:
+        if rows:
+            out.line()
+            out.table(header, rows)
+    for sentence in (*view.shortfalls, *view.violations):
+        out.line(f"! {sentence}")
+
+
+def _configuration_tables(
+    configuration: config.Configuration,
+) -> Iterator[Table]:
+    yield (
+        ("client account", "weight", "guarantees"),
+        [
+            (a.name, a.weight, ", ".join(map(_shape, a.guarantees)) or "none")
+            for a in configuration.accounts.values()
+        ],
+    )
+    yield (
+        ("service", "slots", "connections", "queue"),
+        [
+            (
+                s.name,
+                s.slots_per_endpoint,
+                s.connections_per_endpoint,
+                s.queue_per_account,
+            )
+            for s in configuration.services.values()
+        ],
+    )
+
+
+def _shape(shape: config.Shape) -> str:
+    where = f" of {shape.failure_domain}" if shape.failure_domain else ""
+    return (
+        f"{shape.copies}x{shape.accelerators} in one {shape.adjacency}{where}"
+    )
+
+
+def _tables(view: queries.StatusView) -> Iterator[Table]:
+    yield (
         ("replica", "role", "match index", "heard ms ago"),
         [(r.id, r.role, r.match_index, r.heard_ms_ago) for r in view.replicas],
     )
-    out.line()
-    out.table(
+    yield (
+        ("entry", "revision"),
+        [(e.name, e.revision) for e in view.entries],
+    )
+    yield (
         ("failure domain", "in service"),
         [(d.name, _yes(d.in_service)) for d in view.failure_domains],
     )
-    out.line()
-    out.table(
+    yield (
         ("agent", "failure domain", "revision", "lease left ms", "draining"),
         [
             (
@@ -83,8 +135,7 @@
             for a in view.agents
         ],
     )
-    out.line()
-    out.table(
+    yield (
         (
             "worker",
             "rack",
@@ -105,8 +156,6 @@
             for w in view.workers
         ],
     )
-    for sentence in (*view.shortfalls, *view.violations):
-        out.line(f"! {sentence}")
 
 
 def _yes(value: bool) -> str:
