--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+# Test processes at once; each may start a few dozen of ours.
+WORKERS ?= 4
 STAMP := $(VENV)/.installed
 
 .PHONY: install demo test format lint bench slopes report binary clean
@@ -27,7 +29,7 @@
 	$(BIN)/lint-imports
 
 test: install lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS)
 
 binary: install
 	$(BIN)/python extras/build_binary.py
