--- a/extras/demo.py
+++ b/extras/demo.py
@@ -82,7 +82,7 @@
 async def until_announced(cluster: cluster_lib.Cluster) -> dict:
     """Returns the status once all endpoints and workers are in it."""
     layout = cluster.layout
-    domains = len(layout.domains)
+    agents = len(layout.agents)
     seen: dict = {}
 
     async def all_seen() -> bool:
@@ -91,8 +91,8 @@
             return False
         seen.update(answer.json())
         endpoints = sum(a["endpoints"] for a in seen["agents"])
-        enough = endpoints == domains * layout.endpoints
-        return enough and len(seen["workers"]) == domains * layout.workers
+        enough = endpoints == agents * layout.endpoints
+        return enough and len(seen["workers"]) == agents * layout.workers
 
     await cluster_lib.until(all_seen, STEP_MS, "all announced")
     return seen
@@ -242,6 +242,14 @@
     await walk_job(cluster, console, 2, "5 leader lost")
 
 
+async def walk_checks(cluster: cluster_lib.Cluster, console: Console) -> None:
+    """Step 6: the invariants that can be seen from outside hold."""
+    console.step = "6 checks"
+    broken = await cluster.broken()
+    check(not broken, "; ".join(f"{b.invariant}: {b.detail}" for b in broken))
+    console.say("the checks of status --check", "all invariants hold")
+
+
 async def walk(cluster: cluster_lib.Cluster, console: Console) -> None:
     """Walks all steps, then stops all processes."""
     cluster.prepare()
@@ -257,6 +265,7 @@
     await walk_job(cluster, console, 1, "3 gang")
     await walk_requests(cluster, console)
     await walk_leader_loss(cluster, console)
+    await walk_checks(cluster, console)
     console.step = "stop"
     wrong = await cluster.stop()
     check(not wrong, "; ".join(wrong))
