--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Sequence
 
 from bilberryroute import errors
 from bilberryroute import settings
@@ -17,8 +18,6 @@
 from bilberryroute.consensus import progress
 from bilberryroute.consensus import records
 
-FOUNDING_TERM = 1
-
 
 class Core:
     """One replica's part in the group.
@@ -88,7 +87,13 @@
         """Returns whether no other leader can commit anything yet."""
         if self._leading is None:
             return False
-        return now < self._acked_ms(now) + self._timing.leader_lease_ms
+        return now < self._leading.acked_ms(now) + self._timing.leader_lease_ms
+
+    def require_lease(self, now: int) -> None:
+        """Raises `errors.NotLeader` unless the leader lease holds."""
+        if not self.lease_holds(now):
+            other = self.leader if self._leading is None else ""
+            raise errors.NotLeader(records.replica_id(other) or None)
 
     def own_term_committed(self) -> bool:
         """Returns whether this leader has committed an entry of its term."""
@@ -105,9 +110,8 @@
         if member_id == self.id:
             return True
         peer = self.progress_of(member_id)
-        if peer is None:
-            return False
-        return now < peer.acked_ms + self._timing.election_ms
+        lately = now - self._timing.election_ms
+        return peer is not None and peer.acked_ms > lately
 
     def tick(self, now: int) -> list[messages.Output]:
         """Acts on the time that has passed."""
@@ -123,14 +127,18 @@
             self._dispatch(envelope.sender, envelope.body, now)
         return self._drain()
 
-    def propose(self, payload: bytes, now: int) -> list[messages.Output]:
-        """Appends a command; it is the log's last entry on return.
+    def propose(
+        self, payloads: Sequence[bytes], now: int
+    ) -> list[messages.Output]:
+        """Appends commands; they are the log's last entries on return.
 
         Raises:
           errors.NotLeader: If this replica does not lead.
         """
-        self._require_lease(now)
-        self._append(records.EntryKind.COMMAND, payload, now)
+        self.require_lease(now)
+        for payload in payloads:
+            self.journal.append(records.EntryKind.COMMAND, payload)
+        self._replicate(now, heartbeat=False)
         return self._drain()
 
     def change_membership(
@@ -142,7 +150,7 @@
           errors.NotLeader: If this replica does not lead.
           errors.Unavailable: If it is not yet safe to change.
         """
-        self._require_lease(now)
+        self.require_lease(now)
         if not self._may_change_membership():
             raise errors.Unavailable(
                 "this term's first entry, or another change of membership,"
@@ -177,16 +185,7 @@
         self, membership: records.Membership, now: int
     ) -> list[messages.Output]:
         """Begins a new group, named after this folder."""
-        entry = records.Entry(
-            index=1,
-            term=FOUNDING_TERM,
-            kind=records.EntryKind.MEMBERSHIP,
-            payload=records.encode_membership(membership),
-        )
-        state = records.HardState(
-            term=FOUNDING_TERM, vote=self.id, group=self.id
-        )
-        self.journal.found(state, entry)
+        self.journal.found(self.id, membership)
         self._election.deadline_ms = now
         return self._drain()
 
@@ -241,17 +240,11 @@
         if self._leading is not None:
             self._tick_leader(now)
         elif now >= self._election.deadline_ms:
-            if self._may_stand():
+            if self._election.may_stand():
                 self._become_pre_candidate(now)
             else:
                 self._election.postpone(now)
 
-    def _may_stand(self) -> bool:
-        # A leader whose own removal is not committed may hold the only log
-        # that a majority would follow.
-        possible = self.log.memberships_from(self.commit_index)
-        return any(self.id in m.voters for m in possible)
-
     def _ask_for_votes(self, now: int, *, pre: bool) -> None:
         request = self._election.request(pre=pre)
         for voter in self.membership.voters:
@@ -334,16 +327,8 @@
             self._replicate(now, heartbeat=True)
 
     def _hears_majority(self, now: int) -> bool:
-        since = max(self._acked_ms(now), self._leading.began_ms)
-        return now < since + self._timing.election_ms
-
-    def _acked_ms(self, now: int) -> int:
-        return self._leading.acked_ms(now)
-
-    def _require_lease(self, now: int) -> None:
-        if not self.lease_holds(now):
-            other = self.leader if self._leading is None else ""
-            raise errors.NotLeader(records.replica_id(other) or None)
+        heard_ms = max(self._leading.acked_ms(now), self._leading.began_ms)
+        return now < heard_ms + self._timing.election_ms
 
     def _may_change_membership(self) -> bool:
         if not self.own_term_committed():
--- a/bilberryroute/consensus/election.py
+++ b/bilberryroute/consensus/election.py
@@ -60,6 +60,16 @@
         heartbeat = self._timing.raft_heartbeat_ms
         self.deadline_ms = now + heartbeat + self._rng.randrange(heartbeat)
 
+    def may_stand(self) -> bool:
+        """Returns whether any membership since the commitment has it vote.
+
+        A leader whose own removal is not committed may hold the only log
+        that a majority would follow.
+        """
+        log = self._journal.log
+        possible = log.memberships_from(self._journal.commit_index)
+        return any(self._id in m.voters for m in possible)
+
     def request(self, *, pre: bool) -> messages.VoteRequest:
         """Begins to count; returns the request for the other voters."""
         self._votes = {self._id}
--- a/bilberryroute/consensus/frames.py
+++ b/bilberryroute/consensus/frames.py
@@ -40,17 +40,16 @@
     payloads = []
     position = 0
     damaged = False
-    while position < len(content):
-        header = content[position : position + HEADER_BYTES]
-        if len(header) < HEADER_BYTES or not any(content[position:]):
-            break
-        fields = header[: _FIELDS.size]
-        if _CHECK.unpack(header[_FIELDS.size :])[0] != zlib.crc32(fields):
-            damaged = True
+    view = memoryview(content)
+    while len(content) - position >= HEADER_BYTES:
+        start = position + HEADER_BYTES
+        fields = view[position : position + _FIELDS.size]
+        check = view[position + _FIELDS.size : start]
+        if _CHECK.unpack(check)[0] != zlib.crc32(fields):
+            damaged = any(view[position:])  # Zeros were never written.
             break
         length, checksum = _FIELDS.unpack(fields)
-        start = position + HEADER_BYTES
-        payload = content[start : start + length]
+        payload = bytes(view[start : start + length])
         if len(payload) < length:
             break
         if zlib.crc32(payload) != checksum:
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -116,6 +116,7 @@
             folder = files.Files(pathlib.Path(cfg.data_folder))
             store = storage.LogStorage(folder, cfg.log.segment_bytes)
         self._proposals = proposals.Proposals()
+        self._batch: list[tuple[bytes, asyncio.Future[proposals.Applied]]] = []
         self._carrier = carrier.Carrier(self._address_of, clock, rng)
         self._writer = writer.Writer(store, self._carrier.send)
         self._wake_timer = asyncio.Event()
@@ -197,8 +198,13 @@
           errors.StorageError: If the data folder failed; nothing changed.
         """
         self._require_running()
-        outputs = self._core.propose(payload, self._clock.now())
-        return await self._commit(outputs, timeout_ms)
+        self._core.require_lease(self._clock.now())
+        loop = asyncio.get_running_loop()
+        if not self._batch:
+            loop.call_soon(self._propose_batch)
+        entry = loop.create_future()
+        self._batch.append((payload, entry))
+        return await self._proposals.outcome(entry, timeout_ms)
 
     async def change_members(
         self, change: changes.Change, timeout_ms: int = PROPOSE_TIMEOUT_MS
@@ -354,13 +360,27 @@
 
     # Shared.
 
+    def _propose_batch(self) -> None:
+        """Sends at once whatever this turn of the event loop brought."""
+        batch, self._batch = self._batch, []
+        payloads = [payload for payload, _ in batch]
+        try:
+            outputs = self._core.propose(payloads, self._clock.now())
+        except errors.NotLeader as exc:
+            proposals.refuse([future for _, future in batch], exc)
+            return
+        first = self._core.log.last_index - len(batch) + 1
+        for index, (_, future) in enumerate(batch, first):
+            self._proposals.add(index, future)
+        self._handle(outputs)
+
     async def _commit(
         self, outputs: list[messages.Output], timeout_ms: int
     ) -> proposals.Applied:
-        index = self._core.log.last_index
-        future = self._proposals.add(index)
+        future = asyncio.get_running_loop().create_future()
+        self._proposals.add(self._core.log.last_index, future)
         self._handle(outputs)
-        return await self._proposals.outcome(index, future, timeout_ms)
+        return await self._proposals.outcome(future, timeout_ms)
 
     def _fail(self, exc: errors.StorageError) -> None:
         self.failure = exc
--- a/bilberryroute/consensus/journal.py
+++ b/bilberryroute/consensus/journal.py
@@ -6,6 +6,8 @@
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import records
 
+FOUNDING_TERM = 1
+
 
 class Journal:
     """What a replica has to remember, and how far it is durable.
@@ -59,11 +61,19 @@
             records.HardState(term=state.term, vote=state.vote, group=group)
         )
 
-    def found(self, state: records.HardState, entry: records.Entry) -> None:
-        """Begins a new group with its first entry, all or nothing."""
-        self.hard_state = state
+    def found(self, own_id: str, membership: records.Membership) -> None:
+        """Begins a new group named after this folder, all or nothing."""
+        entry = records.Entry(
+            index=1,
+            term=FOUNDING_TERM,
+            kind=records.EntryKind.MEMBERSHIP,
+            payload=records.encode_membership(membership),
+        )
+        self.hard_state = records.HardState(
+            term=FOUNDING_TERM, vote=own_id, group=own_id
+        )
         self.log.append((entry,))
-        self._write(hard_state=state, entries=(entry,))
+        self._write(hard_state=self.hard_state, entries=(entry,))
         self.hard_state_write = self.written
 
     def store(self, entries: tuple[records.Entry, ...]) -> None:
--- a/bilberryroute/consensus/proposals.py
+++ b/bilberryroute/consensus/proposals.py
@@ -1,6 +1,7 @@
 """Commands of this leader that wait to be committed and applied."""
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bilberryroute import clock as clock_lib
@@ -23,19 +24,18 @@
     def __init__(self):
         self._waiting: dict[int, asyncio.Future[Applied]] = {}
 
-    def add(self, index: int) -> asyncio.Future[Applied]:
-        """Returns the future of the entry just appended at an index."""
-        future = asyncio.get_running_loop().create_future()
+    def add(self, index: int, future: asyncio.Future[Applied]) -> None:
+        """Has a future answered with the entry just appended at an index."""
         self._waiting[index] = future
-        return future
 
     async def outcome(
-        self, index: int, future: asyncio.Future[Applied], timeout_ms: int
+        self, future: asyncio.Future[Applied], timeout_ms: int
     ) -> Applied:
         """Returns what became of an entry.
 
         Raises:
           errors.CommitUnknown: If leadership or time was lost meanwhile.
+          errors.NotLeader: If it was never appended.
         """
         try:
             async with asyncio.timeout(clock_lib.seconds(timeout_ms)):
@@ -44,9 +44,6 @@
             raise errors.CommitUnknown(
                 f"not committed within {timeout_ms} ms"
             ) from exc
-        finally:
-            if self._waiting.get(index) is future:
-                del self._waiting[index]
 
     def resolve(self, entry: records.Entry, result: object) -> None:
         """Answers whoever waits for an entry that is now applied."""
@@ -60,7 +57,15 @@
         """Answers all that wait that nobody knows."""
         waiting = self._waiting
         self._waiting = {}
-        for future in waiting.values():
-            if not future.done():
-                future.set_exception(errors.CommitUnknown(reason))
-                future.exception()  # It may have no reader any more.
+        refuse(waiting.values(), errors.CommitUnknown(reason))
+
+
+def refuse(
+    futures: Iterable[asyncio.Future[Applied]],
+    exc: errors.BilberryrouteError,
+) -> None:
+    """Answers futures with an error, though nobody may read it any more."""
+    for future in futures:
+        if not future.done():
+            future.set_exception(exc)
+            future.exception()
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -245,7 +245,9 @@
         self.proposed += 1
         payload = b"%d" % self.proposed
         try:
-            self._handle(node, node.core.propose(payload, node.local(self.now)))
+            self._handle(
+                node, node.core.propose((payload,), node.local(self.now))
+            )
         except errors.NotLeader:
             return
 
