--- a/bilberryroute/cli/parser.py
+++ b/bilberryroute/cli/parser.py
@@ -14,6 +14,7 @@
 from bilberryroute import status
 from bilberryroute.cli import jobs
 from bilberryroute.cli import local
+from bilberryroute.cli import replicas
 from bilberryroute.cli import requests
 from bilberryroute.cli import system
 from bilberryroute.cli import tickets
@@ -39,6 +40,12 @@
         "list": jobs.list_jobs,
         "cancel": jobs.cancel,
     },
+    "replica": {
+        "list": replicas.list_replicas,
+        "add": replicas.add,
+        "promote": replicas.promote,
+        "remove": replicas.remove,
+    },
     "request": requests.send,
     "status": system.show_status,
     "drain": system.drain,
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -14,6 +14,7 @@
 from bilberryroute.entry import board as board_lib
 from bilberryroute.model import commands
 from bilberryroute.model import control
+from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.model import wire
 from bilberryroute.state import machine as machine_lib
@@ -92,6 +93,20 @@
             raise errors.Unavailable("the leading replica is silent") from exc
         return methods.ANSWERS.decode(answer)
 
+    async def change_members(
+        self, change: membership.Change
+    ) -> membership.Members:
+        """Makes one change of the group and returns the group after it.
+
+        Raises:
+          errors.Refused: If the change is not safe or makes no sense.
+          errors.Unavailable: If no leader took it; nothing changed.
+          errors.CommitUnknown: If it may or may not have been made.
+        """
+        payload = methods.MEMBER_CHANGES.encode(change)
+        answer = await self._call_leader(methods.CHANGE_MEMBERS, payload)
+        return methods.MEMBERS.decode(answer)
+
     async def _call_leader(self, method: str, payload: bytes) -> bytes:
         deadline = self._clock.now() + TOTAL_TIMEOUT_MS
         maybe_done = False
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -10,6 +10,7 @@
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import control as control_lib
 from bilberryroute.entry import operators as operator_lib
+from bilberryroute.entry import replicas as replica_routes
 from bilberryroute.entry import requests as request_lib
 
 
@@ -37,12 +38,14 @@
         self.operators = operator_lib.OperatorService(
             cfg, self.board, self.control, env.clock, env.rng, metrics
         )
+        self.replicas = replica_routes.ReplicaRoutes(cfg.limits, self.control)
         metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
         """Adds the routes under `/v1`."""
         self.requests.register(app)
         self.operators.register(app)
+        self.replicas.register(app)
 
     def _refresh(self, metrics: metrics_lib.Metrics) -> None:
         """Sets the gauges that are read only when asked for."""
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -8,8 +8,11 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.consensus import changes
 from bilberryroute.model import commands
 from bilberryroute.model import control
+from bilberryroute.model import membership
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import parts as parts_lib
@@ -52,6 +55,9 @@
         handlers = {
             methods.PROPOSE: grpc.unary_unary_rpc_method_handler(self._propose),
             methods.QUERY: grpc.unary_unary_rpc_method_handler(self._query),
+            methods.CHANGE_MEMBERS: grpc.unary_unary_rpc_method_handler(
+                self._change_members
+            ),
             methods.WATCH: grpc.stream_stream_rpc_method_handler(self._watch),
         }
         handler = grpc.method_handlers_generic_handler(
@@ -86,6 +92,19 @@
         encoded = methods.ANSWERS.encode(answer)
         return codec.encode(control.Reply(payload=encoded))
 
+    async def _change_members(
+        self, payload: bytes, context: grpc.aio.ServicerContext
+    ) -> bytes:
+        del context
+        try:
+            change = methods.MEMBER_CHANGES.decode(payload)
+            self._check_leading()
+            await self._group.change_members(_group_change(change))
+        except errors.BilberryrouteError as exc:
+            return self._error(exc)
+        encoded = codec.encode(self._desk.members())
+        return codec.encode(control.Reply(payload=encoded))
+
     def _check_open(self, command: commands.Command) -> None:
         if not isinstance(command, OPEN_COMMANDS):
             raise errors.Forbidden(
@@ -170,3 +189,21 @@
             revision=report.revision, heard_ms=self._clock.now()
         )
         self._board.entries.touch()
+
+
+def _group_change(change: membership.Change) -> changes.Change:
+    match change:
+        case membership.AddReplica():
+            return changes.AddLearner(
+                address=settings.ReplicaAddress(
+                    id=change.id,
+                    grpc=change.grpc,
+                    datagram=change.datagram,
+                    failure_domain=change.failure_domain,
+                )
+            )
+        case membership.PromoteReplica(id=name):
+            return changes.Promote(id=name)
+        case membership.RemoveReplica(id=name):
+            return changes.Remove(id=name)
+    raise errors.MalformedInput(f"unknown change {change!r}")
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -6,6 +6,7 @@
 from bilberryroute import errors
 from bilberryroute.consensus import records
 from bilberryroute.model import jobs
+from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.replica import desired as desired_lib
 from bilberryroute.replica import jobs as job_controller
@@ -45,6 +46,10 @@
                 return self._status()
         raise errors.MalformedInput(f"unknown query {query!r}")
 
+    def members(self) -> membership.Members:
+        """Returns the group of replicas."""
+        return membership.Members(replicas=self._replicas())
+
     def _ticket(self, number: int) -> queries.TicketView:
         record = self._machine.state.tickets.get(number)
         if record is None:
--- a/tests/test_api_docs.py
+++ b/tests/test_api_docs.py
@@ -58,10 +58,7 @@
     documented = {
         " |".join(row.split(" |")[:4]) + " |" for row in rows("Problem kinds")
     }
-    # The base of the refusals is never raised itself.
-    expected = {
-        kind_row(kind) for kind in public_kinds() if kind != errors.Refused
-    }
+    expected = {kind_row(kind) for kind in public_kinds()}
     assert documented == expected
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -148,6 +148,11 @@
         ("GET", "/v1/tickets/x", OPERATOR, "malformed"),
         ("GET", "/v1/tickets/-1", OPERATOR, "malformed"),
         ("GET", "/v1/tickets/" + "9" * 99, OPERATOR, "malformed"),
+        ("GET", "/v1/replicas", TRUST, "forbidden"),
+        ("POST", "/v1/replicas", TRUST, "forbidden"),
+        ("POST", "/v1/replicas", OPERATOR, "malformed"),
+        ("POST", "/v1/replicas/r1/promote", {}, "unauthenticated"),
+        ("DELETE", "/v1/replicas/r1", TRUST, "forbidden"),
         ("POST", "/v1/drain", {}, "unauthenticated"),
         ("POST", "/v1/drain", TRUST, "forbidden"),
     ],
@@ -159,7 +164,7 @@
         method, path, json=TICKET, headers=headers
     )
     await refusal(configured, answer, kind)
-    assert configured.control.proposed == []
+    assert configured.control.proposed == configured.control.changes == []
     assert not configured.drained
 
 
--- a/tests/utils/control.py
+++ b/tests/utils/control.py
@@ -4,6 +4,7 @@
 from bilberryroute.entry import board as board_lib
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
+from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.state import machine as machine_lib
 
@@ -25,6 +26,7 @@
     Attributes:
       machine: The state machine.
       proposed: All commands proposed.
+      changes: All changes of the group of replicas.
       status: Answer to `GetStatus`.
       fault: Raised by all calls, if set.
     """
@@ -33,6 +35,7 @@
         self._board = board
         self.machine = machine_lib.StateMachine()
         self.proposed: list[commands.Command] = []
+        self.changes: list[membership.Change] = []
         self.status = queries.StatusView(
             term=3,
             leader_id="r1",
@@ -57,6 +60,12 @@
         self._board.configuration.set(self.machine.state.configuration)
         return result
 
+    async def change_members(self, change):
+        if self.fault is not None:
+            raise self.fault
+        self.changes.append(change)
+        return membership.Members(replicas=self.status.replicas)
+
     async def query(self, query):
         if self.fault is not None:
             raise self.fault
--- a/tests/utils/entries.py
+++ b/tests/utils/entries.py
@@ -12,6 +12,7 @@
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import operators
+from bilberryroute.entry import replicas
 from tests.utils import control as control_lib
 
 OPERATOR = "operator-token-0123456789"
@@ -64,6 +65,7 @@
             self.metrics,
         )
         service.register(app)
+        replicas.ReplicaRoutes(cfg.limits, self.control).register(app)
         lifecycle.Lifecycle(self._drain).register(app)
         self.client = test_utils.TestClient(test_utils.TestServer(app))
 
