--- a/bilberryroute/settings_rules.py
+++ b/bilberryroute/settings_rules.py
@@ -167,6 +167,13 @@
             seen="''",
             remedy="name the entry of [[replicas]] that this process is",
         )
+    elif cfg.replica_id not in {replica.id for replica in cfg.replicas}:
+        yield Finding(
+            key="replica_id",
+            message="not among [[replicas]]",
+            seen=repr(cfg.replica_id),
+            remedy="list this replica too, with its addresses",
+        )
     for kind in ("grpc", "datagram"):
         own = getattr(cfg.listen, kind)
         if not own:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -61,6 +61,7 @@
         ('["replica"]', "[]", "roles", "needs a role"),
         ('["replica"]', '["replica", "replica"]', "roles", "twice"),
         ('replica_id = "r1"\n', "", "replica_id", "needs its id"),
+        ('replica_id = "r1"', 'replica_id = "r4"', "replica_id", "not among"),
         ("127.0.0.1:7170", "localhost:7170", "listen.http", "no address"),
         ("127.0.0.1:7170", "127.0.0.1", "listen.http", "no address"),
         ("127.0.0.1:7170", "127.0.0.1:70000", "listen.http", "no address"),
