--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	touch $(STAMP)
 
 demo: install
-	$(BIN)/python extras/demo.py
+	$(BIN)/python -m extras.demo
 
 format: install
 	$(BIN)/pyink --quiet bilberryroute tests benchmarks extras
@@ -29,5 +29,8 @@
 test: install lint
 	$(BIN)/python -m pytest
 
+binary: install
+	$(BIN)/python extras/build_binary.py
+
 clean:
 	rm -rf $(VENV) build dist *.egg-info
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -4,6 +4,7 @@
 from aiohttp import web
 
 from bilberryroute import context
+from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
@@ -43,6 +44,13 @@
         self.requests.register(app)
         self.operators.register(app)
 
+    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
+        """Sets the gauges that are read only when asked for."""
+        metrics.in_flight.set({"service": "all"}, self.requests.in_flight)
+        for service, length in self.requests.queue_lengths().items():
+            metrics.queue_length.set({"queue": service}, length)
+        metrics.draining.set({}, int(self.board.draining.get()))
+
     def ready(self) -> bool:
         """Says whether the balancer may send callers here."""
         if self.board.draining.get():
@@ -58,6 +66,9 @@
         for service in (self.control, self.operators, self.requests):
             await self.add_runtime_dependency(service)
 
-    def _refresh(self, metrics: metrics_lib.Metrics) -> None:
-        metrics.term.set({}, self.board.term.get())
-        metrics.revision.set({}, self.board.configuration.get().revision)
+    def position(self) -> logs.Position:
+        """Returns the term and revision that this entry has seen."""
+        return logs.Position(
+            term=self.board.term.get(),
+            revision=self.board.configuration.get().revision,
+        )
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,10 +1,15 @@
+import asyncio
 import io
 import json
 import logging
 
 import pytest
+from aiohttp import web
 
+from bilberryroute import api
 from bilberryroute import logs
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
 
 
 @pytest.fixture
@@ -22,12 +27,12 @@
     yield lambda: [json.loads(x) for x in stream.getvalue().splitlines()]
     root.handlers[:] = handlers
     root.setLevel(level)
-    logs.clear_process_fields()
+    logs.show_position(logs.Position)
 
 
 def test_line_carries_process_and_context(lines):
     log = logging.getLogger("bilberryroute.test")
-    logs.set_process_fields(term=3, revision=17)
+    logs.show_position(lambda: logs.Position(term=3, revision=17))
     with logs.fields(request_id="r1", account="trust"):
         log.info("accepted", extra={"job_id": "j1"})
     log.debug("not written")
@@ -57,3 +62,16 @@
         logging.getLogger("bilberryroute.test").exception("failed")
     (line,) = lines()
     assert "ValueError: x" in line["traceback"]
+
+
+async def test_malformed_request_leaves_no_token_in_the_logs(lines):
+    app = api.new_application(settings.Limits(), metrics_lib.Metrics())
+    runner = api.new_runner(app, settings.Limits())
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    reader, writer = await asyncio.open_connection(*runner.addresses[0])
+    writer.write(b"GET / HTTP/1.1\r\nAuthorization: Bearer secret\x00\r\n\r\n")
+    assert b"400" in await reader.readline()
+    writer.close()
+    await runner.cleanup()
+    assert "secret" not in json.dumps(lines())
