--- a/bilberryroute/entry/claims.py
+++ b/bilberryroute/entry/claims.py
@@ -91,6 +91,19 @@
                 raise
             return await self._close(call, generation, exc)
 
+    async def refuse(
+        self, call: calls.Call, cause: errors.Refused
+    ) -> calls.Answered:
+        """Refuses a call, with a proof if possible.
+
+        Returns the answer if an earlier send of the id was accepted.
+
+        Raises:
+          errors.Refused: The cause.
+          errors.OutcomeUnknown: If an earlier send may have run.
+        """
+        return await self._close(call, 1, cause)
+
     async def _acquire_live(
         self, call: calls.Call, limits: config.Service
     ) -> wire.EndpointView:
--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -221,6 +221,8 @@
         resp.headers[protocol.OUTCOME_HEADER] = str(outcome)
         resp.headers[protocol.REQUEST_ID_HEADER] = call.id
         resp.headers[protocol.ATTEMPTS_HEADER] = str(call.attempts)
+        if self._board.draining.get():
+            resp.force_close()
         if outcome is errors.Outcome.ANSWERED:
             await self._answers.send(req, resp, call, answered)
         return resp
@@ -233,14 +235,21 @@
         return api.problem_response(exc)
 
     async def _run(self, call: calls.Call) -> calls.Answered:
-        if not self._accepting:
-            raise errors.Draining("this entry is leaving")
         limits = self._limits(call.service)
         if call.idempotent:
+            self._check_accepting()
             return await self._attempts.run(call, limits)
         outcomes.check_age(call.id, limits.answer_kept_ms, self._clock.wall())
+        try:
+            self._check_accepting()
+        except errors.Draining as exc:
+            return await self._claims.refuse(call, exc)
         return await self._claims.run(call, limits)
 
+    def _check_accepting(self) -> None:
+        if not self._accepting:
+            raise errors.Draining("this entry is leaving")
+
     def _refresh(self, metrics: metrics_lib.Metrics) -> None:
         for service, length in self._dispatcher.queue_lengths().items():
             metrics.queue_length.set({"queue": service}, length)
--- a/tests/requests/conftest.py
+++ b/tests/requests/conftest.py
@@ -53,7 +53,7 @@
             address = self.agents[number].served.address
             self.to_agents.append(await self._relay(address))
 
-    def announce(self, number: int) -> None:
+    def announce(self, number: int, **fields: object) -> None:
         """Has an endpoint announce itself to its agent."""
         endpoint = self.endpoints[number]
         address = endpoint.served.address
@@ -64,6 +64,7 @@
             address=address,
             answers_probes=True,
             incarnation=str(endpoint.incarnation),
+            **fields,
         )
 
     async def kill_agent(self, number: int) -> None:
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -109,6 +109,7 @@
         self.answers: dict[str, bytes] = {}
         self.fenced: set[str] = set()
         self.incarnation = 1
+        self.padding = b""
         app = web.Application(client_max_size=1 << 24)
         app.router.add_post("/", self.handle)
         app.router.add_get("/requests/{id}", self.probe)
@@ -129,7 +130,7 @@
             await asyncio.sleep(clock_lib.seconds(self.run_ms))
         finally:
             self.active -= 1
-        answer = b"%s:%s" % (request_id.encode(), body)
+        answer = b"%s:%s%s" % (request_id.encode(), body, self.padding)
         self.answers[run] = answer
         return web.Response(
             body=answer,
@@ -298,6 +299,25 @@
 
 
 async def send(
+    session: aiohttp.ClientSession,
+    entry: EntryProcess,
+    request_id: str = "",
+    body: bytes = b"x",
+    **kwargs: object,
+) -> Told:
+    """Sends one request and reads the whole answer; see `post`."""
+    async with await post(session, entry, request_id, body, **kwargs) as resp:
+        return Told(
+            status=resp.status,
+            outcome=resp.headers["Bilberryroute-Outcome"],
+            request_id=resp.headers.get("Bilberryroute-Request-Id", ""),
+            attempts=int(resp.headers.get("Bilberryroute-Attempts", "0")),
+            body=await resp.read(),
+            headers=dict(resp.headers),
+        )
+
+
+async def post(
     session: aiohttp.ClientSession,
     entry: EntryProcess,
     request_id: str = "",
@@ -305,7 +325,7 @@
     idempotent: bool = False,
     account: str = "trust",
     **headers: str,
-) -> Told:
+) -> aiohttp.ClientResponse:
     """Sends one request; `deadline_ms="5"` sets Bilberryroute-Deadline-Ms."""
     sent = {
         "Bilberryroute-Account": account,
@@ -317,12 +337,4 @@
         title = name.replace("_", "-").title()
         sent[f"Bilberryroute-{title}"] = value
     url = f"http://{entry.served.address}/v1/services/{SERVICE}/requests"
-    async with session.post(url, data=body, headers=sent) as resp:
-        return Told(
-            status=resp.status,
-            outcome=resp.headers["Bilberryroute-Outcome"],
-            request_id=resp.headers.get("Bilberryroute-Request-Id", ""),
-            attempts=int(resp.headers.get("Bilberryroute-Attempts", "0")),
-            body=await resp.read(),
-            headers=dict(resp.headers),
-        )
+    return await session.post(url, data=body, headers=sent)
