--- a/benchmarks/decisions_bound.py
+++ b/benchmarks/decisions_bound.py
@@ -1,7 +1,8 @@
 """Lower bound on the mean completion time of any schedule of a workload.
 
 Each job is taken as fluid: its work in accelerator-milliseconds may be done
-at any rate up to all capacity in service, and be interrupted for nothing.
+at any rate up to all capacity in service that does not fail every task, and
+be interrupted for nothing.
 On such a machine, least-total-work-first, preemptive, has the least sum of
 mean busy times M of all schedules; and whatever runs a job at its own width
 ends it at least half its run time after its mean busy time. So the sum of
@@ -43,17 +44,25 @@
     return best / len(arrivals)
 
 
-def _fluid(workload, arrivals, by_total: bool) -> tuple[float, float]:
-    """Returns the sums of mean busy times and of ends, least work first."""
+def able_accelerators(workload: workloads.Workload, now_ms: float) -> int:
+    """Returns the accelerators in service of workers that do not fail."""
     out_ms, back_ms = workload.out_span_ms
-    full = sum(each.accelerators for each in workload.workers)
-    part = sum(
+    since_ms, until_ms = workload.failing_span_ms
+    out = workload.domain_out if out_ms <= now_ms < back_ms else ""
+    broken = workload.failing_worker if since_ms <= now_ms < until_ms else ""
+    return sum(
         each.accelerators
         for each in workload.workers
-        if each.failure_domain != workload.domain_out
+        if each.failure_domain != out and each.name != broken
+    )
+
+
+def _fluid(workload, arrivals, by_total: bool) -> tuple[float, float]:
+    """Returns the sums of mean busy times and of ends, least work first."""
+    changes = sorted(
+        [at for at, _, _ in arrivals]
+        + [*workload.out_span_ms, *workload.failing_span_ms]
     )
-    changes = [at for at, _, _ in arrivals] + [out_ms, back_ms]
-    changes.sort()
     waiting: list[list[float]] = []
     busy, ends, position, now = 0.0, 0.0, 0, 0.0
     while position < len(arrivals) or waiting:
@@ -63,7 +72,7 @@
             work = arrivals[position][1]
             heapq.heappush(waiting, [work, position, work])
             position += 1
-        rate = part if out_ms <= now < back_ms else full
+        rate = able_accelerators(workload, now)
         while waiting and now < until:
             key, index, left = waiting[0]
             span = min(left / rate, until - now)
--- a/benchmarks/decisions_loop.py
+++ b/benchmarks/decisions_loop.py
@@ -253,13 +253,13 @@
             return
         life.stopping = True
         delay_ms = self._rng.randint(100, 300)
-        if life.running_ms is not None and requeue:
+        if life.running_ms is not None:
             restore_ms = RESTORE_MS if life.place.attempt > 1 else 0
             ran_ms = self.clock.now() - life.running_ms - restore_ms
             done_ms = life.kept_ms + max(0, ran_ms)
-            if checkpoint:
+            if checkpoint and requeue:
                 delay_ms = self._rng.randint(300, 1_800)
-            else:
+            elif requeue:
                 done_ms -= done_ms % AUTOMATIC_CHECKPOINT_MS
             self._keep(life, done_ms)
         self._after(delay_ms, self._release, life, requeue)
--- a/benchmarks/decisions_measures.py
+++ b/benchmarks/decisions_measures.py
@@ -122,11 +122,8 @@
         out_ms, back_ms = self._workload.out_span_ms
         if not out_ms + SETTLED_MS <= self._last_ms < back_ms:
             return
-        remaining = sum(
-            each.accelerators
-            for each in self._workload.workers
-            if each.failure_domain != self._workload.domain_out
-            and each.name != self._workload.failing_worker
+        remaining = decisions_bound.able_accelerators(
+            self._workload, self._last_ms
         )
         demand = sum(
             life.submission.job.shape.accelerators
@@ -235,7 +232,7 @@
         result["urgent_start_ms_p99"] = percentile(starts, 99)
         result["urgent_covered"] = len(starts)
         result["fragmentation"] = self._unusable_ms / max(1, self._free_ms)
-        result["domain_work_share"] = self._work_share(lives)
+        result["domain_work_share"] = self._work_share(loop)
         result["reclaim_ms_p99"] = percentile(self._reclaims_ms, 99)
         result["largest_job_wait_ms"] = _largest_wait(lives, loop.clock.now())
         for name in (
@@ -248,14 +245,14 @@
         result["decision_us_p99"] = percentile(loop.decision_us, 99)
         return result
 
-    def _work_share(self, lives) -> float:
+    def _work_share(self, loop: loops.Loop) -> float:
         """Returns work kept while the domain is out over what could be."""
         out_ms, back_ms = self._workload.out_span_ms
         since_ms = out_ms + SETTLED_MS
         done_ms = sum(
             max(0, min(end, back_ms) - max(begin, since_ms))
             * life.submission.job.shape.accelerators
-            for life in lives
+            for life in loop.lives.values()
             for begin, end in life.work
         )
         return done_ms / max(1.0, self._could_ms)
--- a/bilberryroute/scheduling/dispatch.py
+++ b/bilberryroute/scheduling/dispatch.py
@@ -126,7 +126,7 @@
             return
         self._plans_left -= 1
         if self._overdue(entry, now_ms):
-            self._reserve(entry, now_ms)
+            self._evict(entry, now_ms)
         elif not self._displace(entry, now_ms):
             self._note_misfit("any", entry, now_ms)
 
@@ -167,7 +167,7 @@
             self._state.set_aside(victim, aside)
 
     def _overdue(self, entry: table.Entry, now_ms: int) -> bool:
-        """Returns whether a job has waited long enough for a reservation."""
+        """Returns whether a job has waited so long that others make way."""
         if not self._policy.reservations:
             return False
         if now_ms - entry.waits_since_ms < self._policy.patience_ms:
@@ -196,7 +196,10 @@
         self._state.set_aside(entry, aside)
 
     def _evict(self, entry: table.Entry, now_ms: int) -> None:
-        """Stops whatever is not protected so that an overdue job starts."""
+        """Stops whatever is not protected so that an overdue job starts.
+
+        Where protected jobs are in the way, sets room aside until they end.
+        """
         found = self._freeing.anywhere(entry, now_ms)
         if found is None:
             self._reserve(entry, now_ms)
--- a/bilberryroute/scheduling/policy.py
+++ b/bilberryroute/scheduling/policy.py
@@ -26,7 +26,7 @@
       gentle_return: A returning failure domain fills up gradually.
       restart_ms: Run time expected to be lost by one stop and restart.
       width_exponent: How far a job's width delays it, beside its time left.
-      width_exponent: float = 0.5
+      width_exponent: float = -0.3
     patience_ms: Wait after which a job gets capacity set aside.
       reservation_ms: Longest wait for capacity set aside before the jobs on
         it are stopped.
@@ -48,7 +48,7 @@
     migration: bool = True
     gentle_return: bool = True
     restart_ms: int = 30 * clock.SECOND
-    width_exponent: float = 0.5
+    width_exponent: float = -0.3
     patience_ms: int = 1 * clock.HOUR
     reservation_ms: int = 20 * clock.MINUTE
     ramp_ms: int = 15 * clock.SECOND
