Look over endpoints and tasks only when something may have changed

Cause: at 400 agents the leader rebuilt the table of endpoints ten times a second (5 ms each under the profiler), and an idle agent planned its tasks at each renewal. The table is rebuilt when a report changes, and every 500 ms for silent agents; tasks are planned at a renewal only if some are held.

--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -24,6 +24,7 @@
 
 SIZES = (50, 100, 200, 400)
 AGENT_RENEWALS_MS = (175, 350, 700, 1_050)
+AGENTS = 6
 TICKETS = 40
 TICKET_PAUSE_MS = 50
 EXCHANGES = 5_000
@@ -160,7 +161,7 @@
     for renewal_ms in AGENT_RENEWALS_MS:
         layout = cluster_lib.Layout(
             domains=("apapa",),
-            agents=("apapa", "apapa"),
+            agents=("apapa",) * AGENTS,
             entries=1,
             workers=0,
             endpoints=0,
--- a/bilberryroute/agent/tasks.py
+++ b/bilberryroute/agent/tasks.py
@@ -97,7 +97,12 @@
 
     @Service.task
     async def _watch_lease(self) -> None:
-        await self._watch(self.board.lease)
+        cell = self.board.lease
+        seen = cell.version
+        while not self.should_stop:
+            seen = await cell.changed(seen)
+            if self._held:
+                self._replan.touch()
 
     async def _watch(self, cell: blackboard.Cell) -> None:
         seen = cell.version
--- a/bilberryroute/replica/endpoints.py
+++ b/bilberryroute/replica/endpoints.py
@@ -7,6 +7,7 @@
 from bilberryroute.replica import parts as parts_lib
 
 CHECK_MS = clock_lib.Millis(100)
+SILENCE_CHECK_MS = clock_lib.Millis(500)
 
 
 class EndpointController(mode.Service):
@@ -18,14 +19,25 @@
         self._board = parts.board
         self._leadership = parts.leadership
         self._clock = parts.clock
+        self._published = (-1, 0)
 
     @mode.Service.task
     async def _collect(self) -> None:
         while not self.should_stop:
             await self.sleep(clock_lib.seconds(CHECK_MS))
-            if self._leadership.active():
+            if self._leadership.active() and self._is_due():
                 self._publish()
 
+    def _is_due(self) -> bool:
+        """Says whether a report has changed, or silent agents may be found."""
+        now = self._clock.now()
+        version, at_ms = self._published
+        changed = version != self._board.agents.version
+        if not changed and now - at_ms < SILENCE_CHECK_MS:
+            return False
+        self._published = (self._board.agents.version, now)
+        return True
+
     def _publish(self) -> None:
         """Replaces the table when more than the load has changed."""
         table = self._table()
