Bind starts to the worker's incarnation; believe workers over fences

Causes, found by reading: - a start's deadline is on the worker's clock, which begins anew when its host restarts, so a held-up start could be in time there: it names the worker's incarnation now, and another one refuses it; - an agent that stood still past a task's lease reported it lost before asking the worker, which may know that it is done: a lease's end counts only where the worker gives no answer (test seen failing before); - a checkpoint had 2 s: it has as long as the task's lease lasts.

--- a/benchmarks/lease_agents.py
+++ b/benchmarks/lease_agents.py
@@ -6,6 +6,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import lease_keeper
 from bilberryroute.agent import renewal as renewal_lib
 from bilberryroute.model import jobs
 from bilberryroute.model import wire
@@ -47,7 +48,7 @@
     """
 
     def __init__(self, name: str, clock: clock_lib.Clock):
-        self.keeper = renewal_lib.LeaseKeeper(
+        self.keeper = lease_keeper.LeaseKeeper(
             EPOCH, board_lib.new_board().desired.get(), KEEP_MS
         )
         self.sent = 0
--- /dev/null
+++ b/bilberryroute/agent/lease_keeper.py
@@ -0,0 +1,138 @@
+"""Pure decisions on the agent's lease: what each grant changes."""
+
+import collections
+import dataclasses
+import enum
+
+from bilberryroute import clock as clock_lib
+from bilberryroute.agent import board as board_lib
+from bilberryroute.model import wire
+
+
+class Ignored(enum.StrEnum):
+    """Why a grant changed nothing."""
+
+    LOWER_TERM = "stale_term"
+    FOREIGN_ECHO = "foreign_echo"
+    UNPROVED_PUSH = "unproved_push"
+    REVISION_BACK = "revision_back"
+    MALFORMED = "malformed_grant"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Renewed:
+    """The lease holds until `lease.expires`.
+
+    Attributes:
+      desired: Newer desired state, or None.
+    """
+
+    lease: board_lib.Lease
+    desired: wire.Desired | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Pushed:
+    """The leader sent newer desired state and renewed nothing."""
+
+    desired: wire.Desired | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Redirected:
+    """The sender does not lead.
+
+    Attributes:
+      leader_id: The replica that leads, as far as the sender knows, or empty.
+    """
+
+    leader_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Dropped:
+    """The grant changed nothing."""
+
+    reason: Ignored
+
+
+Verdict = Renewed | Pushed | Redirected | Dropped
+
+
+class LeaseKeeper:
+    """Decides what each grant changes; never goes back.
+
+    The echo of a renewal is the clock reading shifted by a random epoch, so
+    that a grant meant for an earlier incarnation names no renewal of this one.
+
+    Attributes:
+      term: Highest term seen.
+      lease: Present lease.
+      desired: Desired state held.
+    """
+
+    def __init__(self, epoch: int, desired: wire.Desired, keep_ms: int):
+        self.term = 0
+        self.lease = board_lib.Lease()
+        self.desired = desired
+        self._desired_term = 0
+        self._epoch = epoch
+        self._keep_ms = keep_ms
+        self._sent: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        self._proved = False
+
+    def stamp(self, now: int) -> int:
+        """Returns the echo of a renewal that is sent at `now`."""
+        echo_ms = self._epoch + now
+        self._sent[echo_ms] = now
+        while next(iter(self._sent.values())) < now - self._keep_ms:
+            self._sent.popitem(last=False)
+        return echo_ms
+
+    def accept(self, grant: wire.Grant) -> Verdict:
+        """Returns what the grant changes, after changing it."""
+        if grant.term < self.term:
+            return Dropped(reason=Ignored.LOWER_TERM)
+        if grant.echo_ms == 0:
+            return self._accept_push(grant)
+        sent = self._sent.get(grant.echo_ms)
+        if sent is None:
+            return Dropped(reason=Ignored.FOREIGN_ECHO)
+        if grant.lease_ms <= 0:
+            return Redirected(leader_id=grant.leader_id)
+        return self._renew(grant, sent)
+
+    def _accept_push(self, grant: wire.Grant) -> Verdict:
+        if not self._proved:
+            return Dropped(reason=Ignored.UNPROVED_PUSH)
+        if self._goes_back(grant.desired):
+            return Dropped(reason=Ignored.REVISION_BACK)
+        self.term = grant.term
+        return Pushed(desired=self._take(grant))
+
+    def _renew(self, grant: wire.Grant, sent: int) -> Verdict:
+        if self._goes_back(grant.desired):
+            return Dropped(reason=Ignored.REVISION_BACK)
+        self.term = grant.term
+        self._proved = True
+        expires = max(self.lease.expires, sent + grant.lease_ms)
+        self.lease = board_lib.Lease(
+            term=grant.term, expires=clock_lib.Millis(expires)
+        )
+        return Renewed(lease=self.lease, desired=self._take(grant))
+
+    def _goes_back(self, desired: wire.Desired | None) -> bool:
+        return desired is not None and desired.revision < self.desired.revision
+
+    def _take(self, grant: wire.Grant) -> wire.Desired | None:
+        desired = grant.desired
+        if desired is None:
+            return None
+        held = (self._desired_term, self.desired.version)
+        if (grant.term, desired.version) <= held:
+            return None
+        self._desired_term = grant.term
+        self.desired = desired
+        return desired
--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -1,13 +1,11 @@
 """Renewal of the agent's lease by datagram.
 
-`LeaseKeeper` decides what a grant changes and does no I/O; `RenewalService`
-carries renewals to the leader and writes the decisions on the blackboard.
+Carries renewals to the leader and writes what `lease_keeper` decides on the
+blackboard.
 """
 
 import asyncio
-import collections
 import dataclasses
-import enum
 import logging
 from collections.abc import Callable
 from typing import TypeVar
@@ -21,6 +19,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import lease_keeper
 from bilberryroute.model import wire
 from bilberryroute.transport import codec
 
@@ -35,16 +34,6 @@
 logger = logging.getLogger(__name__)
 
 
-class Ignored(enum.StrEnum):
-    """Why a grant changed nothing."""
-
-    LOWER_TERM = "stale_term"
-    FOREIGN_ECHO = "foreign_echo"
-    UNPROVED_PUSH = "unproved_push"
-    REVISION_BACK = "revision_back"
-    MALFORMED = "malformed_grant"
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Identity:
     """Who this agent is, for as long as its process lives.
@@ -58,125 +47,6 @@
     failure_domain: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Renewed:
-    """The lease holds until `lease.expires`.
-
-    Attributes:
-      desired: Newer desired state, or None.
-    """
-
-    lease: board_lib.Lease
-    desired: wire.Desired | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Pushed:
-    """The leader sent newer desired state and renewed nothing."""
-
-    desired: wire.Desired | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Redirected:
-    """The sender does not lead.
-
-    Attributes:
-      leader_id: The replica that leads, as far as the sender knows, or empty.
-    """
-
-    leader_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Dropped:
-    """The grant changed nothing."""
-
-    reason: Ignored
-
-
-Verdict = Renewed | Pushed | Redirected | Dropped
-
-
-class LeaseKeeper:
-    """Decides what each grant changes; never goes back.
-
-    The echo of a renewal is the clock reading shifted by a random epoch, so
-    that a grant meant for an earlier incarnation names no renewal of this one.
-
-    Attributes:
-      term: Highest term seen.
-      lease: Present lease.
-      desired: Desired state held.
-    """
-
-    def __init__(self, epoch: int, desired: wire.Desired, keep_ms: int):
-        self.term = 0
-        self.lease = board_lib.Lease()
-        self.desired = desired
-        self._desired_term = 0
-        self._epoch = epoch
-        self._keep_ms = keep_ms
-        self._sent: collections.OrderedDict[int, int] = (
-            collections.OrderedDict()
-        )
-        self._proved = False
-
-    def stamp(self, now: int) -> int:
-        """Returns the echo of a renewal that is sent at `now`."""
-        echo_ms = self._epoch + now
-        self._sent[echo_ms] = now
-        while next(iter(self._sent.values())) < now - self._keep_ms:
-            self._sent.popitem(last=False)
-        return echo_ms
-
-    def accept(self, grant: wire.Grant) -> Verdict:
-        """Returns what the grant changes, after changing it."""
-        if grant.term < self.term:
-            return Dropped(reason=Ignored.LOWER_TERM)
-        if grant.echo_ms == 0:
-            return self._accept_push(grant)
-        sent = self._sent.get(grant.echo_ms)
-        if sent is None:
-            return Dropped(reason=Ignored.FOREIGN_ECHO)
-        if grant.lease_ms <= 0:
-            return Redirected(leader_id=grant.leader_id)
-        return self._renew(grant, sent)
-
-    def _accept_push(self, grant: wire.Grant) -> Verdict:
-        if not self._proved:
-            return Dropped(reason=Ignored.UNPROVED_PUSH)
-        if self._goes_back(grant.desired):
-            return Dropped(reason=Ignored.REVISION_BACK)
-        self.term = grant.term
-        return Pushed(desired=self._take(grant))
-
-    def _renew(self, grant: wire.Grant, sent: int) -> Verdict:
-        if self._goes_back(grant.desired):
-            return Dropped(reason=Ignored.REVISION_BACK)
-        self.term = grant.term
-        self._proved = True
-        expires = max(self.lease.expires, sent + grant.lease_ms)
-        self.lease = board_lib.Lease(
-            term=grant.term, expires=clock_lib.Millis(expires)
-        )
-        return Renewed(lease=self.lease, desired=self._take(grant))
-
-    def _goes_back(self, desired: wire.Desired | None) -> bool:
-        return desired is not None and desired.revision < self.desired.revision
-
-    def _take(self, grant: wire.Grant) -> wire.Desired | None:
-        desired = grant.desired
-        if desired is None:
-            return None
-        held = (self._desired_term, self.desired.version)
-        if (grant.term, desired.version) <= held:
-            return None
-        self._desired_term = grant.term
-        self.desired = desired
-        return desired
-
-
 def _local_address(cfg: settings.Settings) -> str:
     # A replica in the same process listens on the datagram address itself.
     if settings.Role.REPLICA in cfg.roles or not cfg.listen.datagram:
@@ -220,7 +90,7 @@
         self._clock = env.clock
         self.board = board
         self._identity = identity
-        self._keeper = LeaseKeeper(
+        self._keeper = lease_keeper.LeaseKeeper(
             epoch=(1 << EPOCH_BITS) + env.rng.getrandbits(EPOCH_BITS),
             desired=board.desired.get(),
             keep_ms=2 * cfg.timing.agent_lease_ms,
@@ -332,21 +202,21 @@
         try:
             grant = self._decoder.decode(payload)
         except errors.MalformedInput:
-            self._metrics.dropped(Ignored.MALFORMED)
+            self._metrics.dropped(lease_keeper.Ignored.MALFORMED)
             return
         verdict = self._keeper.accept(grant)
         match verdict:
-            case Renewed(lease=lease, desired=desired):
+            case lease_keeper.Renewed(lease=lease, desired=desired):
                 self._answered = True
                 self._learn_replicas(grant.replicas)
                 self._take_desired(desired)
                 self.board.lease.set(lease)
-            case Pushed(desired=desired):
+            case lease_keeper.Pushed(desired=desired):
                 self._take_desired(desired)
-            case Redirected(leader_id=leader_id):
+            case lease_keeper.Redirected(leader_id=leader_id):
                 self._learn_replicas(grant.replicas)
                 self._redirect(leader_id)
-            case Dropped(reason=reason):
+            case lease_keeper.Dropped(reason=reason):
                 self._metrics.dropped(reason)
 
     def _take_desired(self, desired: wire.Desired | None) -> None:
--- a/bilberryroute/agent/tasks.py
+++ b/bilberryroute/agent/tasks.py
@@ -124,7 +124,7 @@
                 if contact.name not in self._polling:
                     self._polling.add(contact.name)
                     self.add_future(self._poll_worker(contact))
-            self._end_fenced()
+            self._end_fenced(self._held_without_contact())
             await self.sleep(clock_lib.seconds(POLL_MS))
 
     def _carry_out(self, step: task_plan.Step) -> None:
@@ -225,6 +225,7 @@
         return worker_api.Start(
             job_id=job_id,
             attempt=attempt,
+            incarnation=contact.incarnation,
             accelerators=held.accelerators,
             progress_ms=held.progress_ms,
             left_ms=view.lease_left_ms,
@@ -269,7 +270,8 @@
         name = worker_api.TaskName(held.key[1], held.key[2])
         try:
             if checkpoint:
-                saved = await self._client.checkpoint(contact, name)
+                left = max(1, held.fenced - self._clock.now())
+                saved = await self._client.checkpoint(contact, name, left)
                 held.progress_ms = saved.progress_ms
             task = await self._client.stop(contact, name)
         except worker_api.WorkerUnreachable:
@@ -284,6 +286,7 @@
             await self._ask_worker(contact)
         except worker_api.WorkerUnreachable as exc:
             logger.warning("%s", exc)
+            self._end_fenced(self._held_on(contact.name))
         finally:
             self._polling.discard(contact.name)
 
@@ -292,9 +295,8 @@
         now = self._clock.now()
         running = [
             held
-            for held in self._held.values()
-            if held.key[0] == contact.name
-            and held.phase is task_plan.Phase.RUNNING
+            for held in self._held_on(contact.name)
+            if held.phase is task_plan.Phase.RUNNING
         ]
         if running and self.board.lease.get().left(now):
             tasks = await self._renew(contact, running, now)
@@ -360,12 +362,21 @@
             ):
                 del self._surveys[name]
 
-    def _end_fenced(self) -> None:
+    def _held_on(self, worker: str) -> list[task_plan.Held]:
+        return [h for key, h in self._held.items() if key[0] == worker]
+
+    def _held_without_contact(self) -> list[task_plan.Held]:
+        contacts = self._workers.contacts
+        return [h for key, h in self._held.items() if key[0] not in contacts]
+
+    def _end_fenced(self, silent: list[task_plan.Held]) -> None:
+        """Gives up tasks whose worker is silent and whose lease has ended."""
         now = self._clock.now()
-        for held in self._held.values():
+        for held in silent:
             running = held.phase is task_plan.Phase.RUNNING
             if running and now >= held.fenced:
                 held.end(jobs.TaskResult.LOST)
+                self._replan.touch()
 
     def _publish(self) -> None:
         reports = {k: h.report() for k, h in self._held.items()}
--- a/bilberryroute/agent/worker_api.py
+++ b/bilberryroute/agent/worker_api.py
@@ -44,6 +44,8 @@
     """Body of `POST /v1/tasks`.
 
     Attributes:
+      incarnation: Incarnation of the worker whose clock the deadlines are on;
+        another one refuses the start.
       left_ms: Time left of the agent's lease, for the worker's log.
       not_after_ms: Worker's clock after which the start is refused.
       lease_until_ms: Worker's clock at which the task is killed unless its
@@ -52,6 +54,7 @@
 
     job_id: str
     attempt: int
+    incarnation: str
     accelerators: tuple[int, ...]
     progress_ms: int
     left_ms: int
@@ -134,10 +137,7 @@
     """Calls workers over one connection pool."""
 
     def __init__(self) -> None:
-        timeout = aiohttp.ClientTimeout(
-            total=clock_lib.seconds(CALL_TIMEOUT_MS)
-        )
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        self._session = aiohttp.ClientSession()
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -177,15 +177,15 @@
         return self._decode(contact, status, body, Tasks)
 
     async def checkpoint(
-        self, contact: workers_lib.Contact, name: TaskName
+        self, contact: workers_lib.Contact, name: TaskName, timeout_ms: int
     ) -> Task:
-        """Has a task save its progress.
+        """Has a task save its progress, which may take a while.
 
         Raises:
           WorkerUnreachable: If there was no whole answer.
         """
         status, body = await self._call(
-            contact, "POST", "/v1/checkpoints", name
+            contact, "POST", "/v1/checkpoints", name, timeout_ms
         )
         return self._decode(contact, status, body, Task)
 
@@ -204,12 +204,13 @@
         method: str,
         path: str,
         message: msgspec.Struct | None = None,
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> tuple[int, bytes]:
         url = f"http://{contact.address}{path}"
         payload = None if message is None else msgspec.json.encode(message)
         try:
             async with self._session.request(
-                method, url, data=payload
+                method, url, data=payload, timeout=_timeout(timeout_ms)
             ) as response:
                 return response.status, await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
@@ -236,6 +237,10 @@
             ) from exc
 
 
+def _timeout(duration: int) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=clock_lib.seconds(duration))
+
+
 def _refusal(body: bytes) -> StartRefused:
     try:
         refusal = msgspec.json.decode(body, type=Refusal)
--- a/extras/fakes/fake_worker.py
+++ b/extras/fakes/fake_worker.py
@@ -178,7 +178,9 @@
         memory_mb=memory_mb,
         clock_ms=0,
     )
-    table = task_table.TaskTable(accelerators, run_ms, lag_ms, fail_all)
+    table = task_table.TaskTable(
+        hello.incarnation, accelerators, run_ms, lag_ms, fail_all
+    )
     book = journal_lib.Journal(journal, name, failure_domain, clock)
     worker = FakeWorker(hello, agent, table, book, clock)
     asyncio.run(signals.until_signalled(worker.run()))
--- a/extras/fakes/task_table.py
+++ b/extras/fakes/task_table.py
@@ -56,9 +56,15 @@
     """
 
     def __init__(
-        self, accelerators: int, run_ms: int, lag_ms: int, fail_all: bool
+        self,
+        incarnation: str,
+        accelerators: int,
+        run_ms: int,
+        lag_ms: int,
+        fail_all: bool,
     ):
         self.fail_all = fail_all
+        self._incarnation = incarnation
         self._accelerators = accelerators
         self._run_ms = run_ms
         self._lag_ms = lag_ms
@@ -76,6 +82,8 @@
             return self._report(self._tasks[key], now)
         if key in self._fenced:
             raise Refusal("the task was stopped before it started")
+        if call.incarnation != self._incarnation:
+            raise Late("meant for an earlier incarnation of this worker")
         if now >= call.not_after_ms:
             raise Late(f"late by {now - call.not_after_ms} ms")
         self._check_accelerators(call)
--- a/tests/agent/test_renewal.py
+++ b/tests/agent/test_renewal.py
@@ -7,6 +7,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import lease_keeper
 from bilberryroute.agent import renewal
 from bilberryroute.model import wire
 from tests.utils import environment
@@ -16,8 +17,8 @@
 
 
 @pytest.fixture
-def keeper() -> renewal.LeaseKeeper:
-    return renewal.LeaseKeeper(
+def keeper() -> lease_keeper.LeaseKeeper:
+    return lease_keeper.LeaseKeeper(
         EPOCH, board_lib.new_board().desired.get(), keep_ms=4_400
     )
 
@@ -41,17 +42,21 @@
 def test_lower_term_is_refused(keeper):
     keeper.accept(leader_lib.grant(keeper.stamp(0), term=5))
     verdict = keeper.accept(leader_lib.grant(keeper.stamp(700), term=4))
-    assert verdict == renewal.Dropped(reason=renewal.Ignored.LOWER_TERM)
+    assert verdict == lease_keeper.Dropped(
+        reason=lease_keeper.Ignored.LOWER_TERM
+    )
     assert keeper.lease.expires == 2_200
 
 
 def test_echo_of_an_earlier_incarnation_grants_nothing(keeper):
-    earlier = renewal.LeaseKeeper(
+    earlier = lease_keeper.LeaseKeeper(
         EPOCH + random.Random(1).getrandbits(50), keeper.desired, keep_ms=4_400
     )
     keeper.stamp(1_000)
     verdict = keeper.accept(leader_lib.grant(earlier.stamp(1_000)))
-    assert verdict == renewal.Dropped(reason=renewal.Ignored.FOREIGN_ECHO)
+    assert verdict == lease_keeper.Dropped(
+        reason=lease_keeper.Ignored.FOREIGN_ECHO
+    )
     assert keeper.lease.expires == 0
 
 
@@ -59,13 +64,17 @@
     old = keeper.stamp(0)
     keeper.stamp(10_000)
     verdict = keeper.accept(leader_lib.grant(old))
-    assert verdict == renewal.Dropped(reason=renewal.Ignored.FOREIGN_ECHO)
+    assert verdict == lease_keeper.Dropped(
+        reason=lease_keeper.Ignored.FOREIGN_ECHO
+    )
 
 
 def test_push_before_the_first_own_grant_is_refused(keeper):
     push = leader_lib.grant(0, desired=leader_lib.desired_state(7))
     verdict = keeper.accept(push)
-    assert verdict == renewal.Dropped(reason=renewal.Ignored.UNPROVED_PUSH)
+    assert verdict == lease_keeper.Dropped(
+        reason=lease_keeper.Ignored.UNPROVED_PUSH
+    )
     assert keeper.desired.version == 0
 
 
@@ -73,7 +82,7 @@
     keeper.accept(leader_lib.grant(keeper.stamp(0)))
     desired = leader_lib.desired_state(7)
     push = leader_lib.grant(0, lease_ms=9_000, desired=desired)
-    assert keeper.accept(push) == renewal.Pushed(desired=desired)
+    assert keeper.accept(push) == lease_keeper.Pushed(desired=desired)
     assert keeper.lease.expires == 2_200
 
 
@@ -93,7 +102,9 @@
     verdict = keeper.accept(
         leader_lib.grant(keeper.stamp(700), term=2, desired=older)
     )
-    assert verdict == renewal.Dropped(reason=renewal.Ignored.REVISION_BACK)
+    assert verdict == lease_keeper.Dropped(
+        reason=lease_keeper.Ignored.REVISION_BACK
+    )
     assert keeper.desired == newer
     assert keeper.lease.expires == 2_200
 
@@ -101,7 +112,7 @@
 def test_grants_in_any_order_never_step_back():
     rng = random.Random(4)
     for _ in range(200):
-        keeper = renewal.LeaseKeeper(
+        keeper = lease_keeper.LeaseKeeper(
             EPOCH, board_lib.new_board().desired.get(), keep_ms=100_000
         )
         grants = [
@@ -216,5 +227,5 @@
 async def test_malformed_datagram_is_counted(leaders, service):
     await service.start()
     service.receive(b"\xc1")
-    reason = {"reason": renewal.Ignored.MALFORMED}
+    reason = {"reason": lease_keeper.Ignored.MALFORMED}
     assert service._metrics.drops.get(reason) == 1
--- a/tests/agent/test_tasks.py
+++ b/tests/agent/test_tasks.py
@@ -78,10 +78,30 @@
         return [line.event for line in journal_lib.read(self.journal)]
 
 
+def start_call(
+    not_after: int, lease_until: int, incarnation: str = "i1"
+) -> worker_api.Start:
+    """Returns the start of the task on accelerators 0 and 1."""
+    return worker_api.Start(
+        job_id="j1",
+        attempt=1,
+        incarnation=incarnation,
+        accelerators=(0, 1),
+        progress_ms=0,
+        left_ms=1_000,
+        not_after_ms=not_after,
+        lease_until_ms=lease_until,
+    )
+
+
 @pytest.fixture
 async def bench(tmp_path):
     table = task_table.TaskTable(
-        accelerators=8, run_ms=60_000, lag_ms=0, fail_all=False
+        incarnation="i1",
+        accelerators=8,
+        run_ms=60_000,
+        lag_ms=0,
+        fail_all=False,
     )
     path = tmp_path / "w1.jsonl"
     journal = journal_lib.Journal(str(path), "w1", "apapa", CLOCK)
@@ -214,16 +234,15 @@
     bench.desire("running")
     await bench.until("lost")
     contact = bench.service._workers.contacts["w1"]
-    call = worker_api.Start(
-        "j1", 1, (0, 1), 0, 1_000, CLOCK.now() + 9_000, CLOCK.now() + 9_000
-    )
+    now = CLOCK.now()
+    call = start_call(not_after=now + 9_000, lease_until=now + 9_000)
     with pytest.raises(worker_api.StartRefused):
         await start(contact, call)
 
 
 async def test_task_without_a_renewed_lease_is_killed_by_its_worker(bench):
     now = CLOCK.now()
-    call = worker_api.Start("j1", 1, (0, 1), 0, 1_000, now + 9_000, now + 300)
+    call = start_call(not_after=now + 9_000, lease_until=now + 300)
     bench.table.start(call, now)
     assert bench.table.tasks(now + 299).tasks[0].state == "running"
     assert bench.table.tasks(now + 300).tasks[0].state == "lost"
@@ -231,7 +250,7 @@
 
 async def test_restarted_agent_adopts_what_runs(bench):
     now = CLOCK.now()
-    call = worker_api.Start("j1", 1, (0, 1), 0, 1_000, now + 9, now + 60_000)
+    call = start_call(not_after=now + 9, lease_until=now + 60_000)
     bench.table.start(call, now)
     bench.service._surveys.clear()
     bench.desire("running")
@@ -252,3 +271,37 @@
     await bench.until("running")
     bench.table._tasks.clear()
     await bench.until("lost")
+
+
+async def test_start_meant_for_an_earlier_incarnation_is_refused(bench):
+    """Its deadline is on a clock that began anew with the worker's host."""
+    bench.desire("reserved")
+    await bench.until("reserved")
+    bench.table._incarnation = "i2"
+    bench.desire("running")
+    async with asyncio.timeout(10):
+        while not bench.refusals("start_late"):
+            await asyncio.sleep(0.02)
+    assert "start" not in bench.events()
+
+
+async def test_end_that_came_while_the_agent_stood_still_is_not_lost(bench):
+    bench.desire("reserved")
+    await bench.until("reserved")
+    bench.desire("running")
+    await bench.until("running")
+    bench.table.fail_all = True
+    bench.service._held[KEY].fenced = 0
+    await bench.until("failed")
+
+
+async def test_task_of_a_silent_worker_ends_with_its_lease(bench):
+    bench.desire("reserved")
+    await bench.until("reserved")
+    bench.desire("running")
+    await bench.until("running")
+    bench.service._workers.contacts.clear()
+    bench.service._held[KEY].fenced = CLOCK.now() + 300
+    assert bench.board.tasks.get()[KEY].state == "running"
+    await bench.until("lost")
+    assert CLOCK.now() >= bench.service._held[KEY].fenced
