Tell entries of all replicas, and run tests that bound times by themselves

Change: the watch carries the replicas' addresses; tests that bound times run after the others, one by one. No bound was changed.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	$(BIN)/lint-imports
 
 test: install lint
-	$(BIN)/python -m pytest -n $(WORKERS)
+	$(BIN)/python -m pytest -n $(WORKERS) -m "not serial"
+	$(BIN)/python -m pytest -m serial
 
 binary: install
 	$(BIN)/python extras/build_binary.py
--- a/bilberryroute/entry/board.py
+++ b/bilberryroute/entry/board.py
@@ -16,6 +16,7 @@
       endpoints: All endpoints as the leader last showed them.
       term: Highest term seen.
       leader_id: The leading replica, as far as known.
+      replicas: gRPC addresses of the replicas by id, as last told.
       draining: True once the process was asked to leave.
     """
 
@@ -23,6 +24,7 @@
     endpoints: blackboard.Cell[tuple[wire.EndpointView, ...]]
     term: blackboard.Cell[int]
     leader_id: blackboard.Cell[str]
+    replicas: blackboard.Cell[dict[str, str]]
     draining: blackboard.Cell[bool]
 
 
@@ -33,5 +35,6 @@
         endpoints=blackboard.Cell(()),
         term=blackboard.Cell(0),
         leader_id=blackboard.Cell(""),
+        replicas=blackboard.Cell({}),
         draining=blackboard.Cell(False),
     )
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -146,7 +146,7 @@
 
     def _leader_address(self) -> str:
         """Returns where the leader is believed to be."""
-        known = {r.id: r.grpc for r in self._cfg.replicas}
+        known = self._known_replicas()
         leader = known.get(self._board.leader_id.get())
         if leader is not None and not self._is_suspected(leader):
             return leader
@@ -154,6 +154,11 @@
         candidates = heard or list(known.values())
         return candidates[self._turn % len(candidates)]
 
+    def _known_replicas(self) -> dict[str, str]:
+        """Returns addresses by id; a configured one is this host's way."""
+        configured = {r.id: r.grpc for r in self._cfg.replicas}
+        return self._board.replicas.get() | configured
+
     def _suspect(self, address: str) -> None:
         """Notes that a replica fell silent."""
         self._suspected[address] = self._clock.now() + SUSPICION_MS
@@ -224,6 +229,8 @@
         self._board.term.set(event.term)
         if self._board.leader_id.get() != event.leader_id:
             self._board.leader_id.set(event.leader_id)
+        if event.replicas != self._board.replicas.get():
+            self._board.replicas.set(event.replicas)
         fresh = event.configuration
         known = self._board.configuration.get()
         if fresh is not None and fresh.revision > known.revision:
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -167,9 +167,11 @@
       term: Term of the leader; an entry ignores a lower one than it has seen.
       configuration: Whole configuration, or None if the entry's is current.
       endpoints: All endpoints, or None if they have not changed.
+      replicas: gRPC addresses of all replicas, by id.
     """
 
     term: int
     leader_id: str
     configuration: config.Configuration | None
     endpoints: tuple[EndpointView, ...] | None
+    replicas: dict[str, str]
--- a/tests/consensus/test_group.py
+++ b/tests/consensus/test_group.py
@@ -9,6 +9,8 @@
 from bilberryroute.consensus import storage
 from tests.consensus import test_storage
 
+pytestmark = pytest.mark.serial
+
 LONG_S = 3
 
 
--- a/tests/consensus/test_targets.py
+++ b/tests/consensus/test_targets.py
@@ -2,8 +2,12 @@
 
 import random
 
+import pytest
+
 from benchmarks import consensus as benchmark
 
+pytestmark = pytest.mark.serial
+
 RECOVERY_TARGET_MS = 3_000
 
 
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -111,3 +111,28 @@
         await client.on_stop()
     assert result == commands.Changed(revision=7)
     assert replicas[0].asked == 1
+
+
+async def test_leader_that_joined_later_is_found_by_what_the_watch_told(
+    replicas,
+):
+    only = settings.ReplicaAddress(
+        id="r2", grpc=replicas[1].address, datagram=""
+    )
+    cfg = settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.Role.ENTRY,),
+        replicas=(only,),
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    board = board_lib.new_board()
+    board.replicas.set({"r4": replicas[2].address})
+    replicas[1].leader_id = "r4"
+    replicas[2].leader_id = ""
+    client = control_lib.ControlClient(cfg, board, CLOCK, env.rng)
+    try:
+        result = await client.propose(COMMAND)
+    finally:
+        await client.on_stop()
+    assert result == commands.Changed(revision=7)
--- a/tests/processes/test_gangs.py
+++ b/tests/processes/test_gangs.py
@@ -8,6 +8,8 @@
 from extras import cluster as cluster_lib
 from tests.processes import operators
 
+pytestmark = pytest.mark.serial
+
 # Worker's lease, two renewals, the leader's rounds and the stop itself.
 STOPPED_MS = 6_000
 AGAIN_MS = 25_000
--- a/tests/processes/test_leases.py
+++ b/tests/processes/test_leases.py
@@ -8,6 +8,8 @@
 from extras import cluster as cluster_lib
 from tests.processes import operators
 
+pytestmark = pytest.mark.serial
+
 OUT_BOUND_MS = 3_000
 AFTER_MS = 2_500
 SETTLE_MS = 400
--- a/tests/processes/test_replicas.py
+++ b/tests/processes/test_replicas.py
@@ -6,6 +6,7 @@
 import urllib.parse
 
 import msgspec
+import pytest
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import settings
@@ -14,6 +15,8 @@
 from extras import processes
 from tests.utils import ports
 
+pytestmark = pytest.mark.serial
+
 REPAIR_MS = 60_000
 LAYOUT = cluster_lib.Layout(workers=0, endpoints=0)
 
--- a/tests/processes/test_tickets.py
+++ b/tests/processes/test_tickets.py
@@ -5,11 +5,14 @@
 import socket
 
 import msgspec
+import pytest
 
 from bilberryroute import settings
 from extras import cluster as cluster_lib
 from tests.processes import operators
 
+pytestmark = pytest.mark.serial
+
 IN_FORCE_MS = 7_000
 AGAIN_MS = 3_000
 BURST = 100
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -7,6 +7,8 @@
 from bilberryroute.model import config
 from tests.requests import fakes
 
+pytestmark = pytest.mark.serial
+
 RUN_MS = 250
 SLOTS = 8
 FLOOD_S = 4
--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -6,6 +6,8 @@
 from bilberryroute import clock as clock_lib
 from tests.requests import fakes
 
+pytestmark = pytest.mark.serial
+
 RUN_MS = 150
 PROBE_MS = 100
 PROBE_TIMEOUT_MS = 300
