Tell entries of replicas that their settings do not name

Cause: an entry knew replica addresses from its settings only, so a leader that joined later could not be reached (seen failing: 'no replica leads at present' after 8 s). The watch now carries the group; the settings go first. Ruled out: asking operators to restart all entries before the old host goes.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -61,6 +61,7 @@
         self._rng = rng
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._turn = 0
+        self._learned: dict[str, str] = {}
         self._suspected: dict[str, int] = {}
 
     async def on_stop(self) -> None:
@@ -146,7 +147,7 @@
 
     def _leader_address(self) -> str:
         """Returns where the leader is believed to be."""
-        known = {r.id: r.grpc for r in self._cfg.replicas}
+        known = self._addresses()
         leader = known.get(self._board.leader_id.get())
         if leader is not None and not self._is_suspected(leader):
             return leader
@@ -154,6 +155,10 @@
         candidates = heard or list(known.values())
         return candidates[self._turn % len(candidates)]
 
+    def _addresses(self) -> dict[str, str]:
+        """Returns all replicas known; the settings know better than others."""
+        return self._learned | {r.id: r.grpc for r in self._cfg.replicas}
+
     def _suspect(self, address: str) -> None:
         """Notes that a replica fell silent."""
         self._suspected[address] = self._clock.now() + SUSPICION_MS
@@ -222,6 +227,7 @@
         if event.term < self._board.term.get():
             return
         self._board.term.set(event.term)
+        self._learned = {r.id: r.grpc for r in event.replicas}
         if self._board.leader_id.get() != event.leader_id:
             self._board.leader_id.set(event.leader_id)
         fresh = event.configuration
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -159,6 +159,14 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaView:
+    """Where entries reach one replica."""
+
+    id: str
+    grpc: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WatchEvent:
     """One message of the watch stream.
@@ -167,9 +175,11 @@
       term: Term of the leader; an entry ignores a lower one than it has seen.
       configuration: Whole configuration, or None if the entry's is current.
       endpoints: All endpoints, or None if they have not changed.
+      replicas: The group as the leader knows it.
     """
 
     term: int
     leader_id: str
     configuration: config.Configuration | None
     endpoints: tuple[EndpointView, ...] | None
+    replicas: tuple[ReplicaView, ...] = ()
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -154,6 +154,10 @@
             leader_id=self._cfg.replica_id,
             configuration=cfg if cfg.revision != revision else None,
             endpoints=self._board.endpoints.get() if fresh else None,
+            replicas=tuple(
+                wire.ReplicaView(id=m.replica_id, grpc=m.address.grpc)
+                for m in self._group.members()
+            ),
         )
 
     async def _wait_for_news(self, table: int) -> None:
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -9,6 +9,7 @@
 from bilberryroute.entry import control as control_lib
 from bilberryroute.model import commands
 from bilberryroute.model import control
+from bilberryroute.model import wire
 from bilberryroute.state import machine as machine_lib
 from bilberryroute.transport import codec
 from bilberryroute.transport import control as methods
@@ -26,25 +27,27 @@
       leader_id: Leader that it names; empty if it leads itself.
       silent: Whether proposals are left unanswered.
       asked: Proposals received.
+      event: What a watch is told.
     """
 
     def __init__(self, leader_id: str = "", silent: bool = False):
         self.leader_id = leader_id
         self.silent = silent
         self.asked = 0
+        self.event: wire.WatchEvent | None = None
         self.address = ""
         self._server = grpc.aio.server()
 
     async def start(self) -> None:
         """Listens on a free port."""
-        handler = grpc.unary_unary_rpc_method_handler(self._propose)
-        self._server.add_generic_rpc_handlers(
-            (
-                grpc.method_handlers_generic_handler(
-                    methods.SERVICE, {methods.PROPOSE: handler}
-                ),
-            )
+        handlers = {
+            methods.PROPOSE: grpc.unary_unary_rpc_method_handler(self._propose),
+            methods.WATCH: grpc.stream_stream_rpc_method_handler(self._watch),
+        }
+        handler = grpc.method_handlers_generic_handler(
+            methods.SERVICE, handlers
         )
+        self._server.add_generic_rpc_handlers((handler,))
         port = self._server.add_insecure_port("127.0.0.1:0")
         self.address = f"127.0.0.1:{port}"
         await self._server.start()
@@ -53,6 +56,10 @@
         """Stops at once."""
         await self._server.stop(None)
 
+    async def _watch(self, reports: object, context: object):
+        if self.event is not None:
+            yield codec.encode(self.event)
+
     async def _propose(self, payload: bytes, context: object) -> bytes:
         self.asked += 1
         if self.silent:
@@ -111,3 +118,33 @@
         await client.on_stop()
     assert result == commands.Changed(revision=7)
     assert replicas[0].asked == 1
+
+
+async def test_leader_that_joined_later_is_found_through_the_watch():
+    old, new = StandIn(leader_id="r4"), StandIn()
+    for each in (old, new):
+        await each.start()
+    old.event = wire.WatchEvent(
+        term=2,
+        leader_id="r4",
+        configuration=None,
+        endpoints=None,
+        replicas=(wire.ReplicaView(id="r4", grpc=new.address),),
+    )
+    cfg = settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.Role.ENTRY,),
+        replicas=(
+            settings.ReplicaAddress(id="r1", grpc=old.address, datagram=""),
+        ),
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    board = board_lib.new_board()
+    client = control_lib.ControlClient(cfg, board, CLOCK, env.rng)
+    async with client:
+        result = await client.propose(COMMAND)
+    for each in (old, new):
+        await each.stop()
+    assert result == commands.Changed(revision=7)
+    assert new.asked == 1
