Send entries what changed while an event was on its way

Cause: the watch noted the revision and the version of the endpoint table after an event had been sent, so a ticket committed while it was on its way counted as sent and reached that entry only with the next change. The two are noted when the event is made now. Ruled out: loss in the entry, which takes over every higher revision that it is sent.

--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -139,10 +139,11 @@
         try:
             while self._leadership.active() and not self.should_stop:
                 event = self._event(revision, table)
-                yield codec.encode(event)
+                # Noted before sending: what changes meanwhile is sent next.
                 revision = self._machine.state.configuration.revision
                 table = self._board.endpoints.version
-                await self._wait_for_news(table)
+                yield codec.encode(event)
+                await self._wait_for_news(revision, table)
         finally:
             reader.cancel()
 
@@ -160,11 +161,11 @@
             ),
         )
 
-    async def _wait_for_news(self, table: int) -> None:
+    async def _wait_for_news(self, revision: int, table: int) -> None:
         """Waits for a change, or until a sign of life is due."""
         waits = [
             asyncio.ensure_future(self._board.endpoints.changed(table)),
-            asyncio.ensure_future(self._new_revision()),
+            asyncio.ensure_future(self._new_revision(revision)),
         ]
         await asyncio.wait(
             waits,
@@ -174,9 +175,8 @@
         for fut in waits:
             fut.cancel()
 
-    async def _new_revision(self) -> None:
-        present = self._machine.state.configuration.revision
-        while self._machine.state.configuration.revision == present:
+    async def _new_revision(self, sent: int) -> None:
+        while self._machine.state.configuration.revision == sent:
             await self._board.applied.changed(self._board.applied.version)
 
     async def _read_reports(
