--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -61,6 +61,7 @@
         self._rng = rng
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._turn = 0
+        self._learned: dict[str, str] = {}
         self._suspected: dict[str, int] = {}
 
     async def on_stop(self) -> None:
@@ -146,7 +147,7 @@
 
     def _leader_address(self) -> str:
         """Returns where the leader is believed to be."""
-        known = self._known_replicas()
+        known = self._addresses()
         leader = known.get(self._board.leader_id.get())
         if leader is not None and not self._is_suspected(leader):
             return leader
@@ -154,10 +155,9 @@
         candidates = heard or list(known.values())
         return candidates[self._turn % len(candidates)]
 
-    def _known_replicas(self) -> dict[str, str]:
-        """Returns addresses by id; a configured one is this host's way."""
-        configured = {r.id: r.grpc for r in self._cfg.replicas}
-        return self._board.replicas.get() | configured
+    def _addresses(self) -> dict[str, str]:
+        """Returns all replicas known; the settings know better than others."""
+        return self._learned | {r.id: r.grpc for r in self._cfg.replicas}
 
     def _suspect(self, address: str) -> None:
         """Notes that a replica fell silent."""
@@ -227,10 +227,9 @@
         if event.term < self._board.term.get():
             return
         self._board.term.set(event.term)
+        self._learned = {r.id: r.grpc for r in event.replicas}
         if self._board.leader_id.get() != event.leader_id:
             self._board.leader_id.set(event.leader_id)
-        if event.replicas != self._board.replicas.get():
-            self._board.replicas.set(event.replicas)
         fresh = event.configuration
         known = self._board.configuration.get()
         if fresh is not None and fresh.revision > known.revision:
