--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -15,6 +15,7 @@
 from bilberryroute.consensus import leading as leading_lib
 from bilberryroute.consensus import memory_log
 from bilberryroute.consensus import messages
+from bilberryroute.consensus import outbox as outbox_lib
 from bilberryroute.consensus import progress
 from bilberryroute.consensus import records
 
@@ -43,9 +44,8 @@
         self.role = messages.Role.FOLLOWER
         self.leader = ""
         self._timing = timing
-        self._outputs: list[messages.Output] = []
-        self._noted_role: messages.RoleChanged | None = None
-        self.journal = journal_lib.Journal(log, hard_state, self._emit)
+        self._outbox = outbox_lib.Outbox()
+        self.journal = journal_lib.Journal(log, hard_state, self._outbox.emit)
         self._following = following_lib.Following(self.journal)
         self._leading: leading_lib.Leading | None = None
         self._election = election_lib.Election(
@@ -85,9 +85,7 @@
 
     def lease_holds(self, now: int) -> bool:
         """Returns whether no other leader can commit anything yet."""
-        if self._leading is None:
-            return False
-        return now < self._leading.acked_ms(now) + self._timing.leader_lease_ms
+        return self._leading is not None and self._leading.lease_holds(now)
 
     def require_lease(self, now: int) -> None:
         """Raises `errors.NotLeader` unless the leader lease holds."""
@@ -107,17 +105,13 @@
 
     def hears(self, member_id: str, now: int) -> bool:
         """Returns whether a member answered this leader lately."""
-        if member_id == self.id:
-            return True
-        peer = self.progress_of(member_id)
-        lately = now - self._timing.election_ms
-        return peer is not None and peer.acked_ms > lately
+        return self._leading is not None and self._leading.hears(member_id, now)
 
     def tick(self, now: int) -> list[messages.Output]:
         """Acts on the time that has passed."""
         if self.role is not messages.Role.HALTED:
             self._tick(now)
-        return self._drain()
+        return self._outbox.drain()
 
     def step(
         self, envelope: messages.Envelope, now: int
@@ -125,7 +119,7 @@
         """Acts on a message; one for another folder or group is dropped."""
         if self.role is not messages.Role.HALTED and self._accepts(envelope):
             self._dispatch(envelope.sender, envelope.body, now)
-        return self._drain()
+        return self._outbox.drain()
 
     def propose(
         self, payloads: Sequence[bytes], now: int
@@ -139,7 +133,7 @@
         for payload in payloads:
             self.journal.append(records.EntryKind.COMMAND, payload)
         self._replicate(now, heartbeat=False)
-        return self._drain()
+        return self._outbox.drain()
 
     def change_membership(
         self, membership: records.Membership, now: int
@@ -158,7 +152,7 @@
             )
         payload = records.encode_membership(membership)
         self._append(records.EntryKind.MEMBERSHIP, payload, now)
-        return self._drain()
+        return self._outbox.drain()
 
     def synced(self, sequence: int, now: int) -> list[messages.Output]:
         """Notes that all writes up to `sequence` are durable."""
@@ -166,7 +160,7 @@
             self.journal.note_synced(sequence)
             self._count_votes(now)
             self._advance_commit(now)
-        return self._drain()
+        return self._outbox.drain()
 
     def compact(
         self, index: int, payload: bytes, keep: int
@@ -179,7 +173,7 @@
           keep: Entries kept before it for peers that lag a little.
         """
         self.journal.compact(index, payload, keep)
-        return self._drain()
+        return self._outbox.drain()
 
     def found(
         self, membership: records.Membership, now: int
@@ -187,23 +181,20 @@
         """Begins a new group, named after this folder."""
         self.journal.found(self.id, membership)
         self._election.deadline_ms = now
-        return self._drain()
+        return self._outbox.drain()
 
     def halt(self) -> list[messages.Output]:
         """Takes no further part, after a failed write."""
         self._leading = None
         self._enter(messages.Role.HALTED, "")
-        return self._drain()
-
-    # Role changes.
+        return self._outbox.drain()
 
     def _enter(self, role: messages.Role, leader: str) -> None:
         self.role = role
         self.leader = leader
-        change = messages.RoleChanged(role=role, term=self.term, leader=leader)
-        if change != self._noted_role:
-            self._noted_role = change
-            self._emit(change)
+        self._outbox.emit_role(
+            messages.RoleChanged(role=role, term=self.term, leader=leader)
+        )
 
     def _become_follower(self, term: int, leader: str, now: int) -> None:
         if term > self.term:
@@ -228,14 +219,12 @@
         self._leading = leading_lib.Leading(
             own_id=self.id,
             journal=self.journal,
-            heartbeat_ms=self._timing.raft_heartbeat_ms,
+            timing=self._timing,
             now=now,
         )
         self._enter(messages.Role.LEADER, self.id)
         self._append(records.EntryKind.NOOP, b"", now)
 
-    # Elections.
-
     def _tick(self, now: int) -> None:
         if self._leading is not None:
             self._tick_leader(now)
@@ -288,11 +277,9 @@
 
     def _hears_leader(self, now: int) -> bool:
         if self._leading is not None:
-            return self._hears_majority(now)
+            return self._leading.hears_majority(now)
         return self._election.hears_leader(now)
 
-    # Following.
-
     def _follows(self, term: int, leader: str, now: int) -> bool:
         """Returns whether a leader's message is of the present term."""
         if term < self.term:
@@ -318,18 +305,12 @@
             reply = self._following.take_chunk(chunk)
             self._send(sender, reply, after=self.journal.written)
 
-    # Leading.
-
     def _tick_leader(self, now: int) -> None:
-        if not self._hears_majority(now):
+        if not self._leading.hears_majority(now):
             self._become_follower(self.term, "", now)
         elif self._leading.heartbeat_due(now):
             self._replicate(now, heartbeat=True)
 
-    def _hears_majority(self, now: int) -> bool:
-        heard_ms = max(self._leading.acked_ms(now), self._leading.began_ms)
-        return now < heard_ms + self._timing.election_ms
-
     def _may_change_membership(self) -> bool:
         if not self.own_term_committed():
             return False
@@ -379,8 +360,6 @@
             self._replicate(now, heartbeat=True)
             self._become_follower(self.term, "", now)
 
-    # Shared.
-
     def _accepts(self, envelope: messages.Envelope) -> bool:
         if envelope.receiver != self.id or not envelope.group:
             return False
@@ -410,12 +389,4 @@
             receiver=receiver,
             body=body,
         )
-        self._emit(messages.Send(envelope=envelope, after=after))
-
-    def _emit(self, output: messages.Output) -> None:
-        self._outputs.append(output)
-
-    def _drain(self) -> list[messages.Output]:
-        outputs = self._outputs
-        self._outputs = []
-        return outputs
+        self._outbox.emit(messages.Send(envelope=envelope, after=after))
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -3,11 +3,7 @@
 import asyncio
 import pathlib
 import random
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
-from typing import Protocol
 
 import grpc.aio
 from mode import Service
@@ -15,9 +11,9 @@
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
-from bilberryroute import settings
 from bilberryroute.consensus import carrier
 from bilberryroute.consensus import changes
+from bilberryroute.consensus import config
 from bilberryroute.consensus import core as core_lib
 from bilberryroute.consensus import files
 from bilberryroute.consensus import founding
@@ -34,59 +30,9 @@
 KEPT_SHARE = 4
 
 
-class Applier(Protocol):
-    """State machine that the log drives."""
-
-    def apply(self, index: int, term: int, payload: bytes) -> object:
-        """Applies a committed command and returns its result."""
-
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-
-    def restore(self, payload: bytes) -> None:
-        """Replaces the whole state."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GroupConfig:
-    """Settings of one replica.
-
-    Attributes:
-      replica_id: Which of the members this is.
-      members: The replicas that found the group together.
-      data_folder: Where all files are kept.
-      routes: gRPC address by replica id, in place of the group's own.
-    """
-
-    replica_id: str
-    members: tuple[settings.ReplicaAddress, ...]
-    data_folder: str
-    routes: Mapping[str, str] = field(default_factory=dict)
-    timing: settings.Timing = settings.Timing()
-    log: settings.Log = settings.Log()
-
-    @property
-    def address(self) -> settings.ReplicaAddress:
-        """Own address.
-
-        Raises:
-          errors.SettingsError: If the members don't name this replica.
-        """
-        for member in self.members:
-            if member.id == self.replica_id:
-                return member
-        raise errors.SettingsError(
-            f"replica {self.replica_id!r} is not among the replicas"
-        )
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RoleState:
-    """What the role cell holds."""
-
-    role: messages.Role
-    term: int
-    leader_id: str | None
+Applier = config.Applier
+GroupConfig = config.GroupConfig
+RoleState = config.RoleState
 
 
 class ReplicaGroup(Service):
--- a/bilberryroute/consensus/leading.py
+++ b/bilberryroute/consensus/leading.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from bilberryroute import settings
 from bilberryroute.consensus import following
 from bilberryroute.consensus import journal as journal_lib
 from bilberryroute.consensus import messages
@@ -20,7 +21,6 @@
     Attributes:
       peers: What is known of each other member.
       deadline_ms: When the next heartbeat is due.
-      began_ms: When the leadership began.
     """
 
     def __init__(
@@ -28,21 +28,21 @@
         *,
         own_id: str,
         journal: journal_lib.Journal,
-        heartbeat_ms: int,
+        timing: settings.Timing,
         now: int,
     ):
         self.peers: dict[str, progress.Progress] = {}
         self.deadline_ms = now
-        self.began_ms = now
+        self._began_ms = now
         self._id = own_id
         self._journal = journal
-        self._heartbeat_ms = heartbeat_ms
+        self._timing = timing
 
     def heartbeat_due(self, now: int) -> bool:
         """Returns whether a heartbeat is due, and sets the next one."""
         if now < self.deadline_ms:
             return False
-        self.deadline_ms = now + self._heartbeat_ms
+        self.deadline_ms = now + self._timing.raft_heartbeat_ms
         return True
 
     def acked_ms(self, now: int) -> int:
@@ -54,6 +54,21 @@
         )
         return progress.quorum_value(times, membership.quorum)
 
+    def lease_holds(self, now: int) -> bool:
+        """Returns whether no other leader can commit anything yet."""
+        return now < self.acked_ms(now) + self._timing.leader_lease_ms
+
+    def hears_majority(self, now: int) -> bool:
+        """Returns whether it may go on trying to lead."""
+        heard_ms = max(self.acked_ms(now), self._began_ms)
+        return now < heard_ms + self._timing.election_ms
+
+    def hears(self, member_id: str, now: int) -> bool:
+        """Returns whether a member answered lately."""
+        if member_id == self._id:
+            return True
+        return now < self._peer(member_id).acked_ms + self._timing.election_ms
+
     def match_index(self) -> int:
         """Returns up to where a majority's durable logs equal the leader's."""
         membership = self._journal.membership
@@ -112,7 +127,7 @@
         if peer.snapshot is None and log.term_at(peer.next_index - 1) is None:
             peer.begin_snapshot(log.snapshot)
         if peer.snapshot is not None:
-            if peer.chunk_due(now, self._heartbeat_ms):
+            if peer.chunk_due(now, self._timing.raft_heartbeat_ms):
                 yield self._chunk(peer, now)
             return
         sent = False
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -141,7 +141,7 @@
 
 def _lead_without_majority(patch):
     """A leader stays one while it hears nobody."""
-    patch.setattr(core_lib.Core, "_hears_majority", lambda self, now: True)
+    patch.setattr(leading_lib.Leading, "hears_majority", lambda self, now: True)
 
 
 # The mechanism taken away, the first seed of 300 that show it, the report.
