--- a/bilberryroute/consensus/carrier.py
+++ b/bilberryroute/consensus/carrier.py
@@ -14,11 +14,14 @@
 
     def __init__(
         self,
-        address_of: Callable[[str], str | None],
+        own_address: str,
+        address_of: Callable[[str, str | None], str | None],
         clock: clock_lib.Clock,
         rng: random.Random,
     ):
+        self._own_address = own_address
         self._address_of = address_of
+        self._learned: dict[str, str] = {}
         self._clock = clock
         self._rng = rng
         self._peers: dict[str, peers.Peer] = {}
@@ -30,18 +33,38 @@
         if peer is not None:
             peer.send(envelope)
 
+    def learn(self, member_id: str, address: str) -> None:
+        """Notes where a sender says that it listens, if that is news."""
+        if self._learned.get(member_id) == address:
+            return
+        self._learned[member_id] = address
+        peer = self._peers.get(member_id)
+        if peer and peer.address != self._address_of(member_id, address):
+            self._end(member_id)
+
     def keep_only(self, member_ids: set[str]) -> None:
         """Ends the senders to all others."""
         for gone in self._peers.keys() - member_ids:
-            del self._peers[gone]
-            self._tasks.pop(gone).cancel()
+            self._end(gone)
+        for gone in self._learned.keys() - member_ids:
+            del self._learned[gone]
+
+    def _end(self, member_id: str) -> None:
+        if self._peers.pop(member_id, None) is not None:
+            self._tasks.pop(member_id).cancel()
 
     def _peer(self, member_id: str) -> peers.Peer | None:
         if member_id not in self._peers:
-            address = self._address_of(member_id)
+            learned = self._learned.get(member_id)
+            address = self._address_of(member_id, learned)
             if address is None:
                 return None
-            peer = peers.Peer(address, self._clock, self._rng)
+            peer = peers.Peer(
+                own_address=self._own_address,
+                address=address,
+                clock=self._clock,
+                rng=self._rng,
+            )
             self._peers[member_id] = peer
             self._tasks[member_id] = asyncio.create_task(peer.run())
         return self._peers[member_id]
--- a/bilberryroute/consensus/following.py
+++ b/bilberryroute/consensus/following.py
@@ -12,7 +12,7 @@
 
     def __init__(self, journal: journal_lib.Journal):
         self._journal = journal
-        self._incoming_index = 0
+        self._incoming_source = (0, 0)
         self._incoming = bytearray()
 
     def append(
@@ -92,8 +92,10 @@
     def _wanted_after(self, chunk: messages.SnapshotChunk) -> int:
         if chunk.index <= self._journal.commit_index:
             return SNAPSHOT_HELD
-        if chunk.index != self._incoming_index or chunk.offset == 0:
-            self._incoming_index = chunk.index
+        # Leaders may write the same state differently, so pieces of two
+        # leaders' snapshots don't fit together.
+        if self._incoming_source != (chunk.term, chunk.index):
+            self._incoming_source = (chunk.term, chunk.index)
             self._incoming.clear()
         if chunk.offset != len(self._incoming):
             return len(self._incoming)
@@ -110,6 +112,6 @@
             membership=chunk.membership,
             payload=bytes(self._incoming),
         )
-        self._incoming_index = 0
+        self._incoming_source = (0, 0)
         self._incoming.clear()
         self._journal.install(snapshot)
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -63,7 +63,9 @@
             store = storage.LogStorage(folder, cfg.log.segment_bytes)
         self._proposals = proposals.Proposals()
         self._batch: list[tuple[bytes, asyncio.Future[proposals.Applied]]] = []
-        self._carrier = carrier.Carrier(self._address_of, clock, rng)
+        self._carrier = carrier.Carrier(
+            cfg.address.grpc, self._address_of, clock, rng
+        )
         self._writer = writer.Writer(store, self._carrier.send)
         self._wake_timer = asyncio.Event()
         self.role_cell = blackboard.Cell(
@@ -76,7 +78,7 @@
 
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the handler for other replicas to a server not yet started."""
-        handler = peers.handler(self._on_envelope, self._on_hello, self._clock)
+        handler = peers.handler(self._on_arrival, self._on_hello, self._clock)
         server.add_generic_rpc_handlers((handler,))
 
     @property
@@ -253,13 +255,12 @@
                     self._note_role(output)
         self._compact()
 
-    def _address_of(self, member_id: str) -> str | None:
+    def _address_of(self, member_id: str, learned: str | None) -> str | None:
         name = records.replica_id(member_id)
         member = self._core.membership.find(member_id)
-        if member is not None:
-            return self._route(name, member.address.grpc)
+        settled = member.address.grpc if member is not None else None
         known = (m.grpc for m in self._cfg.members if m.id == name)
-        return self._route(name, next(known, None))
+        return self._route(name, learned or settled or next(known, None))
 
     def _route(self, name: str, address: str | None) -> str | None:
         return self._cfg.routes.get(name, address)
@@ -343,10 +344,11 @@
         leader = self.leader_id
         return None if leader == self._cfg.replica_id else leader
 
-    def _on_envelope(self, envelope: messages.Envelope) -> None:
+    def _on_arrival(self, arrival: peers.Arrival) -> None:
         if self._core is None:
             return
-        self._handle(self._core.step(envelope, self._clock.now()))
+        self._carrier.learn(arrival.envelope.sender, arrival.address)
+        self._handle(self._core.step(arrival.envelope, self._clock.now()))
 
     async def _on_hello(self, hello: greeting.Hello) -> greeting.Hello:
         if self._core is None:
--- a/bilberryroute/consensus/peers.py
+++ b/bilberryroute/consensus/peers.py
@@ -48,6 +48,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Wire:
+    address: str
     group: str
     sender: str
     receiver: str
@@ -58,10 +59,19 @@
 _batch_decoder = codec.Decoder(list[bytes])
 
 
-def encode(envelope: messages.Envelope) -> bytes:
-    """Returns the wire form of an envelope."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """An envelope and the address that its sender listens on."""
+
+    envelope: messages.Envelope
+    address: str
+
+
+def encode(envelope: messages.Envelope, address: str) -> bytes:
+    """Returns the wire form of an envelope from a sender's address."""
     return codec.encode(
         _Wire(
+            address=address,
             group=envelope.group,
             sender=envelope.sender,
             receiver=envelope.receiver,
@@ -70,25 +80,28 @@
     )
 
 
-def decode_batch(payload: bytes) -> list[messages.Envelope]:
-    """Returns the envelopes of one stream message.
+def decode_batch(payload: bytes) -> list[Arrival]:
+    """Returns what one stream message carries.
 
     Raises:
-      errors.MalformedInput: If the payload is none.
+      errors.MalformedInput: If it is malformed.
     """
-    return [
-        messages.Envelope(
-            group=wire.group,
-            sender=wire.sender,
-            receiver=wire.receiver,
-            body=_bodies.decode(wire.body),
-        )
-        for wire in map(_wire_decoder.decode, _batch_decoder.decode(payload))
-    ]
+    wires = map(_wire_decoder.decode, _batch_decoder.decode(payload))
+    return [_arrival(wire) for wire in wires]
+
+
+def _arrival(wire: _Wire) -> Arrival:
+    envelope = messages.Envelope(
+        group=wire.group,
+        sender=wire.sender,
+        receiver=wire.receiver,
+        body=_bodies.decode(wire.body),
+    )
+    return Arrival(envelope=envelope, address=wire.address)
 
 
 def handler(
-    on_envelope: Callable[[messages.Envelope], None],
+    on_arrival: Callable[[Arrival], None],
     on_hello: Callable[[greeting.Hello], Awaitable[greeting.Hello]],
     clock: clock_lib.Clock,
 ) -> grpc.GenericRpcHandler:
@@ -100,8 +113,8 @@
         answered_ms = clock.now()
         async for payload in requests:
             try:
-                for envelope in decode_batch(payload):
-                    on_envelope(envelope)
+                for arrival in decode_batch(payload):
+                    on_arrival(arrival)
             except errors.MalformedInput as exc:
                 await context.abort(
                     grpc.StatusCode.INVALID_ARGUMENT, exc.message
@@ -133,9 +146,15 @@
     """
 
     def __init__(
-        self, address: str, clock: clock_lib.Clock, rng: random.Random
+        self,
+        *,
+        own_address: str,
+        address: str,
+        clock: clock_lib.Clock,
+        rng: random.Random,
     ):
         self.address = address
+        self._own_address = own_address
         self._clock = clock
         self._rng = rng
         self._queue: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_MESSAGES)
@@ -146,7 +165,7 @@
     def send(self, envelope: messages.Envelope) -> None:
         """Queues an envelope, or drops it if the queue is full."""
         with contextlib.suppress(asyncio.QueueFull):
-            self._queue.put_nowait(encode(envelope))
+            self._queue.put_nowait(encode(envelope, self._own_address))
 
     async def run(self) -> None:
         """Keeps a stream open and sends what is queued."""
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -121,6 +121,19 @@
         self.groups[name] = group
         self.servers[name] = server
 
+    async def add_replica(self, name: str) -> settings.ReplicaAddress:
+        """Starts a new replica that the settings of the others don't name."""
+        server = grpc.aio.server()
+        port = server.add_insecure_port("127.0.0.1:0")
+        address = settings.ReplicaAddress(
+            id=name, grpc=f"127.0.0.1:{port}", datagram=""
+        )
+        founders = self.addresses
+        self.addresses = (*founders, address)
+        await self.start_replica(name, server)
+        self.addresses = founders
+        return address
+
     async def stop_replica(self, name: str) -> None:
         """Stops one replica."""
         await self.servers.pop(name).stop(0)
--- a/tests/consensus/test_group.py
+++ b/tests/consensus/test_group.py
@@ -197,6 +197,24 @@
     assert old_id not in [m.id for m in leader.members()]
 
 
+async def test_replica_votes_for_one_that_it_does_not_know(make_cluster):
+    cluster = await make_cluster(3)
+    leader = await cluster.leader()
+    behind, removed = [n for n in cluster.groups if n != leader.leader_id]
+    await cluster.stop_replica(behind)
+    address = await cluster.add_replica("new")
+    await leader.change_members(changes.AddLearner(address=address))
+    await _promoted(leader, "new")
+    await leader.change_members(changes.Remove(id=removed))
+    await _propose(leader, 0, 5)
+    await cluster.stop_replica(removed)
+    await cluster.stop_replica(leader.leader_id)
+    await cluster.start_replica(behind)
+    leader = await cluster.leader()
+    assert leader.leader_id == "new"
+    await _propose(leader, 5, 5)
+
+
 async def test_lost_disk_has_no_vote(make_cluster):
     cluster = await make_cluster(3)
     leader = await cluster.leader()
