Check the invariants over any sequence of events

The property test found protection not counted anew after a ticket took a guarantee back (seen failing: 2 accelerators protected of 0). It is counted anew with every change of bindings. Also seen failing: with the service check, the unbinding of lost blocks, the cover check, the stop on a lost worker and the rack total each turned off.

--- a/bilberryroute/scheduling/scheduler.py
+++ b/bilberryroute/scheduling/scheduler.py
@@ -79,8 +79,8 @@
         self._lifecycle.probe_workers(now_ms)
         if self._state.bindings_due:
             self._state.bindings_due = False
-            if self._state.guarantees.repair():
-                self._state.recount_protection()
+            self._state.guarantees.repair()
+            self._state.recount_protection()
         self._refuse_impossible(now_ms)
         self._dispatcher.serve(now_ms)
         taken, self._state.out = self._state.out, []
