--- a/bilberryroute/scheduling/scheduler.py
+++ b/bilberryroute/scheduling/scheduler.py
@@ -80,8 +80,8 @@
         self._lifecycle.probe_workers(now_ms)
         if self._state.bindings_due:
             self._state.bindings_due = False
-            if self._state.guarantees.repair():
-                self._state.recount_protection()
+            self._state.guarantees.repair()
+            self._state.recount_protection()
         self._refuse_impossible(now_ms)
         self._dispatcher.serve(now_ms)
         taken, self._state.out = self._state.out, []
@@ -98,6 +98,10 @@
         """Returns the guarantees that capacity in service does not hold."""
         return self._state.guarantees.shortfalls()
 
+    def unfinished(self) -> bool:
+        """Returns whether the next decision has work left over already."""
+        return self._dispatcher.unfinished
+
     def check(self) -> list[decisions.Violation]:
         """Checks all invariants from scratch."""
         return checks.check(self._state)
