Prove nothing without a configuration; blame endpoints for claims' errors too

Cause of a false not_run, found with real processes (agent frozen, entry killed): an entry that had just started knew no service yet and refused with 404 and not_run, while the other entry had the request run. The refusal now goes by the same evidence as all others, and 503 says that there is no configuration. Seen failing: 'r3-344 was told not_run, ran 1'.

Cause of a bad endpoint drawing a third of the requests: an error of its own counted as a good answer when the request was claimed. Seen failing: 32 of 100 requests; the bound is a quarter.

In-process scenarios that the real processes now cover went (kill agent, kill entry, freeze; all were green); two at once stay in both.

--- a/bilberryroute/entry/attempts.py
+++ b/bilberryroute/entry/attempts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import http
 import random
 
 from bilberryroute import clock as clock_lib
@@ -83,9 +82,8 @@
         reply = exchange.reply
         match reply.state:
             case protocol.State.DONE:
-                failed = reply.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
                 return Attempt(
-                    reason=protocol.Reason.ENDPOINT_ERROR if failed else "",
+                    reason=exchange.reason,
                     answered=exchange.answered(bound.http, order),
                 )
             case protocol.State.NOT_RUN:
--- a/bilberryroute/entry/claims.py
+++ b/bilberryroute/entry/claims.py
@@ -187,7 +187,7 @@
         except calls.ReplyError as exc:
             self._dispatcher.observe(bound.name, exc.reason)
             raise self._unknown(call, exc.reason) from exc
-        self._dispatcher.observe(bound.name, exchange.reply.reason)
+        self._dispatcher.observe(bound.name, exchange.reason)
         return self._conclude(call, claim, exchange.answered(address, order))
 
     def _conclude(
--- a/bilberryroute/entry/forward.py
+++ b/bilberryroute/entry/forward.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import dataclasses
+import http
 from collections.abc import Iterator
 
 import aiohttp
@@ -31,6 +32,14 @@
     reply: protocol.Reply
     body: bytes
 
+    @property
+    def reason(self) -> str:
+        """Why the attempt failed; empty if it did not."""
+        if self.reply.state is not protocol.State.DONE:
+            return self.reply.reason
+        failed = self.reply.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        return protocol.Reason.ENDPOINT_ERROR if failed else ""
+
     def answered(
         self, address: str, order: protocol.Dispatch
     ) -> calls.Answered:
--- a/bilberryroute/entry/requests.py
+++ b/bilberryroute/entry/requests.py
@@ -157,12 +157,8 @@
         deadline = self._clock.now() + deadline_ms
         content_type = headers.get("Content-Type", "application/octet-stream")
         resend = _read_flag(headers, protocol.RESEND_HEADER, True)
-        limits = self._limits(service)
         body = await self._read_body(req, deadline)
         idempotent = _read_flag(headers, protocol.IDEMPOTENT_HEADER, False)
-        kept_ms = IDEMPOTENT_KEPT_MS
-        if not idempotent:
-            kept_ms = outcomes.claim_kept_ms(request_id, limits.answer_kept_ms)
         return calls.Call(
             id=outcomes.check_id(protocol.REQUEST_ID_HEADER, request_id),
             account=account,
@@ -170,7 +166,7 @@
             idempotent=idempotent,
             only_send=given is None or not resend,
             deadline=deadline,
-            kept_ms=kept_ms,
+            kept_ms=IDEMPOTENT_KEPT_MS,
             content_type=content_type,
             fingerprint=outcomes.fingerprint(service, content_type, body),
             body=body,
@@ -239,6 +235,7 @@
         if call.idempotent:
             self._check_accepting()
             return await self._attempts.run(call, limits)
+        call.kept_ms = outcomes.claim_kept_ms(call.id, limits.answer_kept_ms)
         outcomes.check_age(call.id, limits.answer_kept_ms, self._clock.wall())
         try:
             self._check_accepting()
@@ -256,8 +253,13 @@
         metrics.in_flight.set({"service": ""}, self._in_flight)
 
     def _limits(self, service: str) -> config.Service:
-        services = self._board.configuration.get().services
-        found = services.get(service)
+        configuration = self._board.configuration.get()
+        if configuration.revision == 0:
+            raise errors.Unavailable(
+                "this entry has no configuration yet",
+                retry_after_ms=clock_lib.SECOND,
+            )
+        found = configuration.services.get(service)
         if found is None or found.removed:
             raise errors.NotFound(f"there is no service {service!r}")
         return found
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -268,7 +268,7 @@
     def configure(self, service: config.Service) -> None:
         """Puts a service in force."""
         self.board.configuration.set(
-            config.Configuration(services={SERVICE: service})
+            config.Configuration(revision=1, services={SERVICE: service})
         )
 
     def see(self, *views: wire.EndpointView) -> None:
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -114,3 +114,17 @@
         )
         assert told.status == status
         assert stack.ran[request_id] == 0
+
+
+async def test_entry_that_knows_no_services_yet_proves_nothing(make_stack):
+    stack = await make_stack(1)
+    entry = stack.entries[0]
+    for configuration, status in (
+        (config.Configuration(), 503),
+        (config.Configuration(revision=2), 404),
+    ):
+        entry.board.configuration.set(configuration)
+        told = await fakes.send(stack.session, entry, "r1")
+        assert (told.status, told.outcome) == (status, "unknown")
+        told = await fakes.send(stack.session, entry)
+        assert (told.status, told.outcome) == (status, "not_run")
--- a/tests/requests/test_faults.py
+++ b/tests/requests/test_faults.py
@@ -34,17 +34,6 @@
     stack.announce(number)
 
 
-async def kill_entries(stack, rng: random.Random) -> None:
-    await stack.restart_entry(rng.randrange(2))
-
-
-async def freeze_agents(stack, rng: random.Random) -> None:
-    before = rng.choice(stack.to_agents)
-    before.cut()
-    await pause(300)
-    before.heal()
-
-
 async def silence_agents(stack, rng: random.Random) -> None:
     await silence(rng.choice(stack.to_agents))
 
@@ -92,17 +81,14 @@
 @pytest.mark.parametrize(
     "chaoses",
     [
-        (kill_agents,),
         (kill_endpoints,),
-        (kill_entries,),
-        (freeze_agents,),
         (silence_agents, cut_answers),
         (kill_agents, silence_endpoints),
     ],
     ids=lambda chaoses: "+".join(chaos.__name__ for chaos in chaoses),
 )
 async def test_no_caller_is_told_an_untruth(make_stack, chaoses):
-    relayed = not set(chaoses) <= {kill_agents, kill_endpoints, kill_entries}
+    relayed = chaoses != (kill_endpoints,)
     stack = await make_stack(AGENTS, run_ms=5, relayed=relayed, **TIMING)
     async with faults(stack, chaoses):
         ledger = await load.run(stack, COUNT, seed=1)
--- a/tests/requests/test_processes.py
+++ b/tests/requests/test_processes.py
@@ -112,7 +112,7 @@
 async def test_no_caller_is_told_an_untruth(cluster, stack, chaos):
     repeating = asyncio.create_task(repeat(chaos, cluster))
     ledger = await load.run(
-        stack, COUNT, seed=3, at_once=24, deadline_ms=DEADLINE_MS
+        stack, COUNT, seed=3, at_once=40, deadline_ms=DEADLINE_MS
     )
     assert not repeating.done(), repeating.result()
     repeating.cancel()
