--- a/tests/requests/test_processes.py
+++ b/tests/requests/test_processes.py
@@ -10,6 +10,8 @@
 from extras import cluster as cluster_lib
 from tests.requests import load
 
+pytestmark = pytest.mark.serial
+
 COUNT = 2_000
 FAULTS_EVERY_MS = 1_500
 DOWN_MS = 300
--- a/tests/requests/test_storm.py
+++ b/tests/requests/test_storm.py
@@ -7,6 +7,8 @@
 from bilberryroute.model import config
 from tests.requests import fakes
 
+pytestmark = pytest.mark.serial
+
 AGENTS = 4
 RUN_MS = 200
 RATE = 110  # Requests a second; 160 fit while all endpoints are whole.
