--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -3,11 +3,7 @@
 import asyncio
 import pathlib
 import random
-from collections.abc import Mapping
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
-from typing import Protocol
 
 import grpc.aio
 from mode import Service
@@ -15,9 +11,9 @@
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
-from bilberryroute import settings
 from bilberryroute.consensus import carrier
 from bilberryroute.consensus import changes
+from bilberryroute.consensus import config
 from bilberryroute.consensus import core as core_lib
 from bilberryroute.consensus import files
 from bilberryroute.consensus import founding
@@ -34,59 +30,9 @@
 KEPT_SHARE = 4
 
 
-class Applier(Protocol):
-    """State machine that the log drives."""
-
-    def apply(self, index: int, term: int, payload: bytes) -> object:
-        """Applies a committed command and returns its result."""
-
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-
-    def restore(self, payload: bytes) -> None:
-        """Replaces the whole state."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class GroupConfig:
-    """Settings of one replica.
-
-    Attributes:
-      replica_id: Which of the members this is.
-      members: The replicas that found the group together.
-      data_folder: Where all files are kept.
-      routes: gRPC address by replica id, in place of the group's own.
-    """
-
-    replica_id: str
-    members: tuple[settings.ReplicaAddress, ...]
-    data_folder: str
-    routes: Mapping[str, str] = field(default_factory=dict)
-    timing: settings.Timing = settings.Timing()
-    log: settings.Log = settings.Log()
-
-    @property
-    def address(self) -> settings.ReplicaAddress:
-        """Own address.
-
-        Raises:
-          errors.SettingsError: If the members don't name this replica.
-        """
-        for member in self.members:
-            if member.id == self.replica_id:
-                return member
-        raise errors.SettingsError(
-            f"replica {self.replica_id!r} is not among the replicas"
-        )
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RoleState:
-    """What the role cell holds."""
-
-    role: messages.Role
-    term: int
-    leader_id: str | None
+Applier = config.Applier
+GroupConfig = config.GroupConfig
+RoleState = config.RoleState
 
 
 class ReplicaGroup(Service):
@@ -117,7 +63,9 @@
             store = storage.LogStorage(folder, cfg.log.segment_bytes)
         self._proposals = proposals.Proposals()
         self._batch: list[tuple[bytes, asyncio.Future[proposals.Applied]]] = []
-        self._carrier = carrier.Carrier(self._address_of, clock, rng)
+        self._carrier = carrier.Carrier(
+            cfg.address.grpc, self._address_of, clock, rng
+        )
         self._writer = writer.Writer(store, self._carrier.send)
         self._wake_timer = asyncio.Event()
         self.role_cell = blackboard.Cell(
@@ -130,7 +78,7 @@
 
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the handler for other replicas to a server not yet started."""
-        handler = peers.handler(self._on_envelope, self._on_hello, self._clock)
+        handler = peers.handler(self._on_arrival, self._on_hello, self._clock)
         server.add_generic_rpc_handlers((handler,))
 
     @property
@@ -307,13 +255,12 @@
                     self._note_role(output)
         self._compact()
 
-    def _address_of(self, member_id: str) -> str | None:
+    def _address_of(self, member_id: str, learned: str | None) -> str | None:
         name = records.replica_id(member_id)
         member = self._core.membership.find(member_id)
-        if member is not None:
-            return self._route(name, member.address.grpc)
+        settled = member.address.grpc if member is not None else None
         known = (m.grpc for m in self._cfg.members if m.id == name)
-        return self._route(name, next(known, None))
+        return self._route(name, learned or settled or next(known, None))
 
     def _route(self, name: str, address: str | None) -> str | None:
         return self._cfg.routes.get(name, address)
@@ -397,10 +344,11 @@
         leader = self.leader_id
         return None if leader == self._cfg.replica_id else leader
 
-    def _on_envelope(self, envelope: messages.Envelope) -> None:
+    def _on_arrival(self, arrival: peers.Arrival) -> None:
         if self._core is None:
             return
-        self._handle(self._core.step(envelope, self._clock.now()))
+        self._carrier.learn(arrival.envelope.sender, arrival.address)
+        self._handle(self._core.step(arrival.envelope, self._clock.now()))
 
     async def _on_hello(self, hello: greeting.Hello) -> greeting.Hello:
         if self._core is None:
