--- /dev/null
+++ b/bilberryroute/agent/surveys.py
@@ -0,0 +1,60 @@
+"""What each worker last said about the tasks that it remembers."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from bilberryroute.agent import task_plan
+from bilberryroute.agent import worker_api
+from bilberryroute.agent import workers as workers_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Survey:
+    """Tasks that one incarnation of a worker remembers."""
+
+    incarnation: str
+    tasks: dict[task_plan.Key, worker_api.Task]
+
+
+class Surveys:
+    """Last survey of each worker that is heard."""
+
+    def __init__(self) -> None:
+        self._by_worker: dict[str, Survey] = {}
+
+    def tasks(self) -> dict[str, dict[task_plan.Key, worker_api.Task]]:
+        """Returns the tasks by worker; one not asked yet is missing."""
+        return {name: s.tasks for name, s in self._by_worker.items()}
+
+    def is_due(self, contact: workers_lib.Contact) -> bool:
+        """Says whether this incarnation of a worker was not asked yet."""
+        survey = self._by_worker.get(contact.name)
+        return survey is None or survey.incarnation != contact.incarnation
+
+    def note(
+        self, contact: workers_lib.Contact, listed: worker_api.Tasks
+    ) -> dict[task_plan.Key, worker_api.Task]:
+        """Keeps a worker's answer; returns its tasks by key."""
+        found = {
+            (contact.name, task.job_id, task.attempt): task
+            for task in listed.tasks
+        }
+        self._by_worker[contact.name] = Survey(
+            incarnation=contact.incarnation, tasks=found
+        )
+        return found
+
+    def forget_task(self, key: task_plan.Key) -> None:
+        """Drops a task that the leader no longer asks about."""
+        survey = self._by_worker.get(key[0])
+        if survey is not None:
+            survey.tasks.pop(key, None)
+
+    def forget_silent(
+        self, contacts: Mapping[str, workers_lib.Contact]
+    ) -> None:
+        """Drops the surveys of workers that are gone or came anew."""
+        for name, survey in list(self._by_worker.items()):
+            contact = contacts.get(name)
+            if contact is None or contact.incarnation != survey.incarnation:
+                del self._by_worker[name]
--- a/bilberryroute/agent/tasks.py
+++ b/bilberryroute/agent/tasks.py
@@ -1,7 +1,6 @@
 """Brings the desired tasks about on the workers."""
 
 import asyncio
-import dataclasses
 import logging
 
 from mode import Service
@@ -12,6 +11,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import surveys as surveys_lib
 from bilberryroute.agent import task_plan
 from bilberryroute.agent import worker_api
 from bilberryroute.agent import workers as workers_lib
@@ -47,7 +47,7 @@
         self.board = board
         self._workers = workers
         self._held: dict[task_plan.Key, task_plan.Held] = {}
-        self._surveys: dict[str, _Survey] = {}
+        self._surveys = surveys_lib.Surveys()
         self._polling: set[str] = set()
         self._born = env.clock.now()
         self._client: worker_api.WorkerClient | None = None
@@ -70,7 +70,7 @@
             desired=self.board.desired.get(),
             held=self._held,
             workers=self.board.workers.get(),
-            surveys={n: s.tasks for n, s in self._surveys.items()},
+            surveys=self._surveys.tasks(),
             lease_left_ms=self.board.lease.get().left(now),
             started=self._born,
             now=now,
@@ -81,7 +81,7 @@
     async def _bring_about(self) -> None:
         while not self.should_stop:
             seen = self._replan.version
-            self._forget_silent_workers()
+            self._surveys.forget_silent(self._workers.contacts)
             for step in task_plan.plan(self.view()):
                 self._carry_out(step)
             self._publish()
@@ -152,7 +152,7 @@
                 self._fence(key, result)
             case task_plan.Forget(key=key):
                 del self._held[key]
-                self._surveys.get(key[0], _NO_SURVEY).tasks.pop(key, None)
+                self._surveys.forget_task(key)
 
     def _end(self, key: task_plan.Key, result: jobs.TaskResult) -> None:
         held = self._held.get(key)
@@ -300,12 +300,12 @@
         ]
         if running and self.board.lease.get().left(now):
             tasks = await self._renew(contact, running, now)
-        elif running or self._survey_is_due(contact):
+        elif running or self._surveys.is_due(contact):
             tasks = await self._client.tasks(contact)
         else:
             return
-        self._survey(contact, tasks)
-        self._observe_all(contact, running)
+        found = self._surveys.note(contact, tasks)
+        self._observe_all(found, running)
         self._replan.touch()
 
     async def _renew(
@@ -323,22 +323,11 @@
         )
         return await self._client.renew(contact, leases)
 
-    def _survey_is_due(self, contact: workers_lib.Contact) -> bool:
-        survey = self._surveys.get(contact.name)
-        return survey is None or survey.incarnation != contact.incarnation
-
-    def _survey(
-        self, contact: workers_lib.Contact, tasks: worker_api.Tasks
-    ) -> None:
-        found = {(contact.name, t.job_id, t.attempt): t for t in tasks.tasks}
-        self._surveys[contact.name] = _Survey(
-            incarnation=contact.incarnation, tasks=found
-        )
-
     def _observe_all(
-        self, contact: workers_lib.Contact, running: list[task_plan.Held]
+        self,
+        found: dict[task_plan.Key, worker_api.Task],
+        running: list[task_plan.Held],
     ) -> None:
-        found = self._surveys[contact.name].tasks
         for held in running:
             if held.phase is not task_plan.Phase.RUNNING:
                 continue
@@ -353,15 +342,6 @@
         if task.state is not worker_api.TaskState.RUNNING:
             held.end(jobs.TaskResult(task.state))
 
-    def _forget_silent_workers(self) -> None:
-        for name in list(self._surveys):
-            contact = self._workers.contacts.get(name)
-            if (
-                contact is None
-                or contact.incarnation != self._surveys[name].incarnation
-            ):
-                del self._surveys[name]
-
     def _held_on(self, worker: str) -> list[task_plan.Held]:
         return [h for key, h in self._held.items() if key[0] == worker]
 
@@ -382,14 +362,3 @@
         reports = {k: h.report() for k, h in self._held.items()}
         if reports != self.board.tasks.get():
             self.board.tasks.set(reports)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Survey:
-    """What one incarnation of a worker last said it remembers."""
-
-    incarnation: str
-    tasks: dict[task_plan.Key, worker_api.Task]
-
-
-_NO_SURVEY = _Survey(incarnation="", tasks={})
--- a/tests/agent/test_tasks.py
+++ b/tests/agent/test_tasks.py
@@ -252,7 +252,7 @@
     now = CLOCK.now()
     call = start_call(not_after=now + 9, lease_until=now + 60_000)
     bench.table.start(call, now)
-    bench.service._surveys.clear()
+    bench.service._surveys.forget_silent({})
     bench.desire("running")
     await bench.until("running")
     assert bench.events() == []
--- a/tests/processes/test_tickets.py
+++ b/tests/processes/test_tickets.py
@@ -122,7 +122,7 @@
         await asyncio.sleep(0.3)
         cluster.children[leader].kill()
         since = operators.CLOCK.now()
-        await operator_again(cluster, operator, accepted, task)
+        await _until_accepted_again(cluster, operator, accepted, task)
         assert operators.CLOCK.now() - since < AGAIN_MS, killed
         cluster.children[leader].start()
         await cluster.until_healthy(leader)
@@ -141,7 +141,7 @@
         accepted[number] = answer.json()["digest"]
 
 
-async def operator_again(cluster, operator, accepted, task) -> None:
+async def _until_accepted_again(cluster, operator, accepted, task) -> None:
     """Waits until a ticket sent after the kill has been accepted."""
     number = operator.number
     while operator.number < number + 2:
