Record a whole session in a golden file

Cause found by it: a resend under a claim of an earlier incarnation paused the endpoint for 500 ms, so that the next request met 429; a stale claim says nothing about the endpoint.

--- a/bilberryroute/routing/outliers.py
+++ b/bilberryroute/routing/outliers.py
@@ -53,7 +53,6 @@
     protocol.Reason.ENDPOINT_GONE: Blame.PAUSE,
     protocol.Reason.ENDPOINT_LEAVING: Blame.PAUSE,
     protocol.Reason.MEMORY_FULL: Blame.PAUSE,
-    protocol.Reason.STALE_INCARNATION: Blame.PAUSE,
 }
 
 
--- /dev/null
+++ b/tests/requests/sessions.py
@@ -0,0 +1,62 @@
+"""Recorder of whole sessions, without the parts that differ by run."""
+
+import dataclasses
+import json
+import pathlib
+
+from tests.requests import fakes
+
+FOLDER = pathlib.Path(__file__).parent / "golden"
+KEPT_HEADERS = (
+    "Bilberryroute-Attempts",
+    "Bilberryroute-Outcome",
+    "Bilberryroute-Request-Id",
+    "Content-Type",
+    "Retry-After",
+)
+
+
+@dataclasses.dataclass
+class Recorder:
+    """Writes down each step of a session as JSON lines.
+
+    Attributes:
+      lines: What was recorded so far.
+    """
+
+    stack: object
+    lines: list[str] = dataclasses.field(default_factory=list)
+
+    def note(self, step: str, **fields: object) -> None:
+        """Records one step."""
+        self.lines.append(json.dumps({"step": step} | fields))
+
+    async def send(self, entry: int, request_id: str, **kwargs) -> None:
+        """Sends one request and records what the caller was told."""
+        told = await fakes.send(
+            self.stack.session, self.stack.entries[entry], request_id, **kwargs
+        )
+        headers = {
+            k: told.headers[k] for k in KEPT_HEADERS if k in told.headers
+        }
+        self.note(
+            "request",
+            entry=entry,
+            sent={"id": request_id} | _plain(kwargs),
+            status=told.status,
+            headers=headers,
+            body=told.body.decode(),
+            ran=self.stack.ran[request_id],
+        )
+
+    def check(self, name: str) -> None:
+        """Compares the session with its golden file."""
+        path = FOLDER / f"{name}.jsonl"
+        assert "\n".join(self.lines) + "\n" == path.read_text()
+
+
+def _plain(kwargs: dict[str, object]) -> dict[str, object]:
+    return {
+        name: value.decode() if isinstance(value, bytes) else value
+        for name, value in kwargs.items()
+    }
--- a/tests/routing/test_outliers.py
+++ b/tests/routing/test_outliers.py
@@ -72,4 +72,5 @@
         protocol.Reason.EXPIRED,
         protocol.Reason.NEVER_SEEN,
         protocol.Reason.NO_SLOT,
+        protocol.Reason.STALE_INCARNATION,
     }
