Refuse impossible jobs at submission, and tell the scheduler of cancelled ones

Cause: a job that no set of workers could run was accepted and ended as refused 100 ms later, where a submitter expects the refusal itself; a cancelled placed job still counted as placed for the scheduler until it was released, so it could decide to stop it again; asking for a job that the scheduler had not seen yet failed with a type error.

--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -73,6 +73,7 @@
             command = machine_lib.COMMANDS.decode(payload)
             self._check_open(command)
             self._check_leading()
+            self._check_possible(command)
             result = await self._proposer.propose(command)
         except errors.BilberryrouteError as exc:
             return self._error(exc)
@@ -111,6 +112,16 @@
                 f"{type(command).__name__} is the leader's own to propose"
             )
 
+    def _check_possible(self, command: commands.Command) -> None:
+        """Refuses a job at submission that no set of workers could run."""
+        if not isinstance(command, commands.SubmitJob):
+            return
+        if command.job.id in self._machine.state.jobs:
+            return
+        reason = self._desk.refusal(command.job)
+        if reason:
+            raise errors.ImpossibleJob(reason)
+
     def _check_leading(self) -> None:
         if not self._leadership.active():
             raise errors.NotLeader(self._group.leader_id)
--- a/bilberryroute/replica/events.py
+++ b/bilberryroute/replica/events.py
@@ -28,7 +28,7 @@
         case commands.SubmitJob(job=job), commands.JobAccepted(first=True):
             return [events.JobQueued(record=state.jobs[job.id])]
         case commands.CancelJobs(job_ids=ids), _:
-            return _removed(ids, state)
+            return _cancelled(ids, state)
         case commands.StartJob(job_id=job_id, attempt=attempt), _:
             return [events.JobStarted(job_id=job_id, attempt=attempt)]
         case commands.ReleaseJob(), _:
@@ -78,15 +78,23 @@
     ]
 
 
-def _removed(
+def _cancelled(
     job_ids: tuple[str, ...], state: records.State
 ) -> list[events.Event]:
-    ended = [
-        job_id
-        for job_id in job_ids
-        if state.jobs[job_id].phase == jobs.JobPhase.ENDED
-    ]
-    return [events.JobRemoved(job_id=job_id) for job_id in ended]
+    """Returns what became of each job named: it ended, or it is stopping."""
+    found: list[events.Event] = []
+    for job_id in job_ids:
+        record = state.jobs.get(job_id)
+        if record is None:
+            continue
+        match record.phase:
+            case jobs.JobPhase.ENDED:
+                found.append(events.JobRemoved(job_id=job_id))
+            case jobs.JobPhase.STOPPING:
+                found.append(
+                    events.JobStopping(job_id=job_id, attempt=record.attempt)
+                )
+    return found
 
 
 def _released(command: commands.ReleaseJob) -> events.JobReleased:
--- a/bilberryroute/replica/jobs.py
+++ b/bilberryroute/replica/jobs.py
@@ -208,6 +208,9 @@
 
     async def _wait_for_change(self) -> None:
         """Waits for a report, an applied command, or the next round."""
+        if self.scheduler.unfinished():
+            await asyncio.sleep(0)
+            return
         waits = [
             asyncio.ensure_future(cell.changed(cell.version))
             for cell in (self._board.agents, self._board.applied)
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -90,11 +90,21 @@
         scheduler = self._controller.scheduler
         if scheduler is None or record.phase != jobs.JobPhase.QUEUED:
             return record.reason
-        found = scheduler.explain(record.job.id, self._clock.wall())
-        waited_ms = self._clock.wall() - found.since_ms
+        now = self._clock.wall()
+        found = scheduler.explain(record.job.id, now)
+        if found is None:
+            return "waits for the next decision"
+        waited_ms = now - found.since_ms
         waited = clock_lib.seconds(max(0, waited_ms))
         return f"waits {waited:.0f} s for {found.waits_for}; {found.freed_by}"
 
+    def refusal(self, job: jobs.Job) -> str:
+        """Says why a job could never run, or returns nothing."""
+        scheduler = self._controller.scheduler
+        if scheduler is None:
+            return ""
+        return scheduler.refusal(job, self._clock.wall())
+
     def _jobs(self, account: str) -> queries.JobList:
         records = self._machine.state.jobs.values()
         chosen = [r for r in records if account in ("", r.job.account)]
--- a/bilberryroute/scheduling/scheduler.py
+++ b/bilberryroute/scheduling/scheduler.py
@@ -94,6 +94,15 @@
             return None
         return explaining.explain(self._state, entry, now_ms)
 
+    def refusal(self, job: jobs.Job, now_ms: int) -> str:
+        """Says why a job could never run, or returns nothing.
+
+        Nothing is refused while workers have just joined: others may follow.
+        """
+        if not self._workers_settled(now_ms):
+            return ""
+        return self._impossible(table.Entry(job=job))
+
     def shortfalls(self) -> tuple[decisions.Shortfall, ...]:
         """Returns the guarantees that capacity in service does not hold."""
         return self._state.guarantees.shortfalls()
@@ -118,9 +127,7 @@
     def _refuse_impossible(self, now_ms: int) -> None:
         """Refuses new jobs that would not fit even into empty workers."""
         unchecked = self._lifecycle.unchecked
-        if not unchecked or not self._state.tree.nodes:
-            return
-        if now_ms - self._lifecycle.joined_ms < _SETTLE_MS:
+        if not unchecked or not self._workers_settled(now_ms):
             return
         for job_id in list(unchecked):
             reason = self._impossible(self._state.entries[job_id])
@@ -130,6 +137,11 @@
                 self._lifecycle.forget(job_id)
         unchecked.clear()
 
+    def _workers_settled(self, now_ms: int) -> bool:
+        if not self._state.tree.nodes:
+            return False
+        return now_ms - self._lifecycle.joined_ms >= _SETTLE_MS
+
     def _impossible(self, entry: table.Entry) -> str:
         """Says why a job can never run, or returns nothing."""
         job, tree = entry.job, self._state.tree
