Forget ended requests in constant time

Cause: every ended request copied the list of all that ended in the last five seconds (0.2 ms a call at 1,000 of them, by profile).

--- a/bilberryroute/agent/slots.py
+++ b/bilberryroute/agent/slots.py
@@ -52,10 +52,11 @@
         now = self._clock.now()
         self._finished[request_id] = now + ANNOUNCEMENT_LAG_MS
         # Insertion order is order of time.
-        for old, until in list(self._finished.items()):
-            if until > now:
-                break
-            del self._finished[old]
+        while self._finished:
+            oldest = next(iter(self._finished))
+            if self._finished[oldest] > now:
+                return
+            del self._finished[oldest]
 
     @contextlib.asynccontextmanager
     async def slot(
