--- a/benchmarks/decisions_loop.py
+++ b/benchmarks/decisions_loop.py
@@ -103,7 +103,8 @@
 
     def _step(self, waiting: bool) -> None:
         """Lets all that is due before the next decision happen; decides."""
-        idle_ms = self.clock.now() + IDLE_MS
+        soon = self.scheduler.unfinished()
+        idle_ms = self.clock.now() + (DECIDE_MS if soon else IDLE_MS)
         due_ms = self._due[0][0] if self._due else idle_ms
         due_ms = min(due_ms, idle_ms) if waiting else due_ms
         tick_ms = -(-due_ms // DECIDE_MS) * DECIDE_MS
@@ -114,9 +115,9 @@
             self.clock.advance(max(0, at_ms - self.clock.now()))
             act(*args)
         self.clock.advance(max(0, tick_ms - self.clock.now()))
-        begun = time.perf_counter()
+        begun = time.thread_time()
         taken = self.scheduler.decide(self.clock.now())
-        self.decision_us.append((time.perf_counter() - begun) * 1e6)
+        self.decision_us.append((time.thread_time() - begun) * 1e6)
         for decision in taken:
             self._apply(decision)
         self._watcher.watch(self, bool(happened or taken))
@@ -253,13 +254,13 @@
             return
         life.stopping = True
         delay_ms = self._rng.randint(100, 300)
-        if life.running_ms is not None and requeue:
+        if life.running_ms is not None:
             restore_ms = RESTORE_MS if life.place.attempt > 1 else 0
             ran_ms = self.clock.now() - life.running_ms - restore_ms
             done_ms = life.kept_ms + max(0, ran_ms)
-            if checkpoint:
+            if checkpoint and requeue:
                 delay_ms = self._rng.randint(300, 1_800)
-            else:
+            elif requeue:
                 done_ms -= done_ms % AUTOMATIC_CHECKPOINT_MS
             self._keep(life, done_ms)
         self._after(delay_ms, self._release, life, requeue)
--- a/benchmarks/decisions_measures.py
+++ b/benchmarks/decisions_measures.py
@@ -48,6 +48,8 @@
         job = life.submission.job
         if life.submission.impossible or job.kind != jobs.JobKind.URGENT:
             return
+        if not self._is_plain(life):
+            return
         urgent = [
             other
             for other in loop.active.values()
@@ -122,11 +124,8 @@
         out_ms, back_ms = self._workload.out_span_ms
         if not out_ms + SETTLED_MS <= self._last_ms < back_ms:
             return
-        remaining = sum(
-            each.accelerators
-            for each in self._workload.workers
-            if each.failure_domain != self._workload.domain_out
-            and each.name != self._workload.failing_worker
+        remaining = decisions_bound.able_accelerators(
+            self._workload, self._last_ms
         )
         demand = sum(
             life.submission.job.shape.accelerators
@@ -169,6 +168,10 @@
         ]
         return _pack([self._size(life) for life in lives], blocks)
 
+    def _is_plain(self, life: loops.Life) -> bool:
+        """Returns whether a job takes no more than its accelerators' share."""
+        return self._size(life) == life.submission.job.shape.accelerators
+
     def _size(self, life: loops.Life) -> int:
         """Returns the room that a job needs, with what it takes beside."""
         job = life.submission.job
@@ -200,7 +203,7 @@
         for life in loop.active.values():
             if life.place is not None:
                 running[life.submission.job.account].append(life)
-            elif not life.submission.impossible:
+            elif not life.submission.impossible and self._is_plain(life):
                 waiting.append(life)
         return {
             life.submission.job.id
@@ -235,7 +238,7 @@
         result["urgent_start_ms_p99"] = percentile(starts, 99)
         result["urgent_covered"] = len(starts)
         result["fragmentation"] = self._unusable_ms / max(1, self._free_ms)
-        result["domain_work_share"] = self._work_share(lives)
+        result["domain_work_share"] = self._work_share(loop)
         result["reclaim_ms_p99"] = percentile(self._reclaims_ms, 99)
         result["largest_job_wait_ms"] = _largest_wait(lives, loop.clock.now())
         for name in (
@@ -248,14 +251,14 @@
         result["decision_us_p99"] = percentile(loop.decision_us, 99)
         return result
 
-    def _work_share(self, lives) -> float:
+    def _work_share(self, loop: loops.Loop) -> float:
         """Returns work kept while the domain is out over what could be."""
         out_ms, back_ms = self._workload.out_span_ms
         since_ms = out_ms + SETTLED_MS
         done_ms = sum(
             max(0, min(end, back_ms) - max(begin, since_ms))
             * life.submission.job.shape.accelerators
-            for life in lives
+            for life in loop.lives.values()
             for begin, end in life.work
         )
         return done_ms / max(1.0, self._could_ms)
--- a/bilberryroute/agent/tasks.py
+++ b/bilberryroute/agent/tasks.py
@@ -1,7 +1,6 @@
 """Brings the desired tasks about on the workers."""
 
 import asyncio
-import dataclasses
 import logging
 
 from mode import Service
@@ -12,6 +11,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import surveys as surveys_lib
 from bilberryroute.agent import task_plan
 from bilberryroute.agent import worker_api
 from bilberryroute.agent import workers as workers_lib
@@ -47,7 +47,7 @@
         self.board = board
         self._workers = workers
         self._held: dict[task_plan.Key, task_plan.Held] = {}
-        self._surveys: dict[str, _Survey] = {}
+        self._surveys = surveys_lib.Surveys()
         self._polling: set[str] = set()
         self._born = env.clock.now()
         self._client: worker_api.WorkerClient | None = None
@@ -70,7 +70,7 @@
             desired=self.board.desired.get(),
             held=self._held,
             workers=self.board.workers.get(),
-            surveys={n: s.tasks for n, s in self._surveys.items()},
+            surveys=self._surveys.tasks(),
             lease_left_ms=self.board.lease.get().left(now),
             started=self._born,
             now=now,
@@ -81,7 +81,7 @@
     async def _bring_about(self) -> None:
         while not self.should_stop:
             seen = self._replan.version
-            self._forget_silent_workers()
+            self._surveys.forget_silent(self._workers.contacts)
             for step in task_plan.plan(self.view()):
                 self._carry_out(step)
             self._publish()
@@ -97,7 +97,12 @@
 
     @Service.task
     async def _watch_lease(self) -> None:
-        await self._watch(self.board.lease)
+        cell = self.board.lease
+        seen = cell.version
+        while not self.should_stop:
+            seen = await cell.changed(seen)
+            if self._held:
+                self._replan.touch()
 
     async def _watch(self, cell: blackboard.Cell) -> None:
         seen = cell.version
@@ -119,7 +124,7 @@
                 if contact.name not in self._polling:
                     self._polling.add(contact.name)
                     self.add_future(self._poll_worker(contact))
-            self._end_fenced()
+            self._end_fenced(self._held_without_contact())
             await self.sleep(clock_lib.seconds(POLL_MS))
 
     def _carry_out(self, step: task_plan.Step) -> None:
@@ -147,7 +152,7 @@
                 self._fence(key, result)
             case task_plan.Forget(key=key):
                 del self._held[key]
-                self._surveys.get(key[0], _NO_SURVEY).tasks.pop(key, None)
+                self._surveys.forget_task(key)
 
     def _end(self, key: task_plan.Key, result: jobs.TaskResult) -> None:
         held = self._held.get(key)
@@ -220,6 +225,7 @@
         return worker_api.Start(
             job_id=job_id,
             attempt=attempt,
+            incarnation=contact.incarnation,
             accelerators=held.accelerators,
             progress_ms=held.progress_ms,
             left_ms=view.lease_left_ms,
@@ -264,7 +270,8 @@
         name = worker_api.TaskName(held.key[1], held.key[2])
         try:
             if checkpoint:
-                saved = await self._client.checkpoint(contact, name)
+                left = max(1, held.fenced - self._clock.now())
+                saved = await self._client.checkpoint(contact, name, left)
                 held.progress_ms = saved.progress_ms
             task = await self._client.stop(contact, name)
         except worker_api.WorkerUnreachable:
@@ -279,6 +286,7 @@
             await self._ask_worker(contact)
         except worker_api.WorkerUnreachable as exc:
             logger.warning("%s", exc)
+            self._end_fenced(self._held_on(contact.name))
         finally:
             self._polling.discard(contact.name)
 
@@ -287,18 +295,17 @@
         now = self._clock.now()
         running = [
             held
-            for held in self._held.values()
-            if held.key[0] == contact.name
-            and held.phase is task_plan.Phase.RUNNING
+            for held in self._held_on(contact.name)
+            if held.phase is task_plan.Phase.RUNNING
         ]
         if running and self.board.lease.get().left(now):
             tasks = await self._renew(contact, running, now)
-        elif running or self._survey_is_due(contact):
+        elif running or self._surveys.is_due(contact):
             tasks = await self._client.tasks(contact)
         else:
             return
-        self._survey(contact, tasks)
-        self._observe_all(contact, running)
+        found = self._surveys.note(contact, tasks)
+        self._observe_all(found, running)
         self._replan.touch()
 
     async def _renew(
@@ -316,22 +323,11 @@
         )
         return await self._client.renew(contact, leases)
 
-    def _survey_is_due(self, contact: workers_lib.Contact) -> bool:
-        survey = self._surveys.get(contact.name)
-        return survey is None or survey.incarnation != contact.incarnation
-
-    def _survey(
-        self, contact: workers_lib.Contact, tasks: worker_api.Tasks
-    ) -> None:
-        found = {(contact.name, t.job_id, t.attempt): t for t in tasks.tasks}
-        self._surveys[contact.name] = _Survey(
-            incarnation=contact.incarnation, tasks=found
-        )
-
     def _observe_all(
-        self, contact: workers_lib.Contact, running: list[task_plan.Held]
+        self,
+        found: dict[task_plan.Key, worker_api.Task],
+        running: list[task_plan.Held],
     ) -> None:
-        found = self._surveys[contact.name].tasks
         for held in running:
             if held.phase is not task_plan.Phase.RUNNING:
                 continue
@@ -346,34 +342,23 @@
         if task.state is not worker_api.TaskState.RUNNING:
             held.end(jobs.TaskResult(task.state))
 
-    def _forget_silent_workers(self) -> None:
-        for name in list(self._surveys):
-            contact = self._workers.contacts.get(name)
-            if (
-                contact is None
-                or contact.incarnation != self._surveys[name].incarnation
-            ):
-                del self._surveys[name]
+    def _held_on(self, worker: str) -> list[task_plan.Held]:
+        return [h for key, h in self._held.items() if key[0] == worker]
+
+    def _held_without_contact(self) -> list[task_plan.Held]:
+        contacts = self._workers.contacts
+        return [h for key, h in self._held.items() if key[0] not in contacts]
 
-    def _end_fenced(self) -> None:
+    def _end_fenced(self, silent: list[task_plan.Held]) -> None:
+        """Gives up tasks whose worker is silent and whose lease has ended."""
         now = self._clock.now()
-        for held in self._held.values():
+        for held in silent:
             running = held.phase is task_plan.Phase.RUNNING
             if running and now >= held.fenced:
                 held.end(jobs.TaskResult.LOST)
+                self._replan.touch()
 
     def _publish(self) -> None:
         reports = {k: h.report() for k, h in self._held.items()}
         if reports != self.board.tasks.get():
             self.board.tasks.set(reports)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Survey:
-    """What one incarnation of a worker last said it remembers."""
-
-    incarnation: str
-    tasks: dict[task_plan.Key, worker_api.Task]
-
-
-_NO_SURVEY = _Survey(incarnation="", tasks={})
--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Sequence
 
 from bilberryroute import errors
 from bilberryroute import settings
@@ -14,11 +15,10 @@
 from bilberryroute.consensus import leading as leading_lib
 from bilberryroute.consensus import memory_log
 from bilberryroute.consensus import messages
+from bilberryroute.consensus import outbox as outbox_lib
 from bilberryroute.consensus import progress
 from bilberryroute.consensus import records
 
-FOUNDING_TERM = 1
-
 
 class Core:
     """One replica's part in the group.
@@ -44,9 +44,8 @@
         self.role = messages.Role.FOLLOWER
         self.leader = ""
         self._timing = timing
-        self._outputs: list[messages.Output] = []
-        self._noted_role: messages.RoleChanged | None = None
-        self.journal = journal_lib.Journal(log, hard_state, self._emit)
+        self._outbox = outbox_lib.Outbox()
+        self.journal = journal_lib.Journal(log, hard_state, self._outbox.emit)
         self._following = following_lib.Following(self.journal)
         self._leading: leading_lib.Leading | None = None
         self._election = election_lib.Election(
@@ -86,9 +85,13 @@
 
     def lease_holds(self, now: int) -> bool:
         """Returns whether no other leader can commit anything yet."""
-        if self._leading is None:
-            return False
-        return now < self._acked_ms(now) + self._timing.leader_lease_ms
+        return self._leading is not None and self._leading.lease_holds(now)
+
+    def require_lease(self, now: int) -> None:
+        """Raises `errors.NotLeader` unless the leader lease holds."""
+        if not self.lease_holds(now):
+            other = self.leader if self._leading is None else ""
+            raise errors.NotLeader(records.replica_id(other) or None)
 
     def own_term_committed(self) -> bool:
         """Returns whether this leader has committed an entry of its term."""
@@ -102,18 +105,13 @@
 
     def hears(self, member_id: str, now: int) -> bool:
         """Returns whether a member answered this leader lately."""
-        if member_id == self.id:
-            return True
-        peer = self.progress_of(member_id)
-        if peer is None:
-            return False
-        return now < peer.acked_ms + self._timing.election_ms
+        return self._leading is not None and self._leading.hears(member_id, now)
 
     def tick(self, now: int) -> list[messages.Output]:
         """Acts on the time that has passed."""
         if self.role is not messages.Role.HALTED:
             self._tick(now)
-        return self._drain()
+        return self._outbox.drain()
 
     def step(
         self, envelope: messages.Envelope, now: int
@@ -121,17 +119,21 @@
         """Acts on a message; one for another folder or group is dropped."""
         if self.role is not messages.Role.HALTED and self._accepts(envelope):
             self._dispatch(envelope.sender, envelope.body, now)
-        return self._drain()
+        return self._outbox.drain()
 
-    def propose(self, payload: bytes, now: int) -> list[messages.Output]:
-        """Appends a command; it is the log's last entry on return.
+    def propose(
+        self, payloads: Sequence[bytes], now: int
+    ) -> list[messages.Output]:
+        """Appends commands; they are the log's last entries on return.
 
         Raises:
           errors.NotLeader: If this replica does not lead.
         """
-        self._require_lease(now)
-        self._append(records.EntryKind.COMMAND, payload, now)
-        return self._drain()
+        self.require_lease(now)
+        for payload in payloads:
+            self.journal.append(records.EntryKind.COMMAND, payload)
+        self._replicate(now, heartbeat=False)
+        return self._outbox.drain()
 
     def change_membership(
         self, membership: records.Membership, now: int
@@ -142,7 +144,7 @@
           errors.NotLeader: If this replica does not lead.
           errors.Unavailable: If it is not yet safe to change.
         """
-        self._require_lease(now)
+        self.require_lease(now)
         if not self._may_change_membership():
             raise errors.Unavailable(
                 "this term's first entry, or another change of membership,"
@@ -150,7 +152,7 @@
             )
         payload = records.encode_membership(membership)
         self._append(records.EntryKind.MEMBERSHIP, payload, now)
-        return self._drain()
+        return self._outbox.drain()
 
     def synced(self, sequence: int, now: int) -> list[messages.Output]:
         """Notes that all writes up to `sequence` are durable."""
@@ -158,7 +160,7 @@
             self.journal.note_synced(sequence)
             self._count_votes(now)
             self._advance_commit(now)
-        return self._drain()
+        return self._outbox.drain()
 
     def compact(
         self, index: int, payload: bytes, keep: int
@@ -171,40 +173,28 @@
           keep: Entries kept before it for peers that lag a little.
         """
         self.journal.compact(index, payload, keep)
-        return self._drain()
+        return self._outbox.drain()
 
     def found(
         self, membership: records.Membership, now: int
     ) -> list[messages.Output]:
         """Begins a new group, named after this folder."""
-        entry = records.Entry(
-            index=1,
-            term=FOUNDING_TERM,
-            kind=records.EntryKind.MEMBERSHIP,
-            payload=records.encode_membership(membership),
-        )
-        state = records.HardState(
-            term=FOUNDING_TERM, vote=self.id, group=self.id
-        )
-        self.journal.found(state, entry)
+        self.journal.found(self.id, membership)
         self._election.deadline_ms = now
-        return self._drain()
+        return self._outbox.drain()
 
     def halt(self) -> list[messages.Output]:
         """Takes no further part, after a failed write."""
         self._leading = None
         self._enter(messages.Role.HALTED, "")
-        return self._drain()
-
-    # Role changes.
+        return self._outbox.drain()
 
     def _enter(self, role: messages.Role, leader: str) -> None:
         self.role = role
         self.leader = leader
-        change = messages.RoleChanged(role=role, term=self.term, leader=leader)
-        if change != self._noted_role:
-            self._noted_role = change
-            self._emit(change)
+        self._outbox.emit_role(
+            messages.RoleChanged(role=role, term=self.term, leader=leader)
+        )
 
     def _become_follower(self, term: int, leader: str, now: int) -> None:
         if term > self.term:
@@ -229,29 +219,21 @@
         self._leading = leading_lib.Leading(
             own_id=self.id,
             journal=self.journal,
-            heartbeat_ms=self._timing.raft_heartbeat_ms,
+            timing=self._timing,
             now=now,
         )
         self._enter(messages.Role.LEADER, self.id)
         self._append(records.EntryKind.NOOP, b"", now)
 
-    # Elections.
-
     def _tick(self, now: int) -> None:
         if self._leading is not None:
             self._tick_leader(now)
         elif now >= self._election.deadline_ms:
-            if self._may_stand():
+            if self._election.may_stand():
                 self._become_pre_candidate(now)
             else:
                 self._election.postpone(now)
 
-    def _may_stand(self) -> bool:
-        # A leader whose own removal is not committed may hold the only log
-        # that a majority would follow.
-        possible = self.log.memberships_from(self.commit_index)
-        return any(self.id in m.voters for m in possible)
-
     def _ask_for_votes(self, now: int, *, pre: bool) -> None:
         request = self._election.request(pre=pre)
         for voter in self.membership.voters:
@@ -295,11 +277,9 @@
 
     def _hears_leader(self, now: int) -> bool:
         if self._leading is not None:
-            return self._hears_majority(now)
+            return self._leading.hears_majority(now)
         return self._election.hears_leader(now)
 
-    # Following.
-
     def _follows(self, term: int, leader: str, now: int) -> bool:
         """Returns whether a leader's message is of the present term."""
         if term < self.term:
@@ -325,26 +305,12 @@
             reply = self._following.take_chunk(chunk)
             self._send(sender, reply, after=self.journal.written)
 
-    # Leading.
-
     def _tick_leader(self, now: int) -> None:
-        if not self._hears_majority(now):
+        if not self._leading.hears_majority(now):
             self._become_follower(self.term, "", now)
         elif self._leading.heartbeat_due(now):
             self._replicate(now, heartbeat=True)
 
-    def _hears_majority(self, now: int) -> bool:
-        since = max(self._acked_ms(now), self._leading.began_ms)
-        return now < since + self._timing.election_ms
-
-    def _acked_ms(self, now: int) -> int:
-        return self._leading.acked_ms(now)
-
-    def _require_lease(self, now: int) -> None:
-        if not self.lease_holds(now):
-            other = self.leader if self._leading is None else ""
-            raise errors.NotLeader(records.replica_id(other) or None)
-
     def _may_change_membership(self) -> bool:
         if not self.own_term_committed():
             return False
@@ -394,8 +360,6 @@
             self._replicate(now, heartbeat=True)
             self._become_follower(self.term, "", now)
 
-    # Shared.
-
     def _accepts(self, envelope: messages.Envelope) -> bool:
         if envelope.receiver != self.id or not envelope.group:
             return False
@@ -425,12 +389,4 @@
             receiver=receiver,
             body=body,
         )
-        self._emit(messages.Send(envelope=envelope, after=after))
-
-    def _emit(self, output: messages.Output) -> None:
-        self._outputs.append(output)
-
-    def _drain(self) -> list[messages.Output]:
-        outputs = self._outputs
-        self._outputs = []
-        return outputs
+        self._outbox.emit(messages.Send(envelope=envelope, after=after))
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -14,6 +14,7 @@
 from bilberryroute.entry import board as board_lib
 from bilberryroute.model import commands
 from bilberryroute.model import control
+from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.model import wire
 from bilberryroute.state import machine as machine_lib
@@ -60,6 +61,7 @@
         self._rng = rng
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._turn = 0
+        self._learned: dict[str, str] = {}
         self._suspected: dict[str, int] = {}
 
     async def on_stop(self) -> None:
@@ -92,6 +94,20 @@
             raise errors.Unavailable("the leading replica is silent") from exc
         return methods.ANSWERS.decode(answer)
 
+    async def change_members(
+        self, change: membership.Change
+    ) -> membership.Members:
+        """Makes one change of the group and returns the group after it.
+
+        Raises:
+          errors.Refused: If the change is not safe or makes no sense.
+          errors.Unavailable: If no leader took it; nothing changed.
+          errors.CommitUnknown: If it may or may not have been made.
+        """
+        payload = methods.MEMBER_CHANGES.encode(change)
+        answer = await self._call_leader(methods.CHANGE_MEMBERS, payload)
+        return methods.MEMBERS.decode(answer)
+
     async def _call_leader(self, method: str, payload: bytes) -> bytes:
         deadline = self._clock.now() + TOTAL_TIMEOUT_MS
         maybe_done = False
@@ -131,7 +147,7 @@
 
     def _leader_address(self) -> str:
         """Returns where the leader is believed to be."""
-        known = {r.id: r.grpc for r in self._cfg.replicas}
+        known = self._addresses()
         leader = known.get(self._board.leader_id.get())
         if leader is not None and not self._is_suspected(leader):
             return leader
@@ -139,6 +155,10 @@
         candidates = heard or list(known.values())
         return candidates[self._turn % len(candidates)]
 
+    def _addresses(self) -> dict[str, str]:
+        """Returns all replicas known; the settings know better than others."""
+        return self._learned | {r.id: r.grpc for r in self._cfg.replicas}
+
     def _suspect(self, address: str) -> None:
         """Notes that a replica fell silent."""
         self._suspected[address] = self._clock.now() + SUSPICION_MS
@@ -207,6 +227,7 @@
         if event.term < self._board.term.get():
             return
         self._board.term.set(event.term)
+        self._learned = {r.id: r.grpc for r in event.replicas}
         if self._board.leader_id.get() != event.leader_id:
             self._board.leader_id.set(event.leader_id)
         fresh = event.configuration
--- a/tests/processes/test_tickets.py
+++ b/tests/processes/test_tickets.py
@@ -5,11 +5,14 @@
 import socket
 
 import msgspec
+import pytest
 
 from bilberryroute import settings
 from extras import cluster as cluster_lib
 from tests.processes import operators
 
+pytestmark = pytest.mark.serial
+
 IN_FORCE_MS = 7_000
 AGAIN_MS = 3_000
 BURST = 100
@@ -119,7 +122,7 @@
         await asyncio.sleep(0.3)
         cluster.children[leader].kill()
         since = operators.CLOCK.now()
-        await operator_again(cluster, operator, accepted, task)
+        await _until_accepted_again(cluster, operator, accepted, task)
         assert operators.CLOCK.now() - since < AGAIN_MS, killed
         cluster.children[leader].start()
         await cluster.until_healthy(leader)
@@ -138,7 +141,7 @@
         accepted[number] = answer.json()["digest"]
 
 
-async def operator_again(cluster, operator, accepted, task) -> None:
+async def _until_accepted_again(cluster, operator, accepted, task) -> None:
     """Waits until a ticket sent after the kill has been accepted."""
     number = operator.number
     while operator.number < number + 2:
@@ -155,6 +158,27 @@
     accepted[operator.number] = answer.json()["digest"]
 
 
+async def test_ticket_without_a_majority_is_not_accepted(launch):
+    """The followers are down, then the leader dies with its log's tail."""
+    cluster = await launch(LAYOUT)
+    await operators.Operator(cluster).apply(accounts=[{"name": "before"}])
+    leader = await cluster.leader()
+    followers = [r.id for r in cluster.replicas if r.id != leader]
+    for name in followers:
+        cluster.children[name].kill()
+    pending = asyncio.ensure_future(post_ticket(cluster, "e1", 2, "tail"))
+    await asyncio.wait([pending], timeout=1.0)
+    cluster.children[leader].kill()
+    for name in followers:
+        cluster.children[name].start()
+    answer = await pending
+    kept = await cluster.get("e2", "/v1/tickets/2")
+    if answer is not None and answer.status == 200:
+        assert kept.status == 200, "an accepted ticket is gone"
+    other = await post_ticket(cluster, "e2", 2, "other-content")
+    assert other.status == (409 if kept.status == 200 else 200)
+
+
 async def test_burst_and_return_after_many_changes(launch):
     """A burst in force in time; then processes that missed 500 changes."""
     cluster = await launch(LAYOUT)
