Part two regions for longer than every lease, as separate processes

Cause: cuts of single agents and replicas were tested, a whole region's was not. A replica reached the others by the addresses that they told, also where its own settings name another way; entries and agents already prefer theirs. Change: replicas prefer the addresses of their settings too. While parted, the minority side refuses tickets (503), starts nothing 3 s after its failure domain is out, and ends its job with the lease; joined again, revisions catch up within 7 s and the job restarts.

--- a/bilberryroute/replica/parts.py
+++ b/bilberryroute/replica/parts.py
@@ -63,6 +63,8 @@
         replica_id=cfg.replica_id,
         members=cfg.replicas,
         data_folder=cfg.data_folder,
+        # The settings say how this host reaches a replica that they name.
+        routes={replica.id: replica.grpc for replica in cfg.replicas},
         timing=cfg.timing,
         log=cfg.log,
     )
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -25,13 +25,13 @@
 
 @pytest.fixture
 async def launch_wired(tmp_path):
-    """Like `launch`, with a relay between each agent and each replica."""
+    """Like `launch`, with relays; by default one from agent to replica."""
     async with contextlib.AsyncExitStack() as stack:
 
-        async def start(layout: cluster_lib.Layout):
+        async def start(layout: cluster_lib.Layout, relays=None):
             cluster = cluster_lib.Cluster(tmp_path, layout)
             await stack.enter_async_context(cluster)
-            relays = wires.AgentWires()
+            relays = relays or wires.AgentWires()
             stack.push_async_callback(relays.stop)
             await relays.start(cluster)
             cluster.prepare(relays.seen_by)
