Stop a replica that fails in the middle of a step

An exception of the state machine left a step half done: writes and answers after it were dropped, while the core went on as if they were on the disk. The replica now takes no further part and says why. tests/consensus/test_group.py:: test_replica_that_cannot_apply_takes_no_further_part timed out before.

--- a/bilberryroute/consensus/founding.py
+++ b/bilberryroute/consensus/founding.py
@@ -8,7 +8,9 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import replace
 
+from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.consensus import changes
 from bilberryroute.consensus import greeting
@@ -69,6 +71,25 @@
     return changes.AddLearner(address=address_of(hello), id=hello.id)
 
 
+async def identify(
+    change: changes.AddLearner, address: str, own: greeting.Hello
+) -> changes.AddLearner:
+    """Asks a replica to be added for the identity of its data folder.
+
+    Raises:
+      errors.Unavailable: If nobody answers.
+      errors.Refused: If another replica answers, or one of another group.
+    """
+    answer = await greeting.greet(address, own)
+    if answer is None:
+        raise errors.Unavailable(f"nobody answers at {address}")
+    if records.replica_id(answer.id) != change.address.id:
+        raise errors.Refused(f"{answer.id} answers at {address}")
+    if answer.group not in ("", own.group):
+        raise errors.Refused(f"{answer.id} belongs to another group")
+    return replace(change, id=answer.id)
+
+
 def address_of(hello: greeting.Hello) -> settings.ReplicaAddress:
     """Returns where the replica that sent a greeting listens."""
     return settings.ReplicaAddress(
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import random
-from dataclasses import replace
 
 import grpc.aio
 from mode import Service
@@ -41,7 +40,7 @@
     Attributes:
       role_cell: `RoleState`; changes with role, term and known leader.
       applied_cell: Index of the last applied entry.
-      failure: Why the storage failed, or None.
+      failure: Why it takes no further part, or None.
     """
 
     def __init__(
@@ -72,7 +71,7 @@
             RoleState(role=messages.Role.FOLLOWER, term=0, leader_id=None)
         )
         self.applied_cell = blackboard.Cell(0)
-        self.failure: errors.StorageError | None = None
+        self.failure: errors.BilberryrouteError | None = None
 
     # What others may ask.
 
@@ -170,7 +169,8 @@
         if not self.is_leader():
             raise errors.NotLeader(self._other_leader())
         if isinstance(change, changes.AddLearner) and not change.id:
-            change = await self._identify(change)
+            address = self._route(change.address.id, change.address.grpc)
+            change = await founding.identify(change, address, self._hello())
         now = self._clock.now()
         membership = changes.apply(self._core, change, now)
         outputs = self._core.change_membership(membership, now)
@@ -241,19 +241,27 @@
     # What the core asks for.
 
     def _handle(self, outputs: list[messages.Output]) -> None:
-        for output in outputs:
-            match output:
-                case messages.Write():
-                    self._writer.put(output)
-                case messages.Send():
-                    self._writer.send(output)
-                case messages.Apply():
-                    self._apply(output.entries)
-                case messages.Restore():
-                    self._restore(output.snapshot)
-                case messages.RoleChanged():
-                    self._note_role(output)
-        self._compact()
+        try:
+            for output in outputs:
+                self._perform(output)
+            self._compact()
+        except Exception as exc:
+            # What was left undone is lost, so nothing after it may count.
+            self._fail(errors.BilberryrouteError(f"replica failed: {exc!r}"))
+            raise
+
+    def _perform(self, output: messages.Output) -> None:
+        match output:
+            case messages.Write():
+                self._writer.put(output)
+            case messages.Send():
+                self._writer.send(output)
+            case messages.Apply():
+                self._apply(output.entries)
+            case messages.Restore():
+                self._restore(output.snapshot)
+            case messages.RoleChanged():
+                self._note_role(output)
 
     def _address_of(self, member_id: str, learned: str | None) -> str | None:
         name = records.replica_id(member_id)
@@ -329,10 +337,11 @@
         self._handle(outputs)
         return await self._proposals.outcome(future, timeout_ms)
 
-    def _fail(self, exc: errors.StorageError) -> None:
+    def _fail(self, exc: errors.BilberryrouteError) -> None:
         self.failure = exc
-        self.log.error("storage failed, the replica stops acknowledging")
-        self._handle(self._core.halt())
+        self.log.error("the replica stops acknowledging: %s", exc)
+        for output in self._core.halt():
+            self._perform(output)
 
     def _require_running(self) -> None:
         if self.failure is not None:
@@ -369,17 +378,6 @@
             # It greets again soon.
             self.log.info("cannot take back %s yet: %s", hello.id, exc)
 
-    async def _identify(self, change: changes.AddLearner) -> changes.AddLearner:
-        address = self._route(change.address.id, change.address.grpc)
-        answer = await greeting.greet(address, self._hello())
-        if answer is None:
-            raise errors.Unavailable(f"nobody answers at {address}")
-        if records.replica_id(answer.id) != change.address.id:
-            raise errors.Refused(f"{answer.id} answers at {address}")
-        if answer.group not in ("", self._group):
-            raise errors.Refused(f"{answer.id} belongs to another group")
-        return replace(change, id=answer.id)
-
     @property
     def _group(self) -> str:
         return self._core.journal.hard_state.group
--- a/tests/consensus/test_group.py
+++ b/tests/consensus/test_group.py
@@ -6,6 +6,7 @@
 
 from bilberryroute import errors
 from bilberryroute.consensus import changes
+from bilberryroute.consensus import messages
 from bilberryroute.consensus import storage
 from tests.consensus import test_storage
 
@@ -283,3 +284,23 @@
     leader = await cluster.leader(but=name)
     assert leader._applier.items in (_expected(5), _expected(6))
     await leader.propose(b"y")
+
+
+async def test_replica_that_cannot_apply_takes_no_further_part(make_cluster):
+    cluster = await make_cluster(3)
+    leader = await cluster.leader()
+    broken = cluster.groups[cluster.follower()]
+
+    def fail(index, term, payload):
+        raise ValueError("cannot apply")
+
+    broken._applier.apply = fail
+    last = await _propose(leader, 0, 5)
+    async with asyncio.timeout(5):
+        while broken.failure is None:
+            await asyncio.sleep(0.01)
+    assert broken.applied_index < last
+    with pytest.raises(errors.BilberryrouteError, match="cannot apply"):
+        await broken.propose(b"x")
+    await _propose(leader, 5, 5)
+    assert broken.role_cell.get().role is messages.Role.HALTED
