Keep jobs over restarts of agents and faults in a decision

Cause: a worker counted as lost 2.1 s after its agent fell silent, also right after a change of leader, so an agent that took longer to restart or to find the leader had its gangs stopped, though their task leases held for 10 s. An exception in a decision ended the replica, and then the next leader. Change: a silent agent's workers are lost after half a task lease, those that a speaking agent no longer reports after three renewals; agents and entries silent for ten minutes are forgotten; the controller starts afresh after a fault. Ruled out: waiting the whole task lease, which delays a gang's restart.

--- a/bilberryroute/replica/board.py
+++ b/bilberryroute/replica/board.py
@@ -82,6 +82,15 @@
         """Returns the agent that reports a worker, if one is heard."""
         return self.agents.get().get(self.worker_agent.get(worker, ""))
 
+    def forget_silent(self, since: int) -> None:
+        """Drops agents and entries last heard before an instant."""
+        for cell in (self.agents, self.entries):
+            heard = cell.get()
+            silent = [n for n, view in heard.items() if view.heard_ms < since]
+            for name in silent:
+                del heard[name]
+                self.changed_agents.discard(name)
+
     def forget_reports(self) -> None:
         """Drops what was heard in an earlier term."""
         self.changed_agents.clear()
--- a/bilberryroute/replica/jobs.py
+++ b/bilberryroute/replica/jobs.py
@@ -19,6 +19,8 @@
 from bilberryroute.scheduling import policy as policy_lib
 from bilberryroute.scheduling import scheduler as scheduler_lib
 
+RESTART_MS = clock_lib.SECOND
+
 
 class JobController(mode.Service):
     """Runs the scheduler while this replica leads.
@@ -63,7 +65,20 @@
                 await self.sleep(clock_lib.seconds(self._cfg.timing.decide_ms))
 
     async def _lead_term(self, term: int) -> None:
-        self._begin_term()
+        """Schedules until the term ends, with a new scheduler after a fault.
+
+        Every replica runs the same code, so a fault that ended the process
+        would only move on to the next leader.
+        """
+        while not self.should_stop and self._leads(term):
+            try:
+                self._begin_term()
+                await self._run_rounds(term)
+            except Exception:
+                self.log.exception("scheduling failed; starting afresh")
+                await self.sleep(clock_lib.seconds(RESTART_MS))
+
+    async def _run_rounds(self, term: int) -> None:
         while not self.should_stop and self._leads(term):
             self._observe()
             await self._act()
--- a/bilberryroute/replica/workers.py
+++ b/bilberryroute/replica/workers.py
@@ -9,6 +9,7 @@
 from bilberryroute.replica import parts as parts_lib
 
 LOST_RENEWALS = 3
+FORGOTTEN_MS = 10 * clock_lib.MINUTE
 CHECK_MS = clock_lib.Millis(250)
 
 
@@ -23,6 +24,7 @@
         self._proposer = parts.proposer
         self._clock = parts.clock
         self._silence_ms = LOST_RENEWALS * parts.cfg.timing.renewal_ms
+        self._agent_grace_ms = parts.cfg.timing.task_lease_ms // 2
 
     @mode.Service.task
     async def _check_presence(self) -> None:
@@ -30,6 +32,7 @@
             await self.sleep(clock_lib.seconds(CHECK_MS))
             if not self._leadership.active():
                 continue
+            self._board.forget_silent(self._clock.now() - FORGOTTEN_MS)
             changes = [*self._joined(), *self._lost()]
             await asyncio.gather(*map(self._proposer.try_propose, changes))
 
@@ -54,7 +57,16 @@
         ]
 
     def _is_fresh(self, worker: str) -> bool:
-        """Says whether the worker was heard lately; a new leader waits first."""
+        """Says whether the worker was heard lately.
+
+        An agent that speaks and reports a worker no more has lost it. One that
+        is silent may be restarting, or still looking for a new leader, while
+        its tasks go on under their leases.
+        """
+        now = self._clock.now()
         began = self._board.term.get().began
         heard = max(self._board.worker_heard.get(worker, began), began)
-        return self._clock.now() - heard < self._silence_ms
+        view = self._board.agent_of(worker)
+        speaks = view is not None and now - view.heard_ms < self._silence_ms
+        bound = self._silence_ms if speaks else self._agent_grace_ms
+        return now - heard < bound
