--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,21 @@
 binary: install
 	$(BIN)/python extras/build_binary.py
 
+# Every bench once with small sizes; the defaults are the full ones.
+bench: install
+	$(BIN)/python -m benchmarks.imports
+	$(BIN)/python -m benchmarks.idle --seconds 5
+	$(BIN)/python -m benchmarks.leases --seconds 2
+	$(BIN)/python -m benchmarks.consensus --seed 1
+	$(BIN)/python -m benchmarks.requests --requests 300
+	$(BIN)/python -m benchmarks.decisions --deployment trust --seed 1 \
+		--only bilberryroute,fifo_first_fit,backfill_best_fit
+
+slopes: install
+	$(BIN)/python -m benchmarks.slopes --out report/slopes.json
+
+report: install
+	$(BIN)/python -m benchmarks.report
+
 clean:
 	rm -rf $(VENV) build dist *.egg-info
