--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import gc
 import logging
 import signal
 from collections.abc import Sequence
@@ -98,6 +99,9 @@
 
     with _signals() as signals:
         service = process.build(cfg, env)
+        # What start-up has built stays; a full collection need not walk it.
+        gc.collect()
+        gc.freeze()
         logs.show_position(service.position)
         await _start(service)
         _log.info("started", extra={"http": cfg.listen.http})
