--- a/bilberryroute/scheduling/freeing.py
+++ b/bilberryroute/scheduling/freeing.py
@@ -4,7 +4,6 @@
 import dataclasses
 
 from bilberryroute.model import jobs
-from bilberryroute.scheduling import capacity
 from bilberryroute.scheduling import estimates
 from bilberryroute.scheduling import fitting
 from bilberryroute.scheduling import policy as policies
