Bound an endpoint's slots by its connections too, and wait between claims

Cause: an endpoint with fewer connections than slots was sent as many requests as it has slots, and a request that no agent admitted spent its four claims within milliseconds. Agents now report slots that the connections allow, and the entry waits between two claims. Seen failing: 12 requests at 3 connections, some told not_run. tests/requests/test_limits.py: 8 passed in 13.3 s.

--- a/bilberryroute/agent/admission.py
+++ b/bilberryroute/agent/admission.py
@@ -4,6 +4,7 @@
 
 from bilberryroute.agent import board as board_lib
 from bilberryroute.model import config
+from bilberryroute.model import endpoints
 from bilberryroute.routing import protocol
 
 LEAVING_NOTICE_MS = 2_000
@@ -46,7 +47,19 @@
     if announced is None:
         return 1
     service = service_of(board, announced.service)
-    return min(announced.slots, service.slots_per_endpoint)
+    return min(
+        announced.slots,
+        service.slots_per_endpoint,
+        connections_of(board, announced),
+    )
+
+
+def connections_of(
+    board: board_lib.AgentBoard, announced: endpoints.Announcement
+) -> int:
+    """Returns how many connections an endpoint may hold at once."""
+    service = service_of(board, announced.service)
+    return min(announced.connections, service.connections_per_endpoint)
 
 
 def service_of(board: board_lib.AgentBoard, name: str) -> config.Service:
--- a/bilberryroute/agent/endpoints.py
+++ b/bilberryroute/agent/endpoints.py
@@ -14,6 +14,7 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute import settings
+from bilberryroute.agent import admission
 from bilberryroute.agent import board as board_lib
 from bilberryroute.model import endpoints
 from bilberryroute.model import wire
@@ -110,7 +111,7 @@
         return wire.EndpointReport(
             name=announced.name,
             service=announced.service,
-            slots=announced.slots,
+            slots=admission.slots_of(self._board, announced.name),
             in_flight=self._board.running.get().get(announced.name, 0),
             leaving=announced.leaving,
         )
--- a/bilberryroute/agent/runs.py
+++ b/bilberryroute/agent/runs.py
@@ -139,7 +139,9 @@
                 return _failure(protocol.Reason.DEADLINE)
             left = dataclasses.replace(order, time_left_ms=left_ms)
             announced = self._board.announcements.get()[order.endpoint]
-            ended = await self._client.call(announced, left, body)
+            bound = admission.connections_of(self._board, announced)
+            bounded = dataclasses.replace(announced, connections=bound)
+            ended = await self._client.call(bounded, left, body)
             if isinstance(ended, endpoint_client.Answer):
                 self.slots.finish(order.request_id)
             return ended
--- a/bilberryroute/entry/claims.py
+++ b/bilberryroute/entry/claims.py
@@ -24,6 +24,7 @@
 
 CLOSE_TIMEOUT_MS = 2_000
 CLOSES_MAX = 128
+RETRY_AFTER_MS = 1_000
 
 
 class Proposer(Protocol):
@@ -84,8 +85,11 @@
                 answered = await self._run_generation(call, view, generation)
                 if answered is not None:
                     return answered
+                await self._back_off(call, generation)
                 generation += 1
-            raise errors.NotRun("no agent would run it")
+            raise errors.NotRun(
+                "no agent would run it", retry_after_ms=RETRY_AFTER_MS
+            )
         except errors.Refused as exc:
             if call.unspent or call.may_have_run:
                 raise
@@ -135,7 +139,7 @@
     async def _back_off(self, call: calls.Call, tries: int) -> None:
         wait_ms = retries.backoff_ms(tries, self._rng)
         if wait_ms >= call.left_ms(self._dispatcher.clock.now()):
-            raise errors.DeadlineExceeded("no agent answered in time")
+            raise errors.DeadlineExceeded("no agent took it in time")
         await asyncio.sleep(clock_lib.seconds(wait_ms))
 
     async def _run_generation(
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -13,6 +13,7 @@
 from bilberryroute import errors
 from bilberryroute import rights as rights_lib
 from bilberryroute import settings
+from bilberryroute.agent import admission
 from bilberryroute.agent import board as agent_board
 from bilberryroute.agent import endpoints as agent_endpoints
 from bilberryroute.agent import requests as agent_requests
@@ -82,6 +83,13 @@
         self.address = f"{host}:{port}"
         return self.address
 
+    def connections(self) -> int:
+        """Returns the number of open connections."""
+        return sum(
+            conn.transport is not None
+            for conn in self._runner.server.connections
+        )
+
     def abort(self) -> None:
         """Resets all connections."""
         if self._runner is not None and self._runner.server is not None:
@@ -106,6 +114,7 @@
         self.status = 200
         self.active = 0
         self.peak = 0
+        self.peak_connections = 0
         self.answers: dict[str, bytes] = {}
         self.fenced: set[str] = set()
         self.incarnation = 1
@@ -126,6 +135,7 @@
         self.answers[run] = b""
         self.active += 1
         self.peak = max(self.peak, self.active)
+        self.note_connections()
         try:
             await asyncio.sleep(clock_lib.seconds(self.run_ms))
         finally:
@@ -138,6 +148,12 @@
             headers={"Bilberryroute-Request-Id": request_id},
         )
 
+    def note_connections(self) -> None:
+        """Notes how many connections are open now."""
+        self.peak_connections = max(
+            self.peak_connections, self.served.connections()
+        )
+
     async def kill(self) -> None:
         """Ends everything at once and forgets what it ran."""
         self.served.abort()
@@ -149,6 +165,7 @@
     async def probe(self, req: web.Request) -> web.Response:
         """Says what became of a run; one never seen never happens."""
         request_id = req.match_info["id"]
+        self.note_connections()
         run = req.headers["Bilberryroute-Run"]
         answer = self.answers.get(run)
         state = "done" if answer else "running"
@@ -223,7 +240,7 @@
                 incarnation=self.incarnation,
                 http=address or self.served.address,
                 failure_domain=DOMAIN,
-                slots=announced.slots,
+                slots=admission.slots_of(self.board, announced.name),
                 in_flight=0,
                 leaving=announced.leaving,
                 healthy=True,
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -169,3 +169,16 @@
         )
     assert len(bad.answers) < len(told) / 4
     assert sum(t.status == 200 for t in told) > 3 * len(told) / 4
+
+
+async def test_connections_bound_requests_and_probes(make_stack):
+    stack = await make_stack(1, 120, probe_ms=20)
+    endpoint = stack.endpoints[0]
+    stack.announce(0, connections=3)
+    stack.see()
+    told = await asyncio.gather(
+        *(fakes.send(stack.session, stack.entries[0]) for _ in range(12))
+    )
+    assert {t.outcome for t in told} == {"answered"}
+    assert endpoint.peak == 3
+    assert endpoint.peak_connections <= 3
