Answer all unary methods of the leader through one wrapper

Cause: three methods repeated the same decoding of errors into replies. Measured: tests of replica, entry and the process tests of replicas pass.

--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import grpc
 import mode
@@ -23,6 +25,8 @@
 
 WATCH_BEAT_MS = clock_lib.Millis(500)
 
+Handler = Callable[[bytes], Awaitable[bytes]]
+
 # What entries may propose; all else is the leader's own to decide.
 OPEN_COMMANDS = (
     commands.ApplyTicket,
@@ -53,11 +57,9 @@
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the methods to a server that has not started yet."""
         handlers = {
-            methods.PROPOSE: grpc.unary_unary_rpc_method_handler(self._propose),
-            methods.QUERY: grpc.unary_unary_rpc_method_handler(self._query),
-            methods.CHANGE_MEMBERS: grpc.unary_unary_rpc_method_handler(
-                self._change_members
-            ),
+            methods.PROPOSE: self._unary(self._propose),
+            methods.QUERY: self._unary(self._query),
+            methods.CHANGE_MEMBERS: self._unary(self._change_members),
             methods.WATCH: grpc.stream_stream_rpc_method_handler(self._watch),
         }
         handler = grpc.method_handlers_generic_handler(
@@ -65,46 +67,37 @@
         )
         server.add_generic_rpc_handlers((handler,))
 
-    async def _propose(
-        self, payload: bytes, context: grpc.aio.ServicerContext
-    ) -> bytes:
-        del context
-        try:
-            command = machine_lib.COMMANDS.decode(payload)
-            self._check_open(command)
-            self._check_leading()
-            self._check_possible(command)
-            result = await self._proposer.propose(command)
-        except errors.BilberryrouteError as exc:
-            return self._error(exc)
-        encoded = machine_lib.RESULTS.encode(result)
-        return codec.encode(control.Reply(payload=encoded))
-
-    async def _query(
-        self, payload: bytes, context: grpc.aio.ServicerContext
-    ) -> bytes:
-        del context
-        try:
-            query = methods.QUERIES.decode(payload)
-            self._check_leading()
-            answer = self._desk.answer(query)
-        except errors.BilberryrouteError as exc:
-            return self._error(exc)
-        encoded = methods.ANSWERS.encode(answer)
-        return codec.encode(control.Reply(payload=encoded))
-
-    async def _change_members(
-        self, payload: bytes, context: grpc.aio.ServicerContext
-    ) -> bytes:
-        del context
-        try:
-            change = methods.MEMBER_CHANGES.decode(payload)
-            self._check_leading()
-            await self._group.change_members(_group_change(change))
-        except errors.BilberryrouteError as exc:
-            return self._error(exc)
-        encoded = codec.encode(self._desk.members())
-        return codec.encode(control.Reply(payload=encoded))
+    def _unary(self, handle: Handler) -> grpc.RpcMethodHandler:
+        """Returns a method that answers with a reply, also if it fails."""
+
+        async def answer(
+            payload: bytes, context: grpc.aio.ServicerContext
+        ) -> bytes:
+            del context
+            try:
+                self._check_leading()
+                encoded = await handle(payload)
+            except errors.BilberryrouteError as exc:
+                return self._error(exc)
+            return codec.encode(control.Reply(payload=encoded))
+
+        return grpc.unary_unary_rpc_method_handler(answer)
+
+    async def _propose(self, payload: bytes) -> bytes:
+        command = machine_lib.COMMANDS.decode(payload)
+        self._check_open(command)
+        self._check_possible(command)
+        result = await self._proposer.propose(command)
+        return machine_lib.RESULTS.encode(result)
+
+    async def _query(self, payload: bytes) -> bytes:
+        query = methods.QUERIES.decode(payload)
+        return methods.ANSWERS.encode(self._desk.answer(query))
+
+    async def _change_members(self, payload: bytes) -> bytes:
+        change = methods.MEMBER_CHANGES.decode(payload)
+        await self._group.change_members(_group_change(change))
+        return codec.encode(self._desk.members())
 
     def _check_open(self, command: commands.Command) -> None:
         if not isinstance(command, OPEN_COMMANDS):
