--- a/extras/cluster.py
+++ b/extras/cluster.py
@@ -20,6 +20,7 @@
 
 SERVICE = "gang-alloc"
 CALL_TIMEOUT_MS = 15_000
+SOUND_MS = 10_000
 START_MS = 30_000
 POLL_MS = 50
 
@@ -201,6 +202,27 @@
                 return checks.evaluate(view)
         raise TimeoutError("no entry answers with the status")
 
+    async def until_sound(self) -> None:
+        """Waits until `status --check` names nothing broken.
+
+        Raises:
+          TimeoutError: If it still does; the message names what.
+        """
+        broken: tuple[checks.Broken, ...] | str = ()
+
+        async def sound() -> bool:
+            nonlocal broken
+            try:
+                broken = await self.broken()
+            except TimeoutError as exc:
+                broken = str(exc)
+            return not broken
+
+        try:
+            await until(sound, SOUND_MS, "no invariant is broken")
+        except TimeoutError as exc:
+            raise TimeoutError(f"{exc}; broken: {broken}") from exc
+
     def written(self, name: str) -> list[journal_lib.Line]:
         """Returns what a fake wrote down."""
         return journal_lib.read(self.folder / f"{name}.jsonl")
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -10,7 +10,11 @@
 
 @pytest.fixture
 async def launch(tmp_path):
-    """Returns a function that starts a system of the given layout."""
+    """Returns a function that starts a system of the given layout.
+
+    At the end of the test, `status --check` must find nothing broken.
+    """
+    started = []
     async with contextlib.AsyncExitStack() as stack:
 
         async def start(layout: cluster_lib.Layout) -> cluster_lib.Cluster:
@@ -18,14 +22,18 @@
             await stack.enter_async_context(cluster)
             cluster.prepare()
             await cluster.start()
+            started.append(cluster)
             return cluster
 
         yield start
+        for cluster in started:
+            await cluster.until_sound()
 
 
 @pytest.fixture
 async def launch_wired(tmp_path):
     """Like `launch`, with relays; by default one from agent to replica."""
+    started = []
     async with contextlib.AsyncExitStack() as stack:
 
         async def start(layout: cluster_lib.Layout, relays=None):
@@ -36,6 +44,9 @@
             await relays.start(cluster)
             cluster.prepare(relays.seen_by)
             await cluster.start()
+            started.append(cluster)
             return cluster, relays
 
         yield start
+        for cluster in started:
+            await cluster.until_sound()
--- a/tests/requests/test_processes.py
+++ b/tests/requests/test_processes.py
@@ -41,6 +41,7 @@
         assert answer.status == 200, answer.text
         await wait_for_endpoints(cluster)
         yield cluster
+        await cluster.until_sound()
 
 
 async def wait_for_endpoints(cluster) -> None:
