--- a/bilberryroute/scheduling/dispatch.py
+++ b/bilberryroute/scheduling/dispatch.py
@@ -12,6 +12,7 @@
 
 _WORK_PER_DECISION = 9
 _WORK_OF_PLAN = 6
+_RECLAIMS_PER_DECISION = 4
 _WORKERS_PER_WORK = 200
 _RETRY_MS = 30_000
 _REPLAN_MS = 5_000
@@ -42,7 +43,7 @@
         self._expected = expected
         self._placer = placing.Placer(policy, state, expected)
         self._freeing = freeing.Freeing(policy, state, expected)
-        self._misfits: dict[object, tuple[int, int]] = {}
+        self._misfits: dict[tuple[str, int], tuple[int, int]] = {}
         self._plans_left = 0
         self.unfinished = False
 
@@ -62,12 +63,10 @@
         ]
         heads.sort(key=lambda each: each[0])
         self._work_left = _WORK_PER_DECISION
+        self._reclaims_left = _RECLAIMS_PER_DECISION
         self.unfinished = False
         for _, lot, job_id in heads:
             while job_id is not None:
-                if self._work_left <= 0:
-                    self.unfinished = True
-                    return
                 if not self._serve_one(self._state.entries[job_id], now_ms):
                     break
                 job_id = self._queue.head(lot)
@@ -119,7 +118,9 @@
         """
         if self._placer.place_set_aside(entry):
             return self._placed(entry)
-        if self._may_fit("free", entry, now_ms):
+        if self._work_left <= 0:
+            self.unfinished = True
+        elif self._may_fit("free", entry, now_ms):
             workers = len(self._state.tree.nodes)
             self._work_left -= 1 + workers // _WORKERS_PER_WORK
             if self._placer.place_free(entry, now_ms):
@@ -150,6 +151,10 @@
     def _make_room(self, entry: table.Entry, now_ms: int) -> None:
         """Reclaims the job's guarantee, or else stops others if that pays."""
         if self._policy.preemption and self._may_fit("own", entry, now_ms):
+            if self._reclaims_left <= 0:
+                self.unfinished = True
+                return
+            self._reclaims_left -= 1
             if self._reclaim(entry, now_ms):
                 return
             self._note_misfit("own", entry, now_ms)
@@ -273,7 +278,7 @@
 
     def _may_fit(self, where: str, entry: table.Entry, now_ms: int) -> bool:
         """Returns whether anything changed since the job last did not fit."""
-        key = _misfit_key(where, entry)
+        key = (where, entry.lot)
         version, at_ms = self._misfits.get(key, (-1, 0))
         changed = version != self._state.version
         if where != "any":
@@ -284,11 +289,5 @@
         )
 
     def _note_misfit(self, where, entry: table.Entry, now_ms: int) -> None:
-        key = _misfit_key(where, entry)
+        key = (where, entry.lot)
         self._misfits[key] = (self._state.version, now_ms)
-
-
-def _misfit_key(where: str, entry: table.Entry):
-    """Returns what equal jobs share: they fit or misfit together."""
-    signature = queueing.signature_of(entry)
-    return (where, entry.job.account, entry.job.kind, signature)
--- a/bilberryroute/scheduling/freeing.py
+++ b/bilberryroute/scheduling/freeing.py
@@ -221,7 +221,8 @@
                 if job_id in found:
                     continue
                 entry = self._state.entries[job_id]
-                same = entry.job.account == owner.job.account
+                narrower = entry.width < owner.job.shape.accelerators
+                same = narrower and entry.job.account == owner.job.account
                 own = entry.protected and (
                     (whole and same) or _yields(entry, owner)
                 )
--- a/bilberryroute/scheduling/queueing.py
+++ b/bilberryroute/scheduling/queueing.py
@@ -42,6 +42,7 @@
     def __init__(self):
         self._heaps: dict[Lot, list[tuple[int, int, str]]] = {}
         self._members: dict[str, tuple[Lot, int]] = {}
+        self._numbers: dict[Lot, int] = {}
 
     def __len__(self):
         return len(self._members)
@@ -59,6 +60,7 @@
         job = entry.job
         lot = Lot(job.account, job.kind, signature_of(entry))
         self._members[job.id] = (lot, rank)
+        entry.lot = self._numbers.setdefault(lot, len(self._numbers))
         heap = self._heaps.setdefault(lot, [])
         heapq.heappush(heap, (rank, job.submitted_ms, job.id))
 
--- a/bilberryroute/scheduling/table.py
+++ b/bilberryroute/scheduling/table.py
@@ -25,6 +25,7 @@
       failed_on: Workers on which a task of it failed.
       over_limit: How often a worker's guard stopped it.
       memory_mb: Memory to expect beside each accelerator; 0 if as declared.
+      lot: Number shared by jobs that fit or misfit together.
       memory_known: Whether its use of memory was learned from.
     """
 
@@ -43,6 +44,7 @@
     over_limit: int = 0
     memory_mb: int = 0
     memory_known: bool = False
+    lot: int = 0
 
     @property
     def placed(self) -> bool:
