--- a/bilberryroute/scheduling/scheduler.py
+++ b/bilberryroute/scheduling/scheduler.py
@@ -76,8 +76,8 @@
           now_ms: Clock reading in milliseconds.
         """
         self._restore(now_ms)
-        self._state.open_due(now_ms)
         self._lifecycle.probe_workers(now_ms)
+        self._state.open_workers(now_ms)
         if self._state.bindings_due:
             self._state.bindings_due = False
             self._state.guarantees.repair()
