--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,3 +1,6 @@
+import pathlib
+import re
+
 import pytest
 
 from benchmarks import capacity_model as model
@@ -5,6 +8,8 @@
 from benchmarks import capacity_state
 from benchmarks import report
 
+PAGE = pathlib.Path(__file__).parents[1] / "docs" / "CAPACITY.md"
+
 
 def make_line(budget=None, values=(3.0, 5.0, 9.0)):
     return model.Line(
@@ -53,3 +58,16 @@
     assert "<svg" in shown
     assert "Not run." in shown
     assert "a &lt; b" in shown
+
+
+def test_links_of_the_page_exist():
+    links = re.findall(r"\]\(([^)#]+)", PAGE.read_text())
+    assert len(links) > 5
+    assert [each for each in links if not (PAGE.parent / each).exists()] == []
+
+
+def test_page_names_tests_that_exist():
+    root = PAGE.parents[1]
+    names = re.findall(r"`(tests/[\w/]+\.py)`", PAGE.read_text())
+    assert names
+    assert [each for each in names if not (root / each).exists()] == []
