--- a/bilberryroute/scheduling/state.py
+++ b/bilberryroute/scheduling/state.py
@@ -54,13 +54,20 @@
         self.out: list[decisions.Decision] = []
         self.version = 0
         self.bindings_due = False
-        self._opening: list[int] = []
+        self._openings_ms: list[int] = []
         self._named: frozenset[str] = frozenset()
 
     def room_grew(self) -> None:
         """Notes that jobs which did not fit may fit now."""
         self.version += 1
 
+    def open_workers(self, now_ms: int) -> None:
+        """Notes room on workers of a returning domain as they open."""
+        later = [at_ms for at_ms in self._openings_ms if at_ms > now_ms]
+        if len(later) < len(self._openings_ms):
+            self._openings_ms = later
+            self.room_grew()
+
     def units(self, entry: table.Entry, fit: fitting.Fit) -> dict[str, int]:
         """Returns the room that a placement uses, by worker."""
         need = entry.need
@@ -229,7 +236,7 @@
         for nodes in returned.values():
             for position, node in enumerate(nodes):
                 node.opens_ms = now_ms + ramp_ms * position // len(nodes)
-                self._opening.append(node.opens_ms)
+                self._openings_ms.append(node.opens_ms)
         self._named = frozenset(self.configuration.failure_domains)
         for job_id in list(self.set_asides):
             units = self.set_asides[job_id].units
@@ -260,13 +267,6 @@
         )
         self.out.append(failure)
 
-    def open_due(self, now_ms: int) -> None:
-        """Notes the room of returned workers that have opened by now."""
-        due = [opens_ms for opens_ms in self._opening if opens_ms <= now_ms]
-        if due:
-            self._opening = [each for each in self._opening if each > now_ms]
-            self.room_grew()
-
 
 _KIND_RANK = {
     jobs.JobKind.URGENT: 0,
