Free the accelerators of jobs that end while a leader takes over

Cause: a new leader's scheduler takes restored jobs over at its first decision, but a job whose members are all done is released before that. Ruled out: quarantine, agents, proposals that failed (none logged).

Any event but those that restoring consists of has the restored jobs taken over first.

--- a/bilberryroute/scheduling/scheduler.py
+++ b/bilberryroute/scheduling/scheduler.py
@@ -18,6 +18,14 @@
 
 _SETTLE_MS = 2_000
 
+# What may still come before restored records are taken over: they need all
+# workers. Any later event may already speak of one of the records.
+_BEFORE_RESTORED = (
+    events.ConfigurationChanged,
+    events.WorkerJoined,
+    events.JobRestored,
+)
+
 
 class Scheduler:
     """Decides what runs where; counts its own decisions as taken."""
@@ -43,6 +51,8 @@
           now_ms: Clock reading in milliseconds.
         """
         lives = self._lifecycle
+        if self._restored and not isinstance(event, _BEFORE_RESTORED):
+            self._restore(now_ms)
         match event:
             case events.ConfigurationChanged(configuration=configuration):
                 self._state.configuration = configuration
