--- a/tests/scheduling/test_bounds.py
+++ b/tests/scheduling/test_bounds.py
@@ -9,6 +9,7 @@
 
 URGENT_START_MS = 3_800
 OVER_BOUND = 1.5
+DOMAIN_WORK_SHARE = 0.9
 DECISION_US = 10_000
 SEED = 3
 
@@ -39,6 +40,13 @@
         assert own < _measure(deployment, SEED, name)[measure]
 
 
+@pytest.mark.parametrize("deployment", ["trust", "exchange"])
+def test_domain_out_leaves_the_rest_at_work(deployment):
+    own = _measure(deployment, SEED, "bilberryroute")
+    assert own["domain_work_share"] >= DOMAIN_WORK_SHARE
+
+
+@pytest.mark.serial
 def test_decisions_at_target_size_are_quick():
     growth = decisions.growth_us(SEED, workers=(420,))
     assert growth["decision_us_p99_420_workers"] < DECISION_US
