--- a/tests/scheduling/test_bounds.py
+++ b/tests/scheduling/test_bounds.py
@@ -40,6 +40,17 @@
         assert own < _measure(deployment, SEED, name)[measure]
 
 
+@pytest.mark.parametrize("seed", [1, 5])
+def test_guarantees_are_never_late(seed):
+    own = _measure("exchange", seed, "bilberryroute")
+    assert own["guarantee_violations"] == 0
+
+
+def test_completion_is_near_the_bound_on_another_seed():
+    own = _measure("exchange", 1, "bilberryroute")
+    assert own["completion_time_over_bound"] <= OVER_BOUND
+
+
 @pytest.mark.parametrize("deployment", ["trust", "exchange"])
 def test_domain_out_leaves_the_rest_at_work(deployment):
     own = _measure(deployment, SEED, "bilberryroute")
