--- a/bilberryroute/routing/queues.py
+++ b/bilberryroute/routing/queues.py
@@ -30,10 +30,6 @@
     def __len__(self) -> int:
         return self._length
 
-    def length_of(self, account: str) -> int:
-        """Returns how many items of an account wait."""
-        return len(self._items.get(account, ()))
-
     def push(self, account: str, item: T, bound: int) -> bool:
         """Adds an item; returns False if the account has `bound` waiting."""
         items = self._items.get(account)
--- a/bilberryroute/scheduling/queueing.py
+++ b/bilberryroute/scheduling/queueing.py
@@ -47,9 +47,6 @@
     def __len__(self):
         return len(self._members)
 
-    def __contains__(self, job_id: str):
-        return job_id in self._members
-
     def add(self, entry: table.Entry, rank: int) -> None:
         """Adds a job.
 
