--- /dev/null
+++ b/bilberryroute/agent/batch.py
@@ -0,0 +1,448 @@
+"""Runs of batch jobs on the worker beside an agent.
+
+The agent is the only one that gives orders to its worker. It extends the
+lease of what runs only while it holds a lease itself, and brings about what
+the leader desires of the worker's present life.
+"""
+
+import asyncio
+import dataclasses
+import logging
+
+import mode
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import context
+from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import run_plan
+from bilberryroute.agent import worker_port
+from bilberryroute.model import batch
+from bilberryroute.model import wire
+
+# How long a look at the worker may wait for an end; a lease lasts several.
+LOOK_MS = clock_lib.Millis(1_000)
+# Pause after a call without an answer.
+RETRY_MS = clock_lib.Millis(100)
+# A worker that has not answered for this long is not reported any more.
+SILENT_MS = 2 * clock_lib.SECOND
+# A refused connection for this long means that the worker's life is over.
+DOWN_MS = clock_lib.Millis(500)
+# Longest time between two plans without any event.
+PLAN_MS = clock_lib.Millis(250)
+
+logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Life:
+    """One life of the worker, as far as this agent has seen it.
+
+    Attributes:
+      clock_ms: Worker's clock at the newest answer.
+      sampled_ms: Own clock when that answer came.
+      heard_ms: Own clock at the last answer.
+      down_since_ms: Since when connections are refused; None if they aren't.
+      over: Whether nothing of this life is left.
+    """
+
+    announced: worker_port.Announcement
+    listing: worker_port.Listing | None = None
+    progress: dict[run_plan.RunKey, run_plan.Progress] = dataclasses.field(
+        default_factory=dict
+    )
+    sampled_ms: int = 0
+    heard_ms: int = 0
+    down_since_ms: int | None = None
+    over: bool = False
+    barred_before: bool = False
+
+
+class BatchAgent(mode.Service):
+    """Keeps one worker's runs as the leader desires them."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        board: board_lib.AgentBoard,
+        port: worker_port.WorkerPort,
+        metrics: metrics_lib.Metrics,
+    ):
+        super().__init__()
+        self._cfg = cfg
+        self._clock = env.clock
+        self._board = board
+        self._port = port
+        self._metrics = metrics
+        self._life: _Life | None = None
+        self._wake = asyncio.Event()
+        self._look_soon = asyncio.Event()
+
+    # What the worker says.
+
+    def announce(self, said: worker_port.Announcement) -> None:
+        """Takes in an announcement; one that was overtaken is dropped."""
+        life = self._life
+        if life is not None and not self._is_news(life, said):
+            self._metrics.dropped("late_announcement")
+            return
+        if life is None or life.announced.born != said.born or life.over:
+            self._begin_life(said)
+        else:
+            drains = said.draining and not life.announced.draining
+            if drains:
+                logger.info("worker drains", extra={"worker": said.name})
+            life.announced = said
+        self._publish()
+        self._wake.set()
+
+    def _is_news(self, life: _Life, said: worker_port.Announcement) -> bool:
+        known = life.announced
+        if said.born != known.born:
+            return said.born > known.born
+        return said.sequence > known.sequence
+
+    def _begin_life(self, said: worker_port.Announcement) -> None:
+        logger.info(
+            "worker announced", extra={"worker": said.name, "born": said.born}
+        )
+        self._life = _Life(announced=said, heard_ms=self._clock.now())
+        self._look_soon.set()
+
+    def withdraw(self, name: str) -> None:
+        """Takes in that the worker leaves; what it still runs goes on."""
+        life = self._life
+        if life is not None and life.announced.name == name:
+            logger.info("worker withdrew", extra={"worker": name})
+            life.announced = dataclasses.replace(
+                life.announced, draining=True
+            )
+            self._publish()
+
+    # Services.
+
+    @mode.Service.task
+    async def _watch_desired(self) -> None:
+        await self._forward(self._board.desired)
+
+    @mode.Service.task
+    async def _watch_lease(self) -> None:
+        await self._forward(self._board.lease)
+
+    @mode.Service.task
+    async def _watch_committed(self) -> None:
+        cell = self._board.committed
+        seen = cell.version
+        while not self.should_stop:
+            seen = await cell.changed(seen)
+            self._look_soon.set()
+
+    async def _forward(self, cell) -> None:
+        seen = cell.version
+        while not self.should_stop:
+            seen = await cell.changed(seen)
+            self._wake.set()
+
+    @mode.Service.task
+    async def _plan(self) -> None:
+        while not self.should_stop:
+            try:
+                async with asyncio.timeout(clock_lib.seconds(PLAN_MS)):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass  # The time that has passed is the event.
+            self._wake.clear()
+            self._act()
+
+    @mode.Service.task
+    async def _look(self) -> None:
+        """Extends the lease and looks what runs, again and again."""
+        while not self.should_stop:
+            life = self._life
+            if life is None or life.over:
+                await self._rest(PLAN_MS)
+                continue
+            wait_ms = 0 if life.listing is None else LOOK_MS
+            await self._look_once(life, wait_ms)
+
+    @mode.Service.task
+    async def _look_at_once(self) -> None:
+        """Tells the worker without delay which ends it may forget."""
+        while not self.should_stop:
+            await self._look_soon.wait()
+            self._look_soon.clear()
+            life = self._life
+            if life is not None and not life.over:
+                await self._look_once(life, 0)
+
+    async def _rest(self, duration: clock_lib.Millis) -> None:
+        await self.sleep(clock_lib.seconds(duration))
+
+    # Looking.
+
+    async def _look_once(self, life: _Life, wait_ms: int) -> None:
+        order = worker_port.HoldOrder(
+            fence=self._board.lease.get().term,
+            until_ms=self._until_ms(life),
+            committed=self._committed(life),
+            wait_ms=wait_ms,
+        )
+        try:
+            listing = await self._port.hold(life.announced.address, order)
+        except worker_port.WorkerDown as exc:
+            self._note_down(life, exc)
+            await self._rest(RETRY_MS)
+        except errors.BilberryrouteError as exc:
+            self._metrics.retried("worker_silent")
+            logger.debug("worker does not answer: %s", exc)
+            await self._rest(RETRY_MS)
+        else:
+            self._take(life, listing)
+        self._publish()
+
+    def _until_ms(self, life: _Life) -> int | None:
+        """Returns how long what runs may run on, on the worker's clock."""
+        now = self._clock.now()
+        if life.listing is None or self._board.lease.get().left(now) == 0:
+            return None
+        return self._worker_clock(life) + self._cfg.timing.run_lease_ms
+
+    def _worker_clock(self, life: _Life) -> int:
+        """Returns a reading that the worker's clock has not passed by much."""
+        return life.listing.clock_ms + max(
+            0, self._clock.now() - life.sampled_ms
+        )
+
+    def _committed(self, life: _Life) -> int:
+        known = self._board.committed.get()
+        return known.get((life.announced.name, life.announced.born), 0)
+
+    def _take(self, life: _Life, listing: worker_port.Listing) -> None:
+        life.heard_ms = self._clock.now()
+        life.down_since_ms = None
+        if listing.born and listing.born != life.announced.born:
+            self._meet_other_life(life, listing)
+            return
+        known = life.listing
+        if known is not None and listing.clock_ms <= known.clock_ms:
+            return  # An older answer that was overtaken.
+        life.listing = listing
+        life.sampled_ms = life.heard_ms
+        self._wake.set()
+
+    def _meet_other_life(
+        self, life: _Life, listing: worker_port.Listing
+    ) -> None:
+        """The worker has started anew, and will announce itself."""
+        if listing.born > life.announced.born and life is self._life:
+            said = dataclasses.replace(
+                life.announced,
+                born=listing.born,
+                sequence=0,
+                draining=False,
+                clock_ms=listing.clock_ms,
+            )
+            self._begin_life(said)
+
+    def _note_down(self, life: _Life, exc: worker_port.WorkerDown) -> None:
+        now = self._clock.now()
+        if life.down_since_ms is None:
+            life.down_since_ms = now
+            logger.info("worker refuses connections: %s", exc)
+        if now - life.down_since_ms >= DOWN_MS:
+            life.over = True
+
+    # Acting.
+
+    def _act(self) -> None:
+        life = self._life
+        if life is None or life.over or life.listing is None:
+            return
+        if not self._settle_earlier(life):
+            return
+        for action in run_plan.actions(self._view(life)):
+            match action:
+                case run_plan.Start(run=run):
+                    self._begin(life, (run.task, run.run))
+                    self.add_future(self._start(life, run))
+                case run_plan.Stop(key=key):
+                    self._begin(life, key)
+                    self.add_future(self._stop(life, key))
+        self._forget(life)
+        self._publish()
+
+    def _settle_earlier(self, life: _Life) -> bool:
+        """Bars what earlier lives were ordered to run; an order may be late.
+
+        Returns whether that is done, so that this life may be reported.
+        """
+        if life.barred_before:
+            return True
+        if self._board.lease.get().left(self._clock.now()) == 0:
+            return False
+        earlier = [
+            (run.task, run.run)
+            for run in self._board.desired.get().runs
+            if run.worker.name == life.announced.name
+            and run.worker.born != life.announced.born
+        ]
+        open_keys = [
+            key
+            for key in earlier
+            if self._progress(life, key).phase != run_plan.Phase.BARRED
+        ]
+        for key in open_keys:
+            if not self._progress(life, key).busy:
+                self._begin(life, key)
+                self.add_future(self._stop(life, key))
+        life.barred_before = not open_keys
+        return life.barred_before
+
+    def _progress(
+        self, life: _Life, key: run_plan.RunKey
+    ) -> run_plan.Progress:
+        return life.progress.setdefault(key, run_plan.Progress())
+
+    def _begin(self, life: _Life, key: run_plan.RunKey) -> None:
+        self._progress(life, key).busy = True
+
+    def _view(self, life: _Life) -> run_plan.View:
+        board = self._board
+        said = life.announced
+        desired = board.desired.get()
+        closed = said.draining or said.failure_domain in desired.evacuated
+        leased = board.lease.get().left(self._clock.now()) > 0
+        return run_plan.View(
+            worker=self._ref(life),
+            desired=desired.runs,
+            covered=life_name(said.name, said.born) in board.covered.get(),
+            may_start=leased and not closed and not board.draining.get(),
+            closed=closed,
+            payloads=frozenset(board.payloads.get()),
+            listing=life.listing,
+            progress=life.progress,
+        )
+
+    def _ref(self, life: _Life) -> batch.WorkerRef:
+        return batch.WorkerRef(
+            agent=self._cfg.host,
+            name=life.announced.name,
+            born=life.announced.born,
+        )
+
+    async def _start(self, life: _Life, run: wire.DesiredRun) -> None:
+        state = self._progress(life, (run.task, run.run))
+        lease = self._board.lease.get()
+        until_ms = self._until_ms(life)
+        if until_ms is None:
+            state.busy = False
+            return
+        order = worker_port.StartOrder(
+            task=run.task,
+            run=run.run,
+            payload=self._board.payloads.get()[run.task.job_id],
+            saved=run.saved,
+            until_ms=until_ms,
+            fence=lease.term,
+        )
+        try:
+            answer = await self._port.start(life.announced.address, order)
+        except errors.BilberryrouteError as exc:
+            self._metrics.retried("start_unanswered")
+            logger.info("start unanswered: %s", exc, extra=_fields(run))
+            await self._rest(RETRY_MS)
+        else:
+            run_plan.settle(state, answer)
+            logger.info(
+                "start: %s",
+                answer.verdict,
+                extra=_fields(run) | {"term": lease.term},
+            )
+            if answer.verdict != worker_port.StartVerdict.STARTED:
+                self._metrics.retried(f"start_{answer.verdict}")
+                await self._rest(RETRY_MS)
+        state.busy = False
+        self._wake.set()
+        self._look_soon.set()
+
+    async def _stop(self, life: _Life, key: run_plan.RunKey) -> None:
+        state = self._progress(life, key)
+        task, run = key
+        fence = self._board.lease.get().term
+        try:
+            clock_ms = await self._port.stop(
+                life.announced.address, task, run, fence
+            )
+        except errors.BilberryrouteError as exc:
+            self._metrics.retried("stop_unanswered")
+            logger.info("stop unanswered: %s", exc, extra=_key_fields(key))
+            await self._rest(RETRY_MS)
+        else:
+            state.phase = run_plan.Phase.BARRED
+            state.clock_ms = clock_ms
+            logger.info("stopped", extra=_key_fields(key))
+        state.busy = False
+        self._wake.set()
+        self._look_soon.set()
+
+    def _forget(self, life: _Life) -> None:
+        """Drops what was done about runs that nobody speaks of any more."""
+        spoken = {(r.task, r.run) for r in self._board.desired.get().runs}
+        spoken |= {(r.task, r.run) for r in life.listing.running}
+        for key in [k for k, p in life.progress.items() if not p.busy]:
+            if key not in spoken:
+                del life.progress[key]
+
+    # Reporting.
+
+    def _publish(self) -> None:
+        """Writes the worker's report on the board."""
+        life = self._life
+        report = () if life is None else self._report(life)
+        if report != self._board.batch.get():
+            self._board.batch.set(report)
+
+    def _report(self, life: _Life) -> tuple[wire.WorkerReport, ...]:
+        silent = self._clock.now() - life.heard_ms > SILENT_MS
+        if life.over or silent or life.listing is None:
+            return ()
+        if not life.barred_before:
+            return ()
+        said = life.announced
+        ends = life.listing.ends + run_plan.own_ends(self._view(life))
+        return (
+            wire.WorkerReport(
+                name=said.name,
+                born=said.born,
+                pool=said.pool,
+                failure_domain=said.failure_domain,
+                rack=said.rack,
+                labels=said.labels,
+                capacity=said.capacity,
+                draining=said.draining,
+                remaining_ms=said.remaining_ms,
+                running=life.listing.running,
+                ends=ends,
+            ),
+        )
+
+
+def life_name(name: str, born: int) -> str:
+    """Returns the name of one life of a worker."""
+    return f"{name}@{born}"
+
+
+def _fields(run: wire.DesiredRun) -> dict[str, object]:
+    return _key_fields((run.task, run.run))
+
+
+def _key_fields(key: run_plan.RunKey) -> dict[str, object]:
+    task, run = key
+    return {
+        "job_id": task.job_id,
+        "task": f"{task.occurrence}.{task.step}.{task.index}",
+        "run": run,
+    }
--- a/bilberryroute/agent/board.py
+++ b/bilberryroute/agent/board.py
@@ -47,6 +47,9 @@
       workers: Workers announced here, by name.
       tasks: Reports on tasks, by worker, job id and attempt.
       draining: True once the process was asked to leave.
+      batch: Reports on workers of batch jobs.
+      payloads: Payloads of batch jobs that may have to start here, by job.
+      committed: Number of the last committed end, by worker and life.
     """
 
     lease: blackboard.Cell[Lease]
@@ -60,6 +63,9 @@
     workers: blackboard.Cell[dict[str, jobs.Worker]]
     tasks: blackboard.Cell[dict[tuple[str, str, int], wire.TaskReport]]
     draining: blackboard.Cell[bool]
+    batch: blackboard.Cell[tuple[wire.WorkerReport, ...]]
+    payloads: blackboard.Cell[dict[str, str]]
+    committed: blackboard.Cell[dict[tuple[str, int], int]]
 
 
 def new_board() -> AgentBoard:
@@ -84,4 +90,7 @@
         workers=blackboard.Cell({}),
         tasks=blackboard.Cell({}),
         draining=blackboard.Cell(False),
+        batch=blackboard.Cell(()),
+        payloads=blackboard.Cell({}),
+        committed=blackboard.Cell({}),
     )
--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -18,6 +18,7 @@
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
+from bilberryroute.agent import batch as batch_lib
 from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import lease_keeper
 from bilberryroute.model import wire
@@ -152,6 +153,10 @@
     async def _watch_tasks(self) -> None:
         await self._watch(self.board.tasks, _without_progress)
 
+    @Service.task
+    async def _watch_batch(self) -> None:
+        await self._watch(self.board.batch, _batch_without_progress)
+
     @Service.task
     async def _watch_draining(self) -> None:
         await self._watch(self.board.draining, bool)
@@ -187,7 +192,7 @@
             incarnation=self._identity.incarnation,
             failure_domain=self._identity.failure_domain,
             sent_ms=self._keeper.stamp(
-                self._clock.now(), frozenset(board.workers.get())
+                self._clock.now(), self._reported_names()
             ),
             term=self._keeper.term,
             desired_version=self._keeper.desired.version,
@@ -197,8 +202,17 @@
             endpoints=tuple(board.endpoints.get().values()),
             workers=tuple(board.workers.get().values()),
             tasks=tuple(board.tasks.get().values()),
+            batch=board.batch.get(),
+            payloads=tuple(board.payloads.get()),
         )
 
+    def _reported_names(self) -> frozenset[str]:
+        """Returns what a desired state must be made for to be complete."""
+        names = set(self.board.workers.get())
+        for report in self.board.batch.get():
+            names.add(batch_lib.life_name(report.name, report.born))
+        return frozenset(names)
+
     def receive(self, payload: bytes) -> None:
         """Takes one datagram in."""
         try:
@@ -213,11 +227,13 @@
             ):
                 self._answered = True
                 self._learn_replicas(grant.replicas)
+                self._take_batch(grant)
                 self._take_desired(desired)
                 if covered != self.board.covered.get():
                     self.board.covered.set(covered)
                 self.board.lease.set(lease)
             case lease_keeper.Pushed(desired=desired):
+                self._take_batch(grant)
                 self._take_desired(desired)
             case lease_keeper.Redirected(leader_id=leader_id):
                 self._learn_replicas(grant.replicas)
@@ -225,6 +241,21 @@
             case lease_keeper.Dropped(reason=reason):
                 self._metrics.dropped(reason)
 
+    def _take_batch(self, grant: wire.Grant) -> None:
+        """Takes over payloads, before what needs them, and committed ends."""
+        wanted = grant.desired or self.board.desired.get()
+        jobs = {run.task.job_id for run in wanted.runs}
+        held = self.board.payloads.get() | grant.payloads
+        held = {job: text for job, text in held.items() if job in jobs}
+        if held.keys() != self.board.payloads.get().keys():
+            self.board.payloads.set(held)
+        known = self.board.committed.get()
+        news = {(c.worker, c.born): c.number for c in grant.committed}
+        if any(number > known.get(key, 0) for key, number in news.items()):
+            self.board.committed.set(
+                {k: max(v, known.get(k, 0)) for k, v in news.items()}
+            )
+
     def _take_desired(self, desired: wire.Desired | None) -> None:
         if desired is None:
             return
@@ -261,6 +292,23 @@
     return host, int(port)
 
 
+def _batch_without_progress(
+    reports: tuple[wire.WorkerReport, ...],
+) -> list[wire.WorkerReport]:
+    """Returns what the leader should hear of at once."""
+    return [
+        dataclasses.replace(
+            report,
+            remaining_ms=0,
+            running=tuple(
+                dataclasses.replace(run, saved="", percent=0)
+                for run in report.running
+            ),
+        )
+        for report in reports
+    ]
+
+
 def _without_load(
     endpoints: dict[str, wire.EndpointReport],
 ) -> list[wire.EndpointReport]:
--- a/bilberryroute/agent/service.py
+++ b/bilberryroute/agent/service.py
@@ -7,11 +7,13 @@
 from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
+from bilberryroute.agent import batch as batch_lib
 from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import endpoints as endpoints_lib
 from bilberryroute.agent import renewal as renewal_lib
 from bilberryroute.agent import requests as requests_lib
 from bilberryroute.agent import tasks as tasks_lib
+from bilberryroute.agent import worker_port
 from bilberryroute.agent import workers as workers_lib
 
 INCARNATION_BITS = 64
@@ -30,6 +32,7 @@
         cfg: settings.Settings,
         env: context.Environment,
         metrics: metrics_lib.Metrics,
+        port: worker_port.WorkerPort | None = None,
     ):
         super().__init__()
         self.board = board_lib.new_board()
@@ -53,6 +56,11 @@
         self.renewal = renewal_lib.RenewalService(
             cfg, env, self.board, identity, metrics
         )
+        self.batch: batch_lib.BatchAgent | None = None
+        if port is not None:
+            self.batch = batch_lib.BatchAgent(
+                cfg, env, self.board, port, metrics
+            )
         metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
@@ -81,6 +89,8 @@
             self.renewal,
         ):
             await self.add_runtime_dependency(service)
+        if self.batch is not None:
+            await self.add_runtime_dependency(self.batch)
 
     def _refresh(self, metrics: metrics_lib.Metrics) -> None:
         """Sets the gauges that are read only when asked for."""
--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -16,6 +16,7 @@
 from bilberryroute import logs
 from bilberryroute import settings
 from bilberryroute import status
+from bilberryroute.platform import settings as platform_settings
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -28,9 +29,12 @@
 
     Attributes:
       settings: Settings file; empty for the embedded system.
+      platform: Role to take on the users' platform, whose own settings file
+        is read; empty elsewhere.
     """
 
     settings: str = ""
+    platform: str = ""
 
 
 def parse(args: Sequence[str]) -> Daemon | None:
@@ -46,11 +50,14 @@
         add_help=False, allow_abbrev=False, exit_on_error=False
     )
     parser.add_argument("--settings", default="")
+    parser.add_argument("--platform", default="", choices=[*settings.Role, ""])
     try:
         known, rest = parser.parse_known_args(args[1:])
     except argparse.ArgumentError:
         return None
-    return None if rest else Daemon(settings=known.settings)
+    if rest:
+        return None
+    return Daemon(settings=known.settings, platform=known.platform)
 
 
 def run_daemon(daemon: Daemon, env: context.Environment) -> status.ExitStatus:
@@ -60,17 +67,18 @@
       errors.SettingsError: If the settings cannot be used.
       errors.BilberryrouteError: If a service fails.
     """
-    cfg = _load(daemon)
+    place = _place(daemon, env)
+    cfg = place.settings if place is not None else _load(daemon)
     mode.Service.mundane_level = "debug"
     logs.configure(
-        stream=env.stderr,
+        stream=env.stderr if place is None else env.stdout,
         level=cfg.log_level,
         role="+".join(cfg.roles),
         host=cfg.host,
         failure_domain=cfg.failure_domain,
     )
     try:
-        return asyncio.run(_serve(cfg, env))
+        return asyncio.run(_serve(cfg, env, place))
     except errors.BilberryrouteError:
         raise
     except Exception as exc:
@@ -91,14 +99,26 @@
     return cfg
 
 
+def _place(
+    daemon: Daemon, env: context.Environment
+) -> platform_settings.Place | None:
+    """Reads what the users' platform tells this process, if it runs there."""
+    if not daemon.platform:
+        return None
+    path = env.variables.get(platform_settings.VARIABLE, "")
+    return platform_settings.load(path, settings.Role(daemon.platform))
+
+
 async def _serve(
-    cfg: settings.Settings, env: context.Environment
+    cfg: settings.Settings,
+    env: context.Environment,
+    place: platform_settings.Place | None,
 ) -> status.ExitStatus:
     # Imported late: only here is it known which roles are needed.
     from bilberryroute import process
 
     with _signals() as signals:
-        service = process.build(cfg, env)
+        service = process.build(cfg, env, place)
         # What start-up has built stays; a full collection need not walk it.
         gc.collect()
         gc.freeze()
@@ -138,13 +158,19 @@
     received: asyncio.Queue[signal.Signals] = asyncio.Queue()
     for each in _SIGNALS:
         loop.add_signal_handler(each, received.put_nowait, each)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
     try:
         yield received
     finally:
-        for each in _SIGNALS:
+        for each in (*_SIGNALS, signal.SIGHUP):
             loop.remove_signal_handler(each)
 
 
+def _note_reload() -> None:
+    """Settings hold from the next start on; what runs needs none of them."""
+    _log.info("told that the settings changed; they hold from the next start")
+
+
 async def _first(*waits) -> None:
     """Waits for the first of some coroutines and cancels the others."""
     tasks = [asyncio.ensure_future(wait) for wait in waits]
--- a/bilberryroute/clock.py
+++ b/bilberryroute/clock.py
@@ -36,11 +36,15 @@
 
 
 class SystemClock:
-    """Clock of the operating system."""
+    """Clock of the operating system.
+
+    Its monotonic reading counts the time for which the machine was suspended,
+    so a lease that ran out meanwhile is over when the process wakes.
+    """
 
     def now(self) -> Millis:
         """Returns monotonic milliseconds, local to this process."""
-        return Millis(time.monotonic_ns() // NS_PER_MS)
+        return Millis(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS)
 
     def wall(self) -> Millis:
         """Returns milliseconds of Unix time."""
--- a/bilberryroute/consensus/config.py
+++ b/bilberryroute/consensus/config.py
@@ -31,6 +31,7 @@
       replica_id: Which of the members this is.
       members: The replicas that found the group together.
       data_folder: Where all files are kept.
+      policy: How the group comes about and is repaired.
       routes: gRPC address by replica id, in place of the group's own.
     """
 
@@ -38,6 +39,7 @@
     members: tuple[settings.ReplicaAddress, ...]
     data_folder: str
     routes: Mapping[str, str] = field(default_factory=dict)
+    policy: settings.Group = settings.Group()
     timing: settings.Timing = settings.Timing()
     log: settings.Log = settings.Log()
 
--- a/bilberryroute/consensus/founding.py
+++ b/bilberryroute/consensus/founding.py
@@ -53,17 +53,24 @@
 
 
 def welcome(
-    membership: records.Membership, hello: greeting.Hello
+    membership: records.Membership,
+    hello: greeting.Hello,
+    *,
+    strangers: bool = False,
 ) -> changes.Change | None:
-    """Returns how a leader takes back a replica that lost its disk.
+    """Returns how a leader takes in a replica with an empty folder.
 
-    A replica whose name is no member's waits for an operator's command.
+    Args:
+      membership: The group.
+      hello: Greeting of the replica.
+      strangers: Whether a replica whose name is no member's is taken in too;
+        otherwise it waits for an operator's command.
     """
     if hello.group or membership.find(hello.id) is not None:
         return None
     name = records.replica_id(hello.id)
     known = [m for m in membership.members if m.replica_id == name]
-    if not known:
+    if not known and not strangers:
         return None
     for member in known:
         if not member.voter:
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -115,6 +115,12 @@
             self._clock.now()
         )
 
+    def hears(self, member_id: str) -> bool:
+        """Returns whether a member answered this leader lately."""
+        if self._core is None or member_id == self._core.id:
+            return self._core is not None
+        return self._core.hears(member_id, self._clock.now())
+
     async def read_barrier(self) -> None:
         """Returns once this leader has applied an entry of its own term.
 
@@ -206,7 +212,11 @@
         while not self.should_stop and not self._group:
             addresses = [self._route(m.id, m.grpc) for m in names]
             answers = await founding.greet_all(self._hello(), addresses)
-            first = founding.founders(self._hello(), self._cfg.members, answers)
+            first = None
+            if self._cfg.policy.may_found:
+                first = founding.founders(
+                    self._hello(), self._cfg.members, answers
+                )
             if first is not None and not self._group:
                 self._handle(self._core.found(first, self._clock.now()))
                 self._wake_timer.set()
@@ -367,7 +377,11 @@
         return self._hello()
 
     def _welcome(self, hello: greeting.Hello) -> None:
-        change = founding.welcome(self._core.membership, hello)
+        change = founding.welcome(
+            self._core.membership,
+            hello,
+            strangers=self._cfg.policy.repairs_itself,
+        )
         if change is None:
             return
         now = self._clock.now()
--- a/bilberryroute/entry/board.py
+++ b/bilberryroute/entry/board.py
@@ -17,6 +17,7 @@
       term: Highest term seen.
       leader_id: The leading replica, as far as known.
       draining: True once the process was asked to leave.
+      heard_ms: Monotonic instant of the leader's last sign of life; 0 before.
     """
 
     configuration: blackboard.Cell[config.Configuration]
@@ -24,6 +25,7 @@
     term: blackboard.Cell[int]
     leader_id: blackboard.Cell[str]
     draining: blackboard.Cell[bool]
+    heard_ms: blackboard.Cell[int]
 
 
 def new_board() -> EntryBoard:
@@ -34,4 +36,5 @@
         term=blackboard.Cell(0),
         leader_id=blackboard.Cell(""),
         draining=blackboard.Cell(False),
+        heard_ms=blackboard.Cell(0),
     )
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -21,7 +21,7 @@
 from bilberryroute.transport import codec
 from bilberryroute.transport import control as methods
 
-CALL_TIMEOUT_MS = clock_lib.Millis(1_500)
+CALL_TIMEOUT_MS = clock_lib.Millis(800)
 TOTAL_TIMEOUT_MS = clock_lib.Millis(8_000)
 RETRY_MIN_MS = 20
 RETRY_MAX_MS = 120
@@ -69,7 +69,11 @@
         for channel in self._channels.values():
             await channel.close()
 
-    async def propose(self, command: commands.Command) -> commands.Result:
+    async def propose(
+        self,
+        command: commands.Command,
+        within_ms: clock_lib.Millis = TOTAL_TIMEOUT_MS,
+    ) -> commands.Result:
         """Commits a command and returns its result.
 
         Raises:
@@ -77,10 +81,16 @@
           errors.CommitUnknown: If it may or may not have been committed.
         """
         payload = machine_lib.COMMANDS.encode(command)
-        answer = await self._call_leader(methods.PROPOSE, payload)
+        answer = await self._call_leader(
+            methods.PROPOSE, payload, within_ms
+        )
         return machine_lib.RESULTS.decode(answer)
 
-    async def query(self, query: queries.Query) -> queries.Answer:
+    async def query(
+        self,
+        query: queries.Query,
+        within_ms: clock_lib.Millis = TOTAL_TIMEOUT_MS,
+    ) -> queries.Answer:
         """Returns the leader's answer to a query.
 
         Raises:
@@ -89,7 +99,9 @@
         """
         payload = methods.QUERIES.encode(query)
         try:
-            answer = await self._call_leader(methods.QUERY, payload)
+            answer = await self._call_leader(
+                methods.QUERY, payload, within_ms
+            )
         except errors.CommitUnknown as exc:
             raise errors.Unavailable("the leading replica is silent") from exc
         return methods.ANSWERS.decode(answer)
@@ -108,12 +120,18 @@
         answer = await self._call_leader(methods.CHANGE_MEMBERS, payload)
         return methods.MEMBERS.decode(answer)
 
-    async def _call_leader(self, method: str, payload: bytes) -> bytes:
-        deadline = self._clock.now() + TOTAL_TIMEOUT_MS
+    async def _call_leader(
+        self,
+        method: str,
+        payload: bytes,
+        within_ms: clock_lib.Millis = TOTAL_TIMEOUT_MS,
+    ) -> bytes:
+        deadline = self._clock.now() + within_ms
         maybe_done = False
-        while self._clock.now() < deadline:
+        while (left_ms := deadline - self._clock.now()) > 0:
+            timeout_ms = min(CALL_TIMEOUT_MS, left_ms)
             try:
-                return await self._call_once(method, payload)
+                return await self._call_once(method, payload, timeout_ms)
             except errors.NotLeader as exc:
                 self._follow(exc.leader_id)
             except errors.CommitUnknown:
@@ -129,12 +147,14 @@
             "no replica leads at present", retry_after_ms=clock_lib.SECOND
         )
 
-    async def _call_once(self, method: str, payload: bytes) -> bytes:
+    async def _call_once(
+        self, method: str, payload: bytes, timeout_ms: int
+    ) -> bytes:
         address = self._leader_address()
         call = self._channel(address).unary_unary(methods.path(method))
         try:
             answer = await call(
-                payload, timeout=clock_lib.seconds(CALL_TIMEOUT_MS)
+                payload, timeout=clock_lib.seconds(timeout_ms)
             )
         except grpc.aio.AioRpcError as exc:
             if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
@@ -227,6 +247,7 @@
         if event.term < self._board.term.get():
             return
         self._board.term.set(event.term)
+        self._board.heard_ms.set(self._clock.now())
         self._learned = {r.id: r.grpc for r in event.replicas}
         if self._board.leader_id.get() != event.leader_id:
             self._board.leader_id.set(event.leader_id)
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -7,6 +7,7 @@
 from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
+from bilberryroute.entry import batch as batch_lib
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import control as control_lib
 from bilberryroute.entry import operators as operator_lib
@@ -28,6 +29,7 @@
         metrics: metrics_lib.Metrics,
     ):
         super().__init__()
+        self._clock = env.clock
         self.board = board_lib.new_board()
         self.control = control_lib.ControlClient(
             cfg, self.board, env.clock, env.rng
@@ -39,6 +41,7 @@
             cfg, self.board, self.control, env.clock, env.rng, metrics
         )
         self.replicas = replica_routes.ReplicaRoutes(cfg.limits, self.control)
+        self.batch = batch_lib.BatchDesk(self.control, cfg.timing)
         metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
@@ -60,6 +63,16 @@
             return False
         return self.board.configuration.get().revision > 0
 
+    def ready_for_batch(self) -> bool:
+        """Says whether the leader was heard lately and this entry stays."""
+        heard_ms = self.board.heard_ms.get()
+        silent_ms = self._clock.now() - heard_ms
+        return (
+            not self.board.draining.get()
+            and heard_ms > 0
+            and silent_ms < control_lib.WATCH_SILENCE_MS
+        )
+
     async def drain(self) -> None:
         """Takes new requests for the balancer's lag, then finishes all."""
         await self.requests.drain()
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -120,6 +120,14 @@
     http_status = http.HTTPStatus.FORBIDDEN
 
 
+class Gone(Refused):
+    """The job does not exist, or ended too long ago to be remembered."""
+
+    kind = "gone"
+    remedy = "Submit it again under a new id."
+    http_status = http.HTTPStatus.GONE
+
+
 class NotFound(Refused):
     """The object named does not exist."""
 
--- /dev/null
+++ b/bilberryroute/model/batch.py
@@ -0,0 +1,405 @@
+"""Batch jobs: steps of tasks that share workers by processor and memory.
+
+A batch job is submitted to a queue. Its steps depend on one another; the
+tasks of a step run once each, alone or as a gang.
+"""
+
+import dataclasses
+import enum
+
+from bilberryroute.model import jobs
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Resources:
+    """What a task needs, or what a worker has.
+
+    Attributes:
+      cpu_millis: Processors, in thousandths of a core.
+      memory_mb: Memory in MiB.
+      accelerators: Number of accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: "Resources") -> "Resources":
+        """Returns the sum of both."""
+        return Resources(
+            cpu_millis=self.cpu_millis + other.cpu_millis,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Resources") -> "Resources":
+        """Returns what is left without the other; may be below zero."""
+        return Resources(
+            cpu_millis=self.cpu_millis - other.cpu_millis,
+            memory_mb=self.memory_mb - other.memory_mb,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def holds(self, need: "Resources") -> bool:
+        """Says whether a need fits within."""
+        return (
+            need.cpu_millis <= self.cpu_millis
+            and need.memory_mb <= self.memory_mb
+            and need.accelerators <= self.accelerators
+        )
+
+
+NOTHING = Resources()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """Tasks of one kind.
+
+    Attributes:
+      count: Number of tasks.
+      need: What each task needs.
+      estimate_ms: Rough run time of one task, in milliseconds.
+      depends_on: Earlier steps whose tasks must all be done first.
+      checkpointing: Whether tasks save their progress.
+      gang: Whether the tasks run only all together.
+      same_rack: Whether the tasks slow down when spread over racks.
+      required_label: Label that a worker must have, or empty.
+      data_rack: Rack that holds the data, or empty.
+      spread_limit: Most tasks of the step on one worker; 0 for no bound.
+      copies: Whether copies of a task may run in parallel.
+      long_running: Whether the tasks run until the job is cancelled.
+      image: What the tasks run; tasks of one image behave alike.
+      tail_target_ms: Bound of the tail latency that tasks serve within; 0
+        for none.
+      fills: Whether the tasks take only the processors that others leave.
+      max_unavailable: Most tasks that may be away by our doing; 0 for no
+        bound.
+    """
+
+    count: int
+    need: Resources
+    estimate_ms: int = 0
+    depends_on: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    spread_limit: int = 0
+    copies: bool = False
+    long_running: bool = False
+    image: str = ""
+    tail_target_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Schedule:
+    """When the steps of a job run again.
+
+    Attributes:
+      count: How often the steps run.
+      first_ms: Unix time of the first occurrence, in milliseconds.
+      interval_ms: Time between two occurrences, in milliseconds.
+    """
+
+    count: int
+    first_ms: int
+    interval_ms: int
+
+    def due_ms(self, occurrence: int) -> int:
+        """Returns the Unix time from which an occurrence may start."""
+        return self.first_ms + occurrence * self.interval_ms
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Content:
+    """What a submitter asks to have run.
+
+    Attributes:
+      payload: Handed to every task as it is.
+      steps: In the order in which `depends_on` counts them, from 0.
+      schedule: When the steps run; None for once, at once.
+    """
+
+    payload: str
+    steps: tuple[Step, ...]
+    schedule: Schedule | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Address:
+    """What a caller names: a queue, or one job of it.
+
+    Attributes:
+      host: Host name that the caller asked for, without a port.
+      path: Path of the queue, followed by the job's id if there is one.
+      key: The caller's key, or empty.
+    """
+
+    host: str
+    path: str
+    key: str = dataclasses.field(default="", repr=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Queue:
+    """A queue of batch jobs.
+
+    Attributes:
+      name: Unique name.
+      host: Host name under which callers reach it.
+      path_prefix: Beginning of its paths.
+      pool: Workers that run its tasks.
+      priority: 0 goes first and may stop others.
+      max_attempts: Failed runs of a task after which the job has failed.
+      slack_factor: Allowed run time, as a multiple of the longest chain.
+      target_ms: Allowed delay beside it, in milliseconds.
+      timeout_ms: How long a call may take, in milliseconds.
+      open: Whether callers need no key.
+      advised: Whether an advisory service chooses the workers of a step.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    pool: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_ms: int = 0
+    timeout_ms: int = 0
+    open: bool = False
+    advised: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchAccount:
+    """A client account with the keys that its callers send.
+
+    Attributes:
+      name: Unique name.
+      keys: Keys in force.
+      guaranteed: Accelerators that are the account's own for its jobs of
+        priority 0, at all times.
+    """
+
+    name: str
+    keys: tuple[str, ...] = dataclasses.field(default=(), repr=False)
+    guaranteed: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Catalog:
+    """All queues and accounts, set as a whole under one version.
+
+    Attributes:
+      version: Version that the operator gave it; 0 before the first.
+      queues: By preference of the operator's document.
+      accounts: All client accounts.
+      document: The operator's document, as it was sent.
+    """
+
+    version: int = 0
+    queues: tuple[Queue, ...] = ()
+    accounts: tuple[BatchAccount, ...] = ()
+    document: bytes = b""
+
+    def match(self, host: str, path: str) -> Queue | None:
+        """Returns the queue with the longest prefix of a path, or None."""
+        found = [
+            queue
+            for queue in self.queues
+            if queue.host == host and path.startswith(queue.path_prefix)
+        ]
+        return max(found, key=lambda q: len(q.path_prefix), default=None)
+
+    def queue(self, name: str) -> Queue | None:
+        """Returns a queue by its name, or None."""
+        return next((q for q in self.queues if q.name == name), None)
+
+    def owner(self, key: str) -> BatchAccount | None:
+        """Returns the account that holds a key, or None."""
+        return next((a for a in self.accounts if key in a.keys), None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TaskId:
+    """One task of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerRef:
+    """One life of a worker, and the agent beside it.
+
+    Attributes:
+      agent: Agent that reports it.
+      name: Name that the worker announced.
+      born: When it started, as it says itself; differs for each life.
+    """
+
+    agent: str
+    name: str
+    born: int
+
+
+class RunOutcome(enum.StrEnum):
+    """How one run of a task ended.
+
+    `DONE` to `ALONE` are the worker's own words. `REJECTED` and `ABSENT` are
+    the agent's: the run never began, and never will. `LOST` is the leader's:
+    the worker's life ended, or its lease has lapsed.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    REJECTED = "rejected"
+    ABSENT = "absent"
+    LOST = "lost"
+
+
+class TaskState(enum.StrEnum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class TaskRecord:
+    """One task and its present run.
+
+    Attributes:
+      run: Number of the last run; 0 before the first.
+      worker: Where the present run was placed; None while it waits.
+      failed: Runs that ended by a failure.
+      saved: Newest checkpoint, or empty.
+      placed_ms: Unix time of the placement, in milliseconds.
+    """
+
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    worker: WorkerRef | None = None
+    failed: int = 0
+    saved: str = ""
+    placed_ms: int = 0
+
+    @property
+    def active(self) -> bool:
+        """Whether a run may be on a worker."""
+        return self.worker is not None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StepRecord:
+    """The tasks of one step of one occurrence.
+
+    Attributes:
+      tasks: In the order of their indexes.
+      failed: Runs of the gang that ended by a failure.
+      failed_run: The last run counted in `failed`.
+      saved: Newest checkpoint of any member of the gang.
+      done: Whether a gang has ended as done.
+    """
+
+    tasks: list[TaskRecord]
+    failed: int = 0
+    failed_run: int = 0
+    saved: str = ""
+    done: bool = False
+
+    def finished(self) -> bool:
+        """Says whether every task is done."""
+        return self.done or all(t.state == TaskState.DONE for t in self.tasks)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class BatchRecord:
+    """A batch job and all that was decided about it.
+
+    Attributes:
+      id: Id chosen by the submitter.
+      queue: Name of its queue.
+      account: Client account that submitted it; empty for an open queue.
+      accepted_ms: Unix time of acceptance, in milliseconds.
+      result: How it ended; None before.
+      ended_ms: Unix time of the end, in milliseconds.
+      begun: Whether a task was ever placed.
+      occurrences: Those that were opened, by number.
+      finished_occurrences: How many have all their steps done.
+    """
+
+    id: str
+    queue: str
+    account: str
+    content: Content
+    accepted_ms: int
+    result: jobs.JobResult | None = None
+    reason: str = ""
+    ended_ms: int = 0
+    begun: bool = False
+    occurrences: dict[int, list[StepRecord]] = dataclasses.field(
+        default_factory=dict
+    )
+    finished_occurrences: int = 0
+
+    def task(self, task: TaskId) -> TaskRecord | None:
+        """Returns the record of a task, or None if it was never opened."""
+        steps = self.occurrences.get(task.occurrence)
+        if steps is None or task.step >= len(steps):
+            return None
+        tasks = steps[task.step].tasks
+        return tasks[task.index] if task.index < len(tasks) else None
+
+    def due_ms(self, occurrence: int) -> int:
+        """Returns the Unix time from which an occurrence may start."""
+        schedule = self.content.schedule
+        if schedule is None:
+            return self.accepted_ms
+        return schedule.due_ms(occurrence)
+
+    @property
+    def occurrence_count(self) -> int:
+        """How often the steps run."""
+        schedule = self.content.schedule
+        return 1 if schedule is None else schedule.count
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class BatchState:
+    """Everything about batch jobs that the replicated log has brought about.
+
+    Attributes:
+      catalog: Queues and accounts in force.
+      evacuated: Failure domains in which nothing may start.
+      jobs: Jobs by id; ended ones are dropped after a while.
+      ended: Ids of ended jobs, oldest first.
+      placed: Tasks that may be on workers, by the name of their agent.
+    """
+
+    catalog: Catalog = dataclasses.field(default_factory=Catalog)
+    evacuated: list[str] = dataclasses.field(default_factory=list)
+    jobs: dict[str, BatchRecord] = dataclasses.field(default_factory=dict)
+    ended: list[str] = dataclasses.field(default_factory=list)
+    placed: dict[str, list[TaskId]] = dataclasses.field(default_factory=dict)
+
+
+def open_steps(content: Content) -> list[StepRecord]:
+    """Returns the records of an occurrence of which nothing has run yet."""
+    return [
+        StepRecord(tasks=[TaskRecord() for _ in range(step.count)])
+        for step in content.steps
+    ]
--- /dev/null
+++ b/bilberryroute/model/batch_commands.py
@@ -0,0 +1,160 @@
+"""Commands of the replicated log on batch jobs, and their results."""
+
+import dataclasses
+
+from bilberryroute.model import batch
+from bilberryroute.model import commands
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ApplyCatalog(commands.Command):
+    """Replaces all queues and accounts if the version is higher."""
+
+    catalog: batch.Catalog
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SetEvacuated(commands.Command):
+    """Takes the workers of a failure domain out of use, or back."""
+
+    failure_domain: str
+    evacuated: bool
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SubmitBatch(commands.Command):
+    """Queues a batch job; a resend under the same id changes nothing.
+
+    Attributes:
+      keep_ms: How long ended jobs are remembered, in milliseconds.
+    """
+
+    address: batch.Address
+    content: batch.Content
+    keep_ms: int
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CancelBatch(commands.Command):
+    """Cancels a batch job; its tasks are stopped."""
+
+    address: batch.Address
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """A task's place within a unit."""
+
+    index: int
+    worker: batch.WorkerRef
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Unit:
+    """Tasks of one step that are placed together: a gang, or one task.
+
+    Attributes:
+      run: Number of the run; higher than any before.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    run: int
+    members: tuple[Member, ...]
+
+    def task(self, member: Member) -> batch.TaskId:
+        """Returns the id of a member's task."""
+        return batch.TaskId(
+            job_id=self.job_id,
+            occurrence=self.occurrence,
+            step=self.step,
+            index=member.index,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlaceRuns(commands.Command):
+    """Lets units start; each is taken whole or not at all."""
+
+    units: tuple[Unit, ...]
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TaskRun:
+    """One run of a task."""
+
+    task: batch.TaskId
+    run: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopRuns(commands.Command):
+    """Stops runs; their tasks wait again once the runs have ended."""
+
+    runs: tuple[TaskRun, ...]
+    reason: str
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunEnd:
+    """The end of a run.
+
+    Attributes:
+      saved: Checkpoint that the run left, or empty.
+    """
+
+    task: batch.TaskId
+    run: int
+    outcome: batch.RunOutcome
+    saved: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndRuns(commands.Command):
+    """Takes note of runs that have ended, for good."""
+
+    ends: tuple[RunEnd, ...]
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchAccepted:
+    """The change is durable; `first` is False for a resend."""
+
+    job_id: str
+    first: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchRefused:
+    """Nothing was changed; `kind` names the error that the caller gets."""
+
+    kind: str
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CatalogHeld:
+    """The catalog is durable on a majority; `version` is in force now."""
+
+    version: int
+    changed: bool
+
+
+COMMANDS = (
+    ApplyCatalog,
+    SetEvacuated,
+    SubmitBatch,
+    CancelBatch,
+    PlaceRuns,
+    StopRuns,
+    EndRuns,
+)
+RESULTS = (BatchAccepted, BatchRefused, CatalogHeld)
--- a/bilberryroute/model/queries.py
+++ b/bilberryroute/model/queries.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 
+from bilberryroute.model import batch
 from bilberryroute.model import config
 from bilberryroute.model import jobs
 
@@ -41,6 +42,47 @@
     """Asks for the state of the whole system."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LookUpBatch(Query):
+    """Asks where a batch job stands, or how many of a queue wait."""
+
+    address: batch.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GetCatalog(Query):
+    """Asks for the catalog in force; `Unavailable` if there is none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchView:
+    """Where a batch job stands.
+
+    Attributes:
+      result: How it ended; None before.
+      begun: Whether a task was ever placed.
+    """
+
+    job_id: str
+    result: jobs.JobResult | None
+    begun: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PendingView:
+    """How many accepted jobs of a queue have not begun."""
+
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CatalogView:
+    """The catalog in force, as the operator sent it."""
+
+    version: int
+    document: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TicketView:
     """An accepted ticket and where it is in force.
@@ -216,4 +258,12 @@
     violations: tuple[str, ...] = ()
 
 
-Answer = TicketView | JobView | JobList | StatusView
+Answer = (
+    TicketView
+    | JobView
+    | JobList
+    | StatusView
+    | BatchView
+    | PendingView
+    | CatalogView
+)
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from bilberryroute.model import batch
 from bilberryroute.model import config
 from bilberryroute.model import jobs
 
@@ -45,6 +46,60 @@
     progress_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunReport:
+    """One run on a worker.
+
+    Attributes:
+      saved: Newest checkpoint, or empty.
+      percent: Work done, 0 to 100.
+    """
+
+    task: batch.TaskId
+    run: int
+    saved: str = ""
+    percent: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EndReport:
+    """The end of a run, listed until the leader has committed it.
+
+    Attributes:
+      number: Counts the ends of one life of a worker, from 1; 0 for an end
+        that the agent found out by itself.
+    """
+
+    number: int
+    task: batch.TaskId
+    run: int
+    outcome: batch.RunOutcome
+    saved: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerReport:
+    """A worker of batch jobs as its agent sees it.
+
+    Attributes:
+      born: When this life of the worker started, as it says itself.
+      draining: Whether the worker leaves and takes nothing new.
+      remaining_ms: While it drains, for how long it goes on at least.
+    """
+
+    name: str
+    born: int
+    pool: str
+    failure_domain: str
+    rack: str
+    labels: tuple[str, ...]
+    capacity: batch.Resources
+    draining: bool = False
+    remaining_ms: int = 0
+    running: tuple[RunReport, ...] = ()
+    ends: tuple[EndReport, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Renewal:
     """An agent asks for its lease again and reports what it sees.
@@ -55,6 +110,8 @@
       revision: Configuration revision in force at the agent.
       http: Address of the agent's HTTP server, `ip:port`.
       draining: True once the agent leaves.
+      batch: Workers of batch jobs beside the agent.
+      payloads: Batch jobs whose payload the agent holds.
     """
 
     agent: str
@@ -69,6 +126,25 @@
     endpoints: tuple[EndpointReport, ...]
     workers: tuple[jobs.Worker, ...]
     tasks: tuple[TaskReport, ...]
+    batch: tuple[WorkerReport, ...] = ()
+    payloads: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DesiredRun:
+    """One run that a worker should hold, or give up.
+
+    Attributes:
+      worker: The life of the worker that it was placed on.
+      stop: Whether it is to end.
+      saved: Checkpoint to resume from, or empty.
+    """
+
+    task: batch.TaskId
+    run: int
+    worker: batch.WorkerRef
+    stop: bool
+    saved: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,6 +176,8 @@
       domains_in_service: Failure domains where work may start.
       services: Services with their limits.
       tasks: Tasks on the agent's workers; any other task is to stop.
+      runs: Runs of batch jobs there; any other run is to stop.
+      evacuated: Failure domains in which no run may start.
     """
 
     version: int
@@ -107,6 +185,17 @@
     domains_in_service: tuple[str, ...]
     services: tuple[config.Service, ...]
     tasks: tuple[DesiredTask, ...]
+    runs: tuple[DesiredRun, ...] = ()
+    evacuated: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CommittedEnds:
+    """Up to which end of one life of a worker all are committed."""
+
+    worker: str
+    born: int
+    number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,6 +210,8 @@
       leader_id: The leading replica, as far as the sender knows.
       replicas: Datagram addresses of all replicas, by id.
       desired: Whole desired state, or None if the agent's is current.
+      committed: Ends of runs that the worker may forget.
+      payloads: Payloads by batch job that the agent needs and lacks.
     """
 
     term: int
@@ -129,6 +220,8 @@
     leader_id: str
     replicas: dict[str, str]
     desired: Desired | None
+    committed: tuple[CommittedEnds, ...] = ()
+    payloads: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/bilberryroute/platform/callers.py
@@ -0,0 +1,123 @@
+"""Callers' HTTP: batch jobs, and the probe of the balancer before them."""
+
+from collections.abc import Callable
+
+import mode
+from aiohttp import web
+
+from bilberryroute import api
+from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.entry import batch as entry_batch
+from bilberryroute.entry import service as entry_service
+from bilberryroute.model import batch
+from bilberryroute.model import queries
+from bilberryroute.platform import doors
+from bilberryroute.platform import jobs
+from bilberryroute.platform import settings as platform_settings
+from bilberryroute.transport import http as http_lib
+
+# How long a caller waits, unless it says so in its header.
+DEFAULT_DEADLINE_MS = 3_000
+DEADLINE_HEADER = "X-Deadline-Ms"
+# A caller learns that no leader took its job while it still has time to try
+# another entry: an election takes about a second.
+PATIENCE_SHARE = 0.5
+
+
+def services(
+    place: platform_settings.Place,
+    role: entry_service.EntryRole,
+    metrics: metrics_lib.Metrics,
+) -> list[mode.Service]:
+    """Returns the servers of an entry."""
+    limits = place.settings.limits
+    door = CallersDoor(role.batch, limits, role.board.draining.get)
+    probe = readiness(role.ready_for_batch)
+    return [
+        http_lib.HttpServer(
+            door.application(metrics), place.doors.callers, limits
+        ),
+        http_lib.HttpServer(probe, place.doors.readiness, limits),
+    ]
+
+
+def readiness(ready: Callable[[], bool]) -> web.Application:
+    """Returns what the balancer probes."""
+
+    async def answer(req: web.Request) -> web.Response:
+        del req
+        return web.Response(status=200 if ready() else 503)
+
+    app = web.Application()
+    app.router.add_get("/bilberryroute/readyz", answer)
+    return app
+
+
+class CallersDoor:
+    """Serves callers' batch jobs."""
+
+    def __init__(
+        self,
+        desk: entry_batch.BatchDesk,
+        limits: settings.Limits,
+        draining: Callable[[], bool],
+    ):
+        self._desk = desk
+        self._limits = limits
+        self._draining = draining
+
+    def application(self, metrics: metrics_lib.Metrics) -> web.Application:
+        """Returns the application; every path may be a queue's."""
+        app = doors.new_application(metrics, self._limits.body_bytes)
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        return app
+
+    async def _answer(self, req: web.Request) -> web.StreamResponse:
+        address = _address(req)
+        within_ms = _patience_ms(req)
+        match req.method:
+            case "POST":
+                content = jobs.decode(await api.read_body(
+                    req, self._limits.body_bytes
+                ))
+                await self._desk.submit(address, content, within_ms)
+                resp = web.json_response({})
+            case "GET":
+                found = await self._desk.look_up(address, within_ms)
+                resp = web.json_response(_state(found))
+            case "DELETE":
+                await self._desk.cancel(address, within_ms)
+                resp = web.json_response({})
+            case _:
+                raise api.MethodNotAllowed(f"{req.method} is not allowed here")
+        if self._draining():
+            resp.force_close()
+        return resp
+
+
+def _address(req: web.Request) -> batch.Address:
+    scheme, _, key = req.headers.get("Authorization", "").partition(" ")
+    return batch.Address(
+        host=req.host.rsplit(":", 1)[0],
+        path=req.path,
+        key=key if scheme == "Bearer" else "",
+    )
+
+
+def _patience_ms(req: web.Request) -> clock_lib.Millis:
+    text = req.headers.get(DEADLINE_HEADER, "")
+    deadline = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
+    return clock_lib.Millis(int(deadline * PATIENCE_SHARE))
+
+
+def _state(
+    found: queries.BatchView | queries.PendingView,
+) -> dict[str, object]:
+    match found:
+        case queries.PendingView(count=count):
+            return {"pending": count}
+        case queries.BatchView(result=result, begun=begun):
+            return {"state": jobs.state_of(result, begun=begun)}
+    raise TypeError(f"unexpected answer {found!r}")
--- /dev/null
+++ b/bilberryroute/platform/operators.py
@@ -0,0 +1,79 @@
+"""Operators' HTTP: configuration and evacuations, at every replica."""
+
+import mode
+from aiohttp import web
+
+from bilberryroute import api
+from bilberryroute import clock as clock_lib
+from bilberryroute import context
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.entry import batch as entry_batch
+from bilberryroute.entry import board as entry_board
+from bilberryroute.entry import control as control_client
+from bilberryroute.platform import catalog
+from bilberryroute.platform import doors
+from bilberryroute.platform import settings as platform_settings
+from bilberryroute.transport import http as http_lib
+
+# Operators turn to another host after a second without an answer.
+PATIENCE_MS = clock_lib.Millis(900)
+
+
+def services(
+    place: platform_settings.Place,
+    env: context.Environment,
+    metrics: metrics_lib.Metrics,
+) -> list[mode.Service]:
+    """Returns the server of a replica, and the client that it uses."""
+    cfg = place.settings
+    control = control_client.ControlClient(
+        cfg, entry_board.new_board(), env.clock, env.rng
+    )
+    desk = entry_batch.BatchDesk(control, cfg.timing)
+    door = OperatorsDoor(desk, cfg.limits)
+    server = http_lib.HttpServer(
+        door.application(metrics), place.doors.control, cfg.limits
+    )
+    return [control, server]
+
+
+class OperatorsDoor:
+    """Serves operators: configuration and evacuations."""
+
+    def __init__(self, desk: entry_batch.BatchDesk, limits: settings.Limits):
+        self._desk = desk
+        self._limits = limits
+
+    def application(self, metrics: metrics_lib.Metrics) -> web.Application:
+        """Returns the application."""
+        app = doors.new_application(metrics, self._limits.ticket_bytes)
+        router = app.router
+        router.add_put("/bilberryroute/config", self._put_config)
+        router.add_get("/bilberryroute/config", self._get_config)
+        router.add_post("/bilberryroute/evacuate/{zone}", self._evacuate)
+        router.add_delete("/bilberryroute/evacuate/{zone}", self._take_back)
+        return app
+
+    async def _put_config(self, req: web.Request) -> web.Response:
+        body = await api.read_body(req, self._limits.ticket_bytes)
+        wanted = catalog.decode(body)
+        await self._desk.apply_catalog(wanted, PATIENCE_MS)
+        return web.json_response({})
+
+    async def _get_config(self, req: web.Request) -> web.Response:
+        del req
+        found = await self._desk.catalog(PATIENCE_MS)
+        return web.Response(
+            body=found.document, content_type="application/json"
+        )
+
+    async def _evacuate(self, req: web.Request) -> web.Response:
+        zone = req.match_info["zone"]
+        await self._desk.set_evacuated(zone, True, PATIENCE_MS)
+        return web.json_response({})
+
+    async def _take_back(self, req: web.Request) -> web.Response:
+        zone = req.match_info["zone"]
+        await self._desk.set_evacuated(zone, False, PATIENCE_MS)
+        return web.json_response({})
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -13,6 +13,8 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import rights as rights_lib
 from bilberryroute import settings
+from bilberryroute.agent import worker_port
+from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
 
 
@@ -39,10 +41,21 @@
       roles: The roles, in the order of starting.
     """
 
-    def __init__(self, cfg: settings.Settings, env: context.Environment):
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        place: platform_settings.Place | None = None,
+    ):
         super().__init__()
         self.metrics = metrics_lib.Metrics()
-        self.roles = [_role(r, cfg, env, self.metrics) for r in _ordered(cfg)]
+        self._port = _worker_port(place)
+        self.roles = [
+            _role(r, cfg, env, self.metrics, self._port) for r in _ordered(cfg)
+        ]
+        self._doors: list[mode.Service] = []
+        if place is not None:
+            self._doors = _doors(place, env, self.roles[0], self.metrics)
         app = self._application(cfg)
         self.metrics.refresh_with(self._refresh)
         self.http = http_lib.HttpServer(app, cfg.listen.http, cfg.limits)
@@ -59,9 +72,13 @@
 
     async def on_start(self) -> None:
         """Starts the roles, then listens."""
+        if self._port is not None:
+            await self.add_runtime_dependency(self._port)
         for role in self.roles:
             await self.add_runtime_dependency(role)
         await self.add_runtime_dependency(self.http)
+        for door in self._doors:
+            await self.add_runtime_dependency(door)
 
     def position(self) -> logs.Position:
         """Returns the highest term and revision that a role has seen."""
@@ -81,9 +98,19 @@
         await asyncio.gather(*(role.drain() for role in self.roles))
 
 
-def build(cfg: settings.Settings, env: context.Environment) -> Process:
-    """Returns the process that the settings describe, not yet started."""
-    return Process(cfg, env)
+def build(
+    cfg: settings.Settings,
+    env: context.Environment,
+    place: platform_settings.Place | None = None,
+) -> Process:
+    """Returns the process that the settings describe, not yet started.
+
+    Args:
+      cfg: The settings.
+      env: The process's surroundings.
+      place: What the users' platform told, if it runs there.
+    """
+    return Process(cfg, env, place)
 
 
 def _ordered(cfg: settings.Settings) -> list[settings.Role]:
@@ -97,6 +124,7 @@
     cfg: settings.Settings,
     env: context.Environment,
     metrics: metrics_lib.Metrics,
+    port: worker_port.WorkerPort | None,
 ) -> RoleService:
     """Builds one role; imports it here, so that others cost no memory."""
     match role:
@@ -107,8 +135,41 @@
         case settings.Role.AGENT:
             from bilberryroute.agent import service as agent_service
 
-            return agent_service.AgentRole(cfg, env, metrics)
+            return agent_service.AgentRole(cfg, env, metrics, port)
         case settings.Role.ENTRY:
             from bilberryroute.entry import service as entry_service
 
             return entry_service.EntryRole(cfg, env, metrics)
+
+
+def _worker_port(
+    place: platform_settings.Place | None,
+) -> worker_port.WorkerPort | None:
+    """Returns the port to the worker beside an agent on the platform."""
+    if place is None or settings.Role.AGENT not in place.settings.roles:
+        return None
+    from bilberryroute.platform import workers
+
+    return workers.WorkerClient()
+
+
+def _doors(
+    place: platform_settings.Place,
+    env: context.Environment,
+    role: RoleService,
+    metrics: metrics_lib.Metrics,
+) -> list[mode.Service]:
+    """Returns the servers towards the platform; imported late, as roles are."""
+    match place.settings.roles[0]:
+        case settings.Role.REPLICA:
+            from bilberryroute.platform import operators
+
+            return operators.services(place, env, metrics)
+        case settings.Role.AGENT:
+            from bilberryroute.platform import announcements
+
+            return announcements.services(place, role, metrics)
+        case settings.Role.ENTRY:
+            from bilberryroute.platform import callers
+
+            return callers.services(place, role, metrics)
--- a/bilberryroute/replica/board.py
+++ b/bilberryroute/replica/board.py
@@ -8,6 +8,7 @@
 
 DatagramAddress = tuple[str, int]
 TaskKey = tuple[str, int, str]
+LifeKey = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,6 +55,19 @@
     began: clock_lib.Millis = clock_lib.Millis(0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchWorker:
+    """A worker of batch jobs as its agent last reported it in this term.
+
+    Attributes:
+      heard_ms: Monotonic instant of the last report.
+    """
+
+    agent: str
+    report: wire.WorkerReport
+    heard_ms: clock_lib.Millis
+
+
 @dataclasses.dataclass(slots=True)
 class ReplicaBoard:
     """What the leader observes; a new leader starts with nothing.
@@ -67,6 +81,9 @@
       worker_heard: Monotonic instant at which each worker was last reported.
       endpoints: Endpoints shown to entries.
       applied: Touched after every applied command.
+      batch_workers: Workers of batch jobs by name; its version rises when
+        a report changes in more than progress.
+      committed_ends: Number of the last committed end, by worker and life.
     """
 
     term: blackboard.Cell[LeaderTerm]
@@ -77,6 +94,8 @@
     worker_heard: dict[str, clock_lib.Millis]
     endpoints: blackboard.Cell[tuple[wire.EndpointView, ...]]
     applied: blackboard.Cell[int]
+    batch_workers: blackboard.Cell[dict[str, BatchWorker]]
+    committed_ends: dict[LifeKey, int]
 
     def agent_of(self, worker: str) -> AgentView | None:
         """Returns the agent that reports a worker, if one is heard."""
@@ -99,6 +118,8 @@
         self.entries.set({})
         self.endpoints.set(())
         self.agents.set({})
+        self.committed_ends.clear()
+        self.batch_workers.set({})
 
 
 def new_board() -> ReplicaBoard:
@@ -112,4 +133,6 @@
         worker_heard={},
         endpoints=blackboard.Cell(()),
         applied=blackboard.Cell(0),
+        batch_workers=blackboard.Cell({}),
+        committed_ends={},
     )
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -12,6 +12,7 @@
 from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.consensus import changes
+from bilberryroute.model import batch_commands
 from bilberryroute.model import commands
 from bilberryroute.model import control
 from bilberryroute.model import membership
@@ -33,6 +34,10 @@
     commands.SubmitJob,
     commands.CancelJobs,
     commands.ClaimRequest,
+    batch_commands.ApplyCatalog,
+    batch_commands.SetEvacuated,
+    batch_commands.SubmitBatch,
+    batch_commands.CancelBatch,
 )
 
 
--- a/bilberryroute/replica/desired.py
+++ b/bilberryroute/replica/desired.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from bilberryroute.model import batch
 from bilberryroute.model import config
 from bilberryroute.model import jobs
 from bilberryroute.model import wire
@@ -51,14 +52,18 @@
         known = self._current.get(agent)
         if known is not None and known.stamp == stamp:
             return known.desired
-        fresh = self._derive(state, index << _COUNTER_BITS, workers)
+        fresh = self._derive(state, index << _COUNTER_BITS, agent, workers)
         if known is not None:
             fresh = _versioned(fresh, known.desired)
         self._current[agent] = _Derived(stamp=stamp, desired=fresh)
         return fresh
 
     def _derive(
-        self, state: records.State, version: int, workers: tuple[str, ...]
+        self,
+        state: records.State,
+        version: int,
+        agent: str,
+        workers: tuple[str, ...],
     ) -> wire.Desired:
         self._common = _common(state, self._common)
         return wire.Desired(
@@ -67,6 +72,8 @@
             domains_in_service=self._common.domains_in_service,
             services=self._common.services,
             tasks=tuple(t for name in workers for t in _tasks(state, name)),
+            runs=_runs(state.batch, agent),
+            evacuated=tuple(state.batch.evacuated),
         )
 
 
@@ -120,6 +127,31 @@
     return found
 
 
+def _runs(held: batch.BatchState, agent: str) -> tuple[wire.DesiredRun, ...]:
+    """Returns the runs of batch jobs on one agent's workers."""
+    return tuple(
+        _desired_run(held.jobs[task_id.job_id], task_id)
+        for task_id in held.placed.get(agent, ())
+    )
+
+
+def _desired_run(
+    record: batch.BatchRecord, task_id: batch.TaskId
+) -> wire.DesiredRun:
+    task = record.task(task_id)
+    stop = task.state != batch.TaskState.PLACED
+    gang = record.content.steps[task_id.step].gang
+    steps = record.occurrences[task_id.occurrence]
+    saved = steps[task_id.step].saved if gang else task.saved
+    return wire.DesiredRun(
+        task=task_id,
+        run=task.run,
+        worker=task.worker,
+        stop=stop,
+        saved="" if stop else saved,
+    )
+
+
 def active_records(state: records.State) -> list[jobs.JobRecord]:
     """Returns the records of jobs that hold accelerators."""
     ids = {j for held in state.held.values() for j in held.values()}
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 
 import mode
 
 from bilberryroute import errors
+from bilberryroute.model import batch_commands
 from bilberryroute.model import commands
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
@@ -90,11 +92,31 @@
         for worker in renewal.workers:
             self._board.worker_heard[worker.name] = now
             self._board.worker_agent[worker.name] = renewal.agent
+        self._record_batch(renewal, known, now)
         if known is None or _differs(renewal, known.renewal):
             self._board.changed_agents.add(renewal.agent)
             self._board.agents.touch()
         return True
 
+    def _record_batch(
+        self,
+        renewal: wire.Renewal,
+        known: board_lib.AgentView | None,
+        now: int,
+    ) -> None:
+        """Notes the workers of batch jobs beside an agent."""
+        cell = self._board.batch_workers
+        for report in renewal.batch:
+            last = cell.get().get(report.name)
+            if last is not None and last.report.born > report.born:
+                continue
+            cell.get()[report.name] = board_lib.BatchWorker(
+                agent=renewal.agent, report=report, heard_ms=now
+            )
+        before = () if known is None else known.renewal.batch
+        if _batch_essence(before) != _batch_essence(renewal.batch):
+            cell.touch()
+
     def _grant(self, renewal: wire.Renewal) -> wire.Grant:
         wanted = self._wanted(renewal)
         current = wanted.version == renewal.desired_version
@@ -105,8 +127,41 @@
             leader_id=self._cfg.replica_id,
             replicas=self._replica_addresses(),
             desired=None if current else wanted,
+            committed=self._committed(renewal),
+            payloads=self._payloads(renewal, wanted),
+        )
+
+    def _committed(
+        self, renewal: wire.Renewal
+    ) -> tuple[wire.CommittedEnds, ...]:
+        """Returns up to where the ends on an agent's workers are committed."""
+        known = self._board.committed_ends
+        return tuple(
+            wire.CommittedEnds(
+                worker=report.name,
+                born=report.born,
+                number=known[report.name, report.born],
+            )
+            for report in renewal.batch
+            if (report.name, report.born) in known
         )
 
+    def _payloads(
+        self, renewal: wire.Renewal, wanted: wire.Desired
+    ) -> dict[str, str]:
+        """Returns the payloads that an agent needs and does not hold."""
+        jobs = self._machine.state.batch.jobs
+        return {
+            run.task.job_id: jobs[run.task.job_id].content.payload
+            for run in wanted.runs
+            if not run.stop and run.task.job_id not in renewal.payloads
+        }
+
+    def push_to(self, agents: Iterable[str]) -> None:
+        """Sends agents their desired state and committed ends soon."""
+        self._behind.update(agents)
+        self._news.set()
+
     def _referral(self, renewal: wire.Renewal) -> wire.Grant:
         """Tells an agent where the leader is, granting nothing."""
         return wire.Grant(
@@ -145,6 +200,15 @@
             case commands.CancelJobs(job_ids=job_ids):
                 for job_id in job_ids:
                     self._behind.update(self._agents_of(job_id))
+            case (
+                batch_commands.PlaceRuns()
+                | batch_commands.StopRuns()
+                | batch_commands.EndRuns()
+                | batch_commands.CancelBatch()
+                | batch_commands.SetEvacuated()
+            ):
+                # A push is sent only to those whose desired state changed.
+                self._behind.update(self._board.agents.get())
         if self._behind:
             self._news.set()
 
@@ -175,7 +239,9 @@
         if view is None:
             return
         wanted = self._wanted(view.renewal)
-        if wanted.version == view.renewal.desired_version:
+        committed = self._committed(view.renewal)
+        current = wanted.version == view.renewal.desired_version
+        if current and not committed:
             return
         push = wire.Grant(
             term=self._group.term,
@@ -183,7 +249,9 @@
             lease_ms=0,
             leader_id=self._cfg.replica_id,
             replicas={},
-            desired=wanted,
+            desired=None if current else wanted,
+            committed=committed,
+            payloads=self._payloads(view.renewal, wanted),
         )
         self._send(push, view.address)
 
@@ -231,3 +299,18 @@
         ],
         [(t.job_id, t.attempt, t.worker, t.state) for t in renewal.tasks],
     )
+
+
+def _batch_essence(reports: tuple[wire.WorkerReport, ...]) -> tuple:
+    """Returns what the planner needs to know at once."""
+    return tuple(
+        (
+            report.name,
+            report.born,
+            report.pool,
+            report.draining,
+            [(run.task, run.run) for run in report.running],
+            [(end.task, end.run) for end in report.ends],
+        )
+        for report in reports
+    )
--- a/bilberryroute/replica/parts.py
+++ b/bilberryroute/replica/parts.py
@@ -65,6 +65,7 @@
         data_folder=cfg.data_folder,
         # The settings say how this host reaches a replica that they name.
         routes={replica.id: replica.grpc for replica in cfg.replicas},
+        policy=cfg.group,
         timing=cfg.timing,
         log=cfg.log,
     )
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -5,12 +5,14 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute.consensus import records
+from bilberryroute.model import batch
 from bilberryroute.model import jobs
 from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.replica import desired as desired_lib
 from bilberryroute.replica import jobs as job_controller
 from bilberryroute.replica import parts as parts_lib
+from bilberryroute.state import batch as batch_rules
 from bilberryroute.state import jobs as job_rules
 
 
@@ -44,8 +46,37 @@
                 return self._jobs(account)
             case queries.GetStatus():
                 return self._status()
+            case queries.LookUpBatch(address=address):
+                return self._look_up(address)
+            case queries.GetCatalog():
+                return self._catalog()
         raise errors.MalformedInput(f"unknown query {query!r}")
 
+    def _look_up(
+        self, address: batch.Address
+    ) -> queries.BatchView | queries.PendingView:
+        held = self._machine.state.batch
+        allowed = batch_rules.authorize(held.catalog, address)
+        if isinstance(allowed, batch_rules.Refusal):
+            raise errors.by_kind(allowed.kind)(allowed.message)
+        queue, _ = allowed
+        if address.path == queue.path_prefix:
+            return queries.PendingView(count=batch_rules.pending(held, queue))
+        found = batch_rules.find(held, address)
+        if isinstance(found, batch_rules.Refusal):
+            raise errors.by_kind(found.kind)(found.message)
+        return queries.BatchView(
+            job_id=found.id, result=found.result, begun=found.begun
+        )
+
+    def _catalog(self) -> queries.CatalogView:
+        catalog = self._machine.state.batch.catalog
+        if catalog.version == 0:
+            raise errors.Unavailable("no catalog is in force yet")
+        return queries.CatalogView(
+            version=catalog.version, document=catalog.document
+        )
+
     def members(self) -> membership.Members:
         """Returns the group of replicas."""
         return membership.Members(replicas=self._replicas())
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -10,12 +10,14 @@
 from bilberryroute import settings
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
+from bilberryroute.replica import batch as batch_lib
 from bilberryroute.replica import control as control_lib
 from bilberryroute.replica import endpoints as endpoint_lib
 from bilberryroute.replica import jobs as job_lib
 from bilberryroute.replica import leases as lease_lib
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.replica import queries as query_lib
+from bilberryroute.replica import repair as repair_lib
 from bilberryroute.replica import workers as worker_lib
 
 GRPC_STOP_SECONDS = 1.0
@@ -49,11 +51,14 @@
         controller = job_lib.JobController(self.parts)
         desk = query_lib.QueryDesk(self.parts, controller)
         self._control = control_lib.ControlService(self.parts, desk)
+        leases = lease_lib.LeaseService(self.parts)
         self._services = (
             self.parts.group,
             self.parts.leadership,
             controller,
-            lease_lib.LeaseService(self.parts),
+            leases,
+            batch_lib.BatchController(self.parts, leases),
+            repair_lib.RepairController(self.parts),
             worker_lib.WorkerController(self.parts),
             endpoint_lib.EndpointController(self.parts),
             self._control,
--- /dev/null
+++ b/bilberryroute/scheduling/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on batch jobs: what starts where, and what gives way."""
--- /dev/null
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -0,0 +1,147 @@
+"""One round of decisions on batch jobs. Pure."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
+from bilberryroute.scheduling.batch import placing
+from bilberryroute.scheduling.batch import preempting
+from bilberryroute.scheduling.batch import readiness
+from bilberryroute.scheduling.batch import room as room_lib
+from bilberryroute.scheduling.batch import views
+
+# Urgency from which on a unit stops nobody; see `readiness`.
+FIRST_PATIENT_URGENCY = 2
+
+# A unit with a place of its own (its data's rack, one rack for a gang) waits
+# this share of its estimate for it before it runs slower elsewhere.
+NEAR_SHARE = 0.5
+NEAR_MAX_MS = 1_500
+
+# Units that wait longer than this keep room free for themselves, so that
+# smaller ones do not starve them.
+RESERVE_AFTER_MS = 1_000
+RESERVED_AT_MOST = 3
+
+
+def plan(
+    held: batch.BatchState,
+    workers: Iterable[views.WorkerView],
+    foreign: Mapping[str, batch.Resources],
+    wall_ms: int,
+) -> views.Plan:
+    """Returns what starts now and what stops for it.
+
+    Args:
+      held: Batch jobs.
+      workers: Workers that are present.
+      foreign: Resources in use on a worker that no task accounts for.
+      wall_ms: Unix time in milliseconds.
+    """
+    room = room_lib.Room(held, workers, foreign)
+    return _Round(held, room, wall_ms).run()
+
+
+class _Round:
+    """State of one round."""
+
+    def __init__(
+        self, held: batch.BatchState, room: room_lib.Room, wall_ms: int
+    ):
+        self._held = held
+        self._room = room
+        self._wall_ms = wall_ms
+        self._units: list[batching.Unit] = []
+        self._stops: list[batching.TaskRun] = []
+        self._victims: list[preempting.Victim] | None = None
+        self._reserved = 0
+        self._waiting = 0
+
+    def run(self) -> views.Plan:
+        """Tries every ready unit, best rank first."""
+        full: set[tuple] = set()
+        for unit in readiness.ready_units(self._held, self._wall_ms):
+            key = (unit.record.id, unit.occurrence, unit.step_number)
+            if key in full:
+                self._waiting += 1
+            elif not self._try(unit):
+                self._waiting += 1
+                full.add(key)
+        return views.Plan(
+            units=tuple(self._units),
+            stops=tuple(self._stops),
+            waiting=self._waiting,
+        )
+
+    def _try(self, unit: views.Ready) -> bool:
+        names = self._fit(unit, self._room.free)
+        if names is not None:
+            refs = tuple(self._room.workers[name].ref for name in names)
+            self._units.append(unit.placed(refs))
+            self._room.take(unit, names)
+            return True
+        if unit.rank[1] < FIRST_PATIENT_URGENCY:
+            self._reclaim(unit)
+        elif self._may_reserve(unit):
+            self._reserve(unit, self._fit(unit, self._room.soon))
+        return False
+
+    def _fit(
+        self, unit: views.Ready, within: Mapping[str, batch.Resources]
+    ) -> tuple[str, ...] | None:
+        evacuated = self._held.evacuated
+        near = placing.place(unit, self._room, within, evacuated, near=True)
+        if near is not None or self._waits_for_near(unit):
+            return near
+        return placing.place(unit, self._room, within, evacuated, near=False)
+
+    def _waits_for_near(self, unit: views.Ready) -> bool:
+        allowed_ms = min(NEAR_MAX_MS, NEAR_SHARE * unit.step.estimate_ms)
+        return self._wall_ms - unit.since_ms < allowed_ms
+
+    def _reclaim(self, unit: views.Ready) -> None:
+        """Stops others for a unit, or waits for what is being stopped."""
+        names = self._fit(unit, self._room.soon)
+        if names is None:
+            names = self._stop_others(unit)
+        self._reserve(unit, names)
+
+    def _stop_others(self, unit: views.Ready) -> tuple[str, ...] | None:
+        if self._victims is None:
+            guaranteed = readiness.guaranteed_jobs(self._held)
+            self._victims = preempting.victims(
+                self._held, guaranteed, self._wall_ms
+            )
+        # A guaranteed unit also stops urgent ones beyond their guarantee.
+        lowest = 1 if unit.rank[1] == 0 else 2
+        candidates = [v for v in self._victims if v.rank >= lowest]
+        found = preempting.make_room(
+            unit, self._room, candidates, self._held.evacuated
+        )
+        if found is None:
+            return None
+        names, chosen = found
+        for victim in chosen:
+            self._stops += [run for run, _ in victim.tasks]
+            self._victims.remove(victim)
+            for _, name in victim.tasks:
+                if name in self._room.soon:
+                    soon = self._room.soon[name]
+                    self._room.soon[name] = soon.plus(victim.need)
+        return names
+
+    def _may_reserve(self, unit: views.Ready) -> bool:
+        waited_ms = self._wall_ms - unit.since_ms
+        return (
+            waited_ms >= RESERVE_AFTER_MS and self._reserved < RESERVED_AT_MOST
+        )
+
+    def _reserve(
+        self, unit: views.Ready, names: tuple[str, ...] | None
+    ) -> None:
+        """Keeps room free for a unit, so that later ones leave it alone."""
+        if names is None:
+            return
+        self._reserved += 1
+        self._room.take(unit, names)
--- /dev/null
+++ b/bilberryroute/scheduling/batch/views.py
@@ -0,0 +1,77 @@
+"""What the planner is shown, and what it decides."""
+
+import dataclasses
+
+from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerView:
+    """A worker as its agent reports it.
+
+    Attributes:
+      pool: Workers among which a queue chooses.
+      labels: What the worker offers; steps may require one.
+      open: Whether new work may go there, as far as the worker goes.
+      doubtful: Whether runs failed there lately; chosen last.
+    """
+
+    ref: batch.WorkerRef
+    pool: str
+    failure_domain: str
+    rack: str
+    labels: tuple[str, ...]
+    capacity: batch.Resources
+    open: bool = True
+    doubtful: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ready:
+    """A unit that could start now: a gang, or one task.
+
+    Attributes:
+      indexes: The tasks' indexes within the step.
+      run: Number that the next run gets.
+      rank: Lower goes first; 0 holds an account's guarantee.
+      since_ms: Unix time from which it could have started.
+    """
+
+    record: batch.BatchRecord
+    queue: batch.Queue
+    occurrence: int
+    step_number: int
+    step: batch.Step
+    indexes: tuple[int, ...]
+    run: int
+    rank: tuple[int, ...] = ()
+    since_ms: int = 0
+
+    def placed(self, workers: tuple[batch.WorkerRef, ...]) -> batching.Unit:
+        """Returns the command's unit for workers in the order of indexes."""
+        return batching.Unit(
+            job_id=self.record.id,
+            occurrence=self.occurrence,
+            step=self.step_number,
+            run=self.run,
+            members=tuple(
+                batching.Member(index=index, worker=worker)
+                for index, worker in zip(self.indexes, workers, strict=True)
+            ),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """What one round decides.
+
+    Attributes:
+      units: To be placed, in order.
+      stops: Runs to stop, so that units of a better rank fit.
+      waiting: How many units could start but for want of room.
+    """
+
+    units: tuple[batching.Unit, ...] = ()
+    stops: tuple[batching.TaskRun, ...] = ()
+    waiting: int = 0
--- a/bilberryroute/settings.py
+++ b/bilberryroute/settings.py
@@ -48,6 +48,8 @@
     renewal_ms: int = 700
     agent_lease_ms: int = 2_200
     task_lease_ms: int = 10_000
+    run_lease_ms: int = 6_000
+    batch_kept_ms: int = 120_000
     worker_lease_ms: int = 2_200
     decide_ms: int = 100
     balancer_lag_ms: int = 500
@@ -82,6 +84,21 @@
     callers: str = ""
 
 
+class Group(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the group of replicas comes about and is repaired.
+
+    Attributes:
+      may_found: Whether an empty folder may found the group.
+      repairs_itself: Whether the leader takes in new replicas, and removes
+        lost ones that they replace, without an operator.
+      size: Voters to keep; 0 for as many as `replicas` names.
+    """
+
+    may_found: bool = True
+    repairs_itself: bool = False
+    size: int = 0
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one process.
 
@@ -102,6 +119,7 @@
     log_level: str = "INFO"
     listen: Listen = Listen()
     replicas: tuple[ReplicaAddress, ...] = ()
+    group: Group = Group()
     timing: Timing = Timing()
     log: Log = Log()
     limits: Limits = Limits()
--- a/bilberryroute/state/machine.py
+++ b/bilberryroute/state/machine.py
@@ -7,9 +7,10 @@
 import hashlib
 from collections.abc import Callable
 
-from bilberryroute import errors
+from bilberryroute.model import batch_commands
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
+from bilberryroute.state import batch as batch_rules
 from bilberryroute.state import claims
 from bilberryroute.state import jobs as job_rules
 from bilberryroute.state import records
@@ -28,6 +29,7 @@
     commands.JoinWorker,
     commands.LoseWorker,
     commands.ClaimRequest,
+    *batch_commands.COMMANDS,
 )
 
 RESULTS = codec.Union(
@@ -39,6 +41,7 @@
     commands.JobRefused,
     commands.Changed,
     commands.Unchanged,
+    *batch_commands.RESULTS,
 )
 
 Listener = Callable[[commands.Command, commands.Result], None]
@@ -69,7 +72,11 @@
             case commands.Changed():
                 result = commands.Changed(revision=index)
                 self.state.scheduling_index = index
-            case commands.TicketAccepted() | commands.JobAccepted():
+            case (
+                commands.TicketAccepted()
+                | commands.JobAccepted()
+                | batch_commands.BatchAccepted()
+            ):
                 self.state.scheduling_index = index
         for listener in self.listeners:
             listener(command, result)
@@ -100,7 +107,7 @@
                 return self._lose(name, incarnation)
             case commands.ClaimRequest():
                 return claims.claim_request(state, command)
-        raise errors.MalformedInput(f"unknown command {command!r}")
+        return batch_rules.apply(state, command)
 
     def _join(self, worker: jobs.Worker) -> commands.Result:
         if self.state.workers.get(worker.name) == worker:
--- a/bilberryroute/state/records.py
+++ b/bilberryroute/state/records.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from bilberryroute.model import batch as batch_model
 from bilberryroute.model import config
 from bilberryroute.model import jobs as job_model
 
@@ -54,6 +55,7 @@
       ended: Ids of ended jobs, oldest first.
       held: Job that holds each accelerator, by worker and index.
       claims: Claims by account and request id, oldest first.
+      batch: Batch jobs, their queues and accounts.
     """
 
     index: int = 0
@@ -72,3 +74,6 @@
     ended: list[str] = dataclasses.field(default_factory=list)
     held: dict[str, dict[int, str]] = dataclasses.field(default_factory=dict)
     claims: dict[str, Claim] = dataclasses.field(default_factory=dict)
+    batch: batch_model.BatchState = dataclasses.field(
+        default_factory=batch_model.BatchState
+    )
--- a/bilberryroute/transport/control.py
+++ b/bilberryroute/transport/control.py
@@ -13,11 +13,22 @@
 CHANGE_MEMBERS = "ChangeMembers"
 
 QUERIES = codec.Union(
-    queries.GetTicket, queries.GetJob, queries.ListJobs, queries.GetStatus
+    queries.GetTicket,
+    queries.GetJob,
+    queries.ListJobs,
+    queries.GetStatus,
+    queries.LookUpBatch,
+    queries.GetCatalog,
 )
 
 ANSWERS = codec.Union(
-    queries.TicketView, queries.JobView, queries.JobList, queries.StatusView
+    queries.TicketView,
+    queries.JobView,
+    queries.JobList,
+    queries.StatusView,
+    queries.BatchView,
+    queries.PendingView,
+    queries.CatalogView,
 )
 
 MEMBER_CHANGES = codec.Union(
