Start the agent's worker port under names that mode leaves free

Cause: mode.Service has start and stop of its own, so WorkerClient.start was called without its arguments; structs as defaults must be frozen.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -349,7 +349,7 @@
             fence=lease.term,
         )
         try:
-            answer = await self._port.start(life.announced.address, order)
+            answer = await self._port.start_run(life.announced.address, order)
         except errors.BilberryrouteError as exc:
             self._metrics.retried("start_unanswered")
             logger.info("start unanswered: %s", exc, extra=_fields(run))
@@ -373,7 +373,7 @@
         task, run = key
         fence = self._board.lease.get().term
         try:
-            clock_ms = await self._port.stop(
+            clock_ms = await self._port.stop_run(
                 life.announced.address, task, run, fence
             )
         except errors.BilberryrouteError as exc:
--- a/bilberryroute/agent/worker_port.py
+++ b/bilberryroute/agent/worker_port.py
@@ -128,10 +128,10 @@
     the worker's port refused the connection.
     """
 
-    async def start(self, address: str, order: StartOrder) -> StartAnswer:
+    async def start_run(self, address: str, order: StartOrder) -> StartAnswer:
         """Lets a run begin."""
 
-    async def stop(
+    async def stop_run(
         self, address: str, task: batch.TaskId, run: int, fence: int
     ) -> int:
         """Ends a run, also one that is still to come; returns the clock."""
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -22,7 +22,7 @@
 BALANCER_LAG_MS = 2_300
 
 
-class _Listen(msgspec.Struct, rename="camel"):
+class _Listen(msgspec.Struct, frozen=True, rename="camel"):
     """Addresses that a role serves, `ip:port`; empty where not served.
 
     Attributes:
@@ -34,7 +34,7 @@
     control_plane: str = ""
 
 
-class _Bounds(msgspec.Struct):
+class _Bounds(msgspec.Struct, frozen=True):
     """Bounds that the platform's rules name; in milliseconds or seconds.
 
     Attributes:
@@ -46,7 +46,7 @@
     status_s: float = 120
 
 
-class _File(msgspec.Struct, rename="camel"):
+class _File(msgspec.Struct, frozen=True, rename="camel"):
     """The file, as far as it is used; other fields are ignored.
 
     Attributes:
--- a/bilberryroute/platform/workers.py
+++ b/bilberryroute/platform/workers.py
@@ -200,7 +200,7 @@
         if self._session is not None:
             await self._session.close()
 
-    async def start(
+    async def start_run(
         self, address: str, order: worker_port.StartOrder
     ) -> worker_port.StartAnswer:
         """Lets a run begin."""
@@ -221,7 +221,7 @@
             verdict=_verdict(status, answer), clock_ms=answer.clock_ms
         )
 
-    async def stop(
+    async def stop_run(
         self, address: str, task: batch.TaskId, run: int, fence: int
     ) -> int:
         """Ends a run, also one that is still to come; returns the clock."""
