--- a/tests/cli/test_run.py
+++ b/tests/cli/test_run.py
@@ -71,9 +71,9 @@
     def start(**kwargs):
         fault = kwargs.pop("fault", None)
         fake = FakeProcess(Child(fault), **kwargs)
-        monkeypatch.setattr(process, "build", lambda cfg, env: fake)
+        monkeypatch.setattr(process, "build", lambda cfg, env, place: fake)
         env = environment.fake_environment()
-        return fake, asyncio.create_task(run._serve(CFG, env))
+        return fake, asyncio.create_task(run._serve(CFG, env, None))
 
     yield start
     logs.show_position(logs.Position)
--- /dev/null
+++ b/tests/scheduling/test_batch.py
@@ -0,0 +1,170 @@
+"""Decisions on batch jobs."""
+
+import pytest
+
+from bilberryroute.model import batch
+from bilberryroute.scheduling.batch import planner
+from tests.utils import batches
+
+# Long enough after a submission that no unit waits for a nearer place.
+LATER_MS = 60_000
+
+
+@pytest.fixture
+def log():
+    return batches.Log()
+
+
+def plan(log, *workers, at_ms=None):
+    return planner.plan(
+        log.held, workers, {}, log.now if at_ms is None else at_ms
+    )
+
+
+def chosen(decided):
+    return [[m.worker.name for m in unit.members] for unit in decided.units]
+
+
+def run(log, decided):
+    """Commits a plan."""
+    if decided.units:
+        log.place(*decided.units)
+
+
+def test_urgent_jobs_go_first(log):
+    log.submit("late", batches.content(batches.step(1, 8)), "nightly")
+    log.submit("soon", batches.content(batches.step(1, 8)), "urgent")
+    decided = plan(log, batches.worker())
+    assert [unit.job_id for unit in decided.units] == ["soon"]
+
+
+def test_gang_is_placed_whole_or_not_at_all(log):
+    log.submit("j1", batches.content(batches.step(2, 8, gang=True)))
+    assert plan(log, batches.worker("w1")).units == ()
+    both = plan(log, batches.worker("w1"), batches.worker("w2"))
+    assert sorted(chosen(both)[0]) == ["w1", "w2"]
+
+
+def test_gang_stays_in_one_rack_if_it_slows_down_elsewhere(log):
+    wanted = batches.step(2, 8, gang=True, same_rack=True)
+    log.submit("j1", batches.content(wanted))
+    apart = (batches.worker("w1", "r1"), batches.worker("w2", "r2"))
+    assert plan(log, *apart).units == ()
+    decided = plan(log, *apart, batches.worker("w3", "r2"))
+    assert sorted(chosen(decided)[0]) == ["w2", "w3"]
+
+
+def test_gang_goes_apart_rather_than_wait_for_ever(log):
+    wanted = batches.step(2, 8, gang=True, same_rack=True)
+    log.submit("j1", batches.content(wanted))
+    apart = (batches.worker("w1", "r1"), batches.worker("w2", "r2"))
+    assert plan(log, *apart, at_ms=log.now + LATER_MS).units
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"pool": "other"},
+        {"open": False},
+        {"labels": ("b",)},
+        {"failure_domain": "lekki"},
+    ],
+)
+def test_unfit_workers_get_nothing(log, change):
+    log.held.evacuated.append("lekki")
+    log.submit("j1", batches.content(batches.step(required_label="a")))
+    assert plan(log, batches.worker(**change)).units == ()
+    assert plan(log, batches.worker()).units
+
+
+def test_tasks_of_a_step_are_spread(log):
+    log.submit("j1", batches.content(batches.step(3, 1, spread_limit=1)))
+    workers = [batches.worker(name) for name in ("w1", "w2")]
+    decided = plan(log, *workers)
+    assert sorted(chosen(decided)) == [["w1"], ["w2"]]
+    run(log, decided)
+    assert plan(log, *workers).units == ()
+
+
+def test_data_is_near_first_and_far_later(log):
+    log.submit("j1", batches.content(batches.step(data_rack="r2")))
+    near = plan(log, batches.worker("w1", "r1"), batches.worker("w2", "r2"))
+    assert chosen(near) == [["w2"]]
+    far = [batches.worker("w1", "r1")]
+    assert plan(log, *far).units == ()
+    assert plan(log, *far, at_ms=log.now + LATER_MS).units
+
+
+def test_occurrence_waits_until_it_is_due(log):
+    schedule = batch.Schedule(count=2, first_ms=5_000, interval_ms=1_000)
+    log.submit("j1", batches.content(schedule=schedule))
+    assert plan(log, batches.worker(), at_ms=4_999).units == ()
+    due = plan(log, batches.worker(), at_ms=5_100).units
+    assert [unit.occurrence for unit in due] == [0]
+    due = plan(log, batches.worker(), at_ms=6_100).units
+    assert [unit.occurrence for unit in due] == [0, 1]
+
+
+def test_room_is_never_overdrawn(log):
+    for number in range(20):
+        log.submit(f"j{number}", batches.content(batches.step(2, 3)))
+    workers = [batches.worker("w1"), batches.worker("w2")]
+    run(log, plan(log, *workers))
+    held = [len(tasks) for tasks in log.held.placed.values()]
+    assert held == [2, 2]
+    assert plan(log, *workers).units == ()
+
+
+def test_guarantee_stops_a_borrower_and_then_starts(log):
+    log.submit("low", batches.content(batches.step(1, 8)), "nightly")
+    run(log, plan(log, batches.worker()))
+    log.submit("own", batches.content(batches.step(1, 8)), "urgent")
+    decided = plan(log, batches.worker())
+    assert [stop.task.job_id for stop in decided.stops] == ["low"]
+    log.apply(
+        batches.batching.StopRuns(runs=decided.stops, reason="", at_ms=1)
+    )
+    again = plan(log, batches.worker())
+    assert again.stops == () and again.units == ()
+    log.end(batches.task("low"), outcome=batch.RunOutcome.STOPPED)
+    started = plan(log, batches.worker())
+    assert [unit.job_id for unit in started.units] == ["own"]
+
+
+def test_only_as_much_is_stopped_as_is_needed(log):
+    for number in range(4):
+        log.submit(f"low{number}", batches.content(batches.step(1, 2)))
+    run(log, plan(log, batches.worker()))
+    log.submit("own", batches.content(batches.step(1, 4)), "urgent")
+    assert len(plan(log, batches.worker()).stops) == 2
+
+
+def test_nobody_stops_a_guaranteed_job(log):
+    log.submit("own", batches.content(batches.step(1, 8)), "urgent")
+    run(log, plan(log, batches.worker()))
+    log.submit("more", batches.content(batches.step(1, 8)), "urgent")
+    assert plan(log, batches.worker()).stops == ()
+
+
+def test_large_unit_that_waits_is_not_starved_by_small_ones(log):
+    log.submit("small", batches.content(batches.step(1, 1)), "planned")
+    run(log, plan(log, batches.worker()))
+    log.submit("large", batches.content(batches.step(1, 8)), "planned")
+    log.apply(
+        batches.batching.StopRuns(
+            runs=(
+                batches.batching.TaskRun(task=batches.task("small"), run=1),
+            ),
+            reason="",
+            at_ms=1,
+        )
+    )
+    log.submit("later", batches.content(batches.step(1, 1)), "planned")
+    decided = plan(log, batches.worker(), at_ms=log.now + 2_000)
+    assert decided.units == ()
+
+
+def test_doubtful_workers_are_chosen_last(log):
+    log.submit("j1", batches.content())
+    workers = [batches.worker("w1", doubtful=True), batches.worker("w2")]
+    assert chosen(plan(log, *workers)) == [["w2"]]
--- /dev/null
+++ b/tests/state/test_batch.py
@@ -0,0 +1,210 @@
+"""Life of batch jobs in the replicated state."""
+
+import pytest
+
+from bilberryroute import errors
+from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import commands
+from bilberryroute.model import jobs
+from bilberryroute.state import machine as machine_lib
+from tests.utils import batches
+
+Outcome = batch.RunOutcome
+
+
+@pytest.fixture
+def log():
+    return batches.Log()
+
+
+def test_resend_remains_one_job(log):
+    first = log.submit("j1", batches.content())
+    again = log.submit("j1", batches.content())
+    assert first == batching.BatchAccepted(job_id="j1", first=True)
+    assert again == batching.BatchAccepted(job_id="j1", first=False)
+    assert list(log.held.jobs) == ["j1"]
+
+
+def test_id_with_other_content_is_refused(log):
+    log.submit("j1", batches.content())
+    refused = log.submit("j1", batches.content(batches.step(2)))
+    assert refused.kind == errors.RequestConflict.kind
+
+
+@pytest.mark.parametrize(
+    "address, kind",
+    [
+        (batches.address("nowhere", "j1"), errors.NotFound.kind),
+        (batches.address(job_id="j1", key="x"), errors.Unauthenticated.kind),
+        (batches.address(job_id="j1", key=""), errors.Unauthenticated.kind),
+        (batches.address(job_id="j2"), errors.Gone.kind),
+        (batches.address("urgent", "j1"), errors.Gone.kind),
+    ],
+)
+def test_callers_are_refused_by_what_is_in_force(log, address, kind):
+    log.submit("j1", batches.content())
+    refused = log.apply(batching.CancelBatch(address=address, at_ms=1))
+    assert refused.kind == kind
+    assert log.held.jobs["j1"].result is None
+
+
+def test_withdrawn_key_is_refused_from_the_next_command_on(log):
+    none = batches.catalog(2, accounts=())
+    log.apply(batching.ApplyCatalog(catalog=none, at_ms=1))
+    assert log.submit("j1", batches.content()).kind == "unauthenticated"
+
+
+@pytest.mark.parametrize("version", [0, 1])
+def test_lower_or_equal_version_changes_nothing(log, version):
+    other = batches.catalog(version, accounts=())
+    held = log.apply(batching.ApplyCatalog(catalog=other, at_ms=1))
+    assert held == batching.CatalogHeld(version=1, changed=False)
+    assert log.held.catalog.accounts
+
+
+def test_longest_prefix_chooses_the_queue():
+    queues = tuple(
+        batch.Queue(name=name, host="h", path_prefix=prefix, pool="p")
+        for name, prefix in (("short", "/a/"), ("long", "/a/b/"))
+    )
+    found = batch.Catalog(version=1, queues=queues).match("h", "/a/b/c")
+    assert found.name == "long"
+
+
+def test_second_run_waits_for_the_end_of_the_first(log):
+    log.submit("j1", batches.content())
+    log.place(batches.unit())
+    assert isinstance(log.place(batches.unit(run=2)), commands.Unchanged)
+    log.end(batches.task(), outcome=Outcome.LOST)
+    assert isinstance(log.place(batches.unit(run=2)), commands.Changed)
+
+
+def test_run_number_is_used_once(log):
+    log.submit("j1", batches.content())
+    log.place(batches.unit())
+    log.end(batches.task(), outcome=Outcome.STOPPED)
+    assert isinstance(log.place(batches.unit(run=1)), commands.Unchanged)
+
+
+def test_end_is_taken_once(log):
+    log.submit("j1", batches.content())
+    log.place(batches.unit())
+    log.end(batches.task(), outcome=Outcome.FAILED)
+    log.end(batches.task(), outcome=Outcome.FAILED)
+    assert log.held.jobs["j1"].task(batches.task()).failed == 1
+
+
+def test_step_waits_for_the_steps_before_it(log):
+    second = batches.step(depends_on=(0,))
+    log.submit("j1", batches.content(batches.step(), second))
+    early = log.place(batches.unit(step_number=1))
+    assert isinstance(early, commands.Unchanged)
+    log.place(batches.unit())
+    log.end(batches.task())
+    placed = log.place(batches.unit(step_number=1))
+    assert isinstance(placed, commands.Changed)
+
+
+def test_job_is_done_with_its_last_task(log):
+    log.submit("j1", batches.content(batches.step(2)))
+    log.place(batches.unit("j1", batches.ref(), batches.ref()))
+    log.end(batches.task(index=0))
+    assert log.held.jobs["j1"].result is None
+    log.end(batches.task(index=1))
+    assert log.held.jobs["j1"].result == jobs.JobResult.DONE
+
+
+def test_one_end_stands_for_a_gang(log):
+    log.submit("j1", batches.content(batches.step(2, gang=True)))
+    log.place(batches.unit("j1", batches.ref("w1"), batches.ref("w2")))
+    log.end(batches.task(index=0))
+    assert log.held.jobs["j1"].result is None  # The other still holds room.
+    log.end(batches.task(index=1), outcome=Outcome.LOST)
+    assert log.held.jobs["j1"].result == jobs.JobResult.DONE
+
+
+def test_job_fails_after_its_attempts(log):
+    log.submit("j1", batches.content())
+    for run in (1, 2):
+        log.place(batches.unit(run=run))
+        log.end(batches.task(), run=run, outcome=Outcome.FAILED)
+    assert log.held.jobs["j1"].result == jobs.JobResult.FAILED
+
+
+@pytest.mark.parametrize(
+    "outcome", [Outcome.LOST, Outcome.LAPSED, Outcome.STOPPED, Outcome.BROKEN]
+)
+def test_only_failures_count_as_attempts(log, outcome):
+    log.submit("j1", batches.content())
+    for run in (1, 2, 3):
+        log.place(batches.unit(run=run))
+        log.end(batches.task(), run=run, outcome=outcome)
+    assert log.held.jobs["j1"].result is None
+
+
+def test_failed_run_of_a_gang_counts_once(log):
+    log.submit("j1", batches.content(batches.step(2, gang=True)))
+    log.place(batches.unit("j1", batches.ref("w1"), batches.ref("w2")))
+    log.end(batches.task(index=0), outcome=Outcome.FAILED)
+    log.end(batches.task(index=1), outcome=Outcome.FAILED)
+    assert log.held.jobs["j1"].result is None
+
+
+def test_cancelled_job_stops_its_runs_and_takes_no_more(log):
+    log.submit("j1", batches.content(batches.step(2)))
+    log.place(batches.unit())
+    log.cancel("j1")
+    task = log.held.jobs["j1"].task(batches.task())
+    assert task.state == batch.TaskState.STOPPING
+    placed = log.place(batches.unit("j1", batches.ref(), first=1))
+    assert isinstance(placed, commands.Unchanged)
+    log.end(batches.task(), outcome=Outcome.STOPPED)
+    assert log.held.jobs["j1"].result == jobs.JobResult.CANCELLED
+    assert not log.held.placed
+
+
+def test_long_running_task_waits_again_however_it_ends(log):
+    log.submit("j1", batches.content(batches.step(long_running=True)))
+    for run, outcome in enumerate((Outcome.DONE, *[Outcome.FAILED] * 4), 1):
+        log.place(batches.unit(run=run))
+        log.end(batches.task(), run=run, outcome=outcome)
+    record = log.held.jobs["j1"]
+    assert record.result is None
+    assert record.task(batches.task()).state == batch.TaskState.WAITING
+
+
+def test_every_occurrence_must_be_done(log):
+    schedule = batch.Schedule(count=2, first_ms=0, interval_ms=10)
+    log.submit("j1", batches.content(schedule=schedule))
+    for occurrence in (1, 0):
+        assert log.held.jobs["j1"].result is None
+        log.place(batches.unit(occurrence=occurrence))
+        log.end(batches.task(occurrence=occurrence))
+    assert log.held.jobs["j1"].result == jobs.JobResult.DONE
+
+
+def test_ended_jobs_are_forgotten_after_a_while(log):
+    log.submit("j1", batches.content())
+    log.cancel("j1")
+    log.now += batches.KEEP_MS - 1
+    log.submit("j2", batches.content())
+    assert "j1" in log.held.jobs
+    log.now += 2
+    log.submit("j3", batches.content())
+    assert "j1" not in log.held.jobs
+
+
+def test_checkpoint_is_carried_on(log):
+    log.submit("j1", batches.content(batches.step(2, gang=True)))
+    log.place(batches.unit("j1", batches.ref("w1"), batches.ref("w2")))
+    log.end(batches.task(index=0), outcome=Outcome.STOPPED, saved="c7")
+    assert log.held.jobs["j1"].occurrences[0][0].saved == "c7"
+
+
+def test_snapshot_holds_batch_jobs(log):
+    log.submit("j1", batches.content())
+    log.place(batches.unit())
+    copy = machine_lib.StateMachine()
+    copy.restore(log.machine.snapshot())
+    assert copy.state == log.machine.state
--- /dev/null
+++ b/tests/utils/batches.py
@@ -0,0 +1,153 @@
+"""Batch jobs, catalogs and workers for tests."""
+
+from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import commands
+from bilberryroute.scheduling.batch import views
+from bilberryroute.state import machine as machine_lib
+
+KEY = "k" * 20
+HOST = "h.example"
+KEEP_MS = 120_000
+
+
+def task_need(accelerators: int = 1, cpu_millis: int = 2_000):
+    return batch.Resources(
+        cpu_millis=cpu_millis, memory_mb=1_000, accelerators=accelerators
+    )
+
+
+def step(count: int = 1, accelerators: int = 1, **more) -> batch.Step:
+    need = more.pop("need", task_need(accelerators))
+    more.setdefault("estimate_ms", 5_000)
+    return batch.Step(count=count, need=need, **more)
+
+
+def content(*steps: batch.Step, **more) -> batch.Content:
+    return batch.Content(payload="text", steps=steps or (step(),), **more)
+
+
+def catalog(version: int = 1, **more) -> batch.Catalog:
+    queues = tuple(
+        batch.Queue(
+            name=name,
+            host=HOST,
+            path_prefix=f"/{name}/",
+            pool="pool",
+            priority=priority,
+            max_attempts=2,
+            slack_factor=2.0,
+            target_ms=300,
+            timeout_ms=3_000,
+        )
+        for priority, name in enumerate(("urgent", "planned", "nightly"))
+    )
+    accounts = (batch.BatchAccount(name="trust", keys=(KEY,), guaranteed=8),)
+    defaults = {"queues": queues, "accounts": accounts, "document": b"{}"}
+    return batch.Catalog(version=version, **(defaults | more))
+
+
+def address(
+    queue: str = "planned", job_id: str = "", key: str = KEY
+) -> batch.Address:
+    return batch.Address(host=HOST, path=f"/{queue}/{job_id}", key=key)
+
+
+def ref(name: str = "w1", born: int = 1) -> batch.WorkerRef:
+    return batch.WorkerRef(agent=f"a-{name}", name=name, born=born)
+
+
+def worker(name: str = "w1", rack: str = "r1", **more) -> views.WorkerView:
+    defaults = {
+        "ref": ref(name),
+        "pool": "pool",
+        "failure_domain": "apapa",
+        "rack": rack,
+        "labels": ("a", rack),
+        "capacity": batch.Resources(
+            cpu_millis=32_000, memory_mb=64_000, accelerators=8
+        ),
+    }
+    return views.WorkerView(**(defaults | more))
+
+
+class Log:
+    """Applies commands on batch jobs the way a replicated log does.
+
+    Attributes:
+      now: Unix time of the next command, in milliseconds.
+    """
+
+    def __init__(self):
+        self.machine = machine_lib.StateMachine()
+        self.index = 0
+        self.now = 1_000
+        self.apply(batching.ApplyCatalog(catalog=catalog(), at_ms=self.now))
+
+    @property
+    def held(self) -> batch.BatchState:
+        return self.machine.state.batch
+
+    def apply(self, command: commands.Command) -> commands.Result:
+        self.index += 1
+        payload = machine_lib.COMMANDS.encode(command)
+        return self.machine.apply(self.index, 1, payload)
+
+    def submit(self, job_id: str, what: batch.Content, queue: str = "planned"):
+        return self.apply(
+            batching.SubmitBatch(
+                address=address(queue, job_id),
+                content=what,
+                keep_ms=KEEP_MS,
+                at_ms=self.now,
+            )
+        )
+
+    def cancel(self, job_id: str, queue: str = "planned"):
+        return self.apply(
+            batching.CancelBatch(address=address(queue, job_id), at_ms=self.now)
+        )
+
+    def place(self, *units: batching.Unit):
+        return self.apply(batching.PlaceRuns(units=units, at_ms=self.now))
+
+    def end(
+        self,
+        task: batch.TaskId,
+        run: int = 1,
+        outcome: batch.RunOutcome = batch.RunOutcome.DONE,
+        saved: str = "",
+    ):
+        each = batching.RunEnd(
+            task=task, run=run, outcome=outcome, saved=saved
+        )
+        return self.apply(batching.EndRuns(ends=(each,), at_ms=self.now))
+
+
+def unit(
+    job_id: str = "j1",
+    *workers: batch.WorkerRef,
+    run: int = 1,
+    step_number: int = 0,
+    first: int = 0,
+    occurrence: int = 0,
+) -> batching.Unit:
+    chosen = workers or (ref(),)
+    return batching.Unit(
+        job_id=job_id,
+        occurrence=occurrence,
+        step=step_number,
+        run=run,
+        members=tuple(
+            batching.Member(index=index, worker=each)
+            for index, each in enumerate(chosen, first)
+        ),
+    )
+
+
+def task(
+    job_id: str = "j1", index: int = 0, step_number: int = 0, occurrence=0
+) -> batch.TaskId:
+    return batch.TaskId(
+        job_id=job_id, occurrence=occurrence, step=step_number, index=index
+    )
