--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -24,36 +24,41 @@
       evacuated: Failure domains where nothing may start.
       near: Whether only places count on which the unit runs at full speed.
     """
-    allowed = [
-        worker
-        for worker in room.workers.values()
-        if room.allows(unit, worker, evacuated)
-    ]
-    for group in _groups(unit.step, allowed, near):
+    for group in groups(unit, room, evacuated, near=near):
         names = _fill(unit, room, within, group)
         if names is not None:
             return names
     return None
 
 
-def _groups(
-    step: batch.Step, allowed: list[views.WorkerView], near: bool
+def groups(
+    unit: views.Ready,
+    room: room_lib.Room,
+    evacuated: list[str],
+    *,
+    near: bool,
 ) -> list[list[views.WorkerView]]:
-    """Returns sets of workers to try, the best one first."""
+    """Returns sets of workers that may hold a unit, the best one first."""
+    step = unit.step
+    allowed = [
+        worker
+        for worker in room.workers.values()
+        if room.allows(unit, worker, evacuated)
+    ]
     racks: dict[str, list[views.WorkerView]] = {}
     for worker in allowed:
         racks.setdefault(worker.rack, []).append(worker)
     together = step.gang and step.same_rack and step.count > 1
     if step.data_rack:
-        groups = [racks.get(step.data_rack, [])]
+        found = [racks.get(step.data_rack, [])]
     elif together:
         # The rack with the fewest workers first: large ones stay whole.
-        groups = sorted(racks.values(), key=len)
+        found = sorted(racks.values(), key=len)
     else:
         return [allowed]
     if near:
-        return groups
-    return [*groups, *(sorted(racks.values(), key=len)), allowed]
+        return found
+    return [*found, *(sorted(racks.values(), key=len)), allowed]
 
 
 def _fill(
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -11,8 +11,9 @@
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
-# Urgency from which on a unit stops nobody; see `readiness`.
-FIRST_PATIENT_URGENCY = 2
+# Urgency from which on a unit stops nobody; see `readiness`. Only what an
+# account is guaranteed is worth the work that others lose.
+FIRST_PATIENT_URGENCY = 1
 
 # A unit with a place of its own (its data's rack, one rack for a gang) waits
 # this share of its estimate for it before it runs slower elsewhere.
@@ -113,11 +114,8 @@
             self._victims = preempting.victims(
                 self._held, guaranteed, self._wall_ms
             )
-        # A guaranteed unit also stops urgent ones beyond their guarantee.
-        lowest = 1 if unit.rank[1] == 0 else 2
-        candidates = [v for v in self._victims if v.rank >= lowest]
         found = preempting.make_room(
-            unit, self._room, candidates, self._held.evacuated
+            unit, self._room, self._victims, self._held.evacuated
         )
         if found is None:
             return None
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -1,7 +1,7 @@
 """Chooses which runs give way to a unit that may stop others."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
@@ -9,6 +9,12 @@
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
+# The platform prices an accelerator's time like that of eight cores.
+MILLIS_PER_ACCELERATOR = 8_000
+# What a run loses that saves its progress when it is stopped: the restart,
+# and the part that ran since the stop was decided.
+RESTART_MS = 500
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Victim:
@@ -17,14 +23,20 @@
     Attributes:
       tasks: Its placed tasks with their workers' names.
       need: What each of its tasks holds.
-      rank: Its queue's priority; 1 for urgent ones beyond a guarantee.
-      loss_ms: Work that would be lost, weighed by what it holds.
+      loss: Work that would be lost, in thousandths of a core-millisecond.
     """
 
     tasks: tuple[tuple[batching.TaskRun, str], ...]
     need: batch.Resources
-    rank: int
-    loss_ms: int
+    loss: int
+
+    def held_on(self, name: str) -> batch.Resources:
+        """Returns what all its tasks on one worker hold."""
+        held = batch.NOTHING
+        for _, each in self.tasks:
+            if each == name:
+                held = held.plus(self.need)
+        return held
 
 
 def victims(
@@ -45,7 +57,7 @@
             each = batching.TaskRun(task=task_id, run=task.run)
             found.setdefault(key, []).append((each, task.worker.name))
     chosen = [_victim(held, tasks, wall_ms) for tasks in found.values()]
-    chosen.sort(key=lambda v: (-v.rank, v.loss_ms))
+    chosen.sort(key=lambda victim: victim.loss)
     return chosen
 
 
@@ -57,67 +69,117 @@
     first = tasks[0][0].task
     record = held.jobs[first.job_id]
     step = record.content.steps[first.step]
-    queue = held.catalog.queue(record.queue)
     ran_ms = max(0, wall_ms - record.task(first).placed_ms)
     if step.checkpointing:
-        # A stop makes a checkpoint, so little beside the restart is lost.
-        ran_ms //= 10
-    held_by_task = 1 + step.need.accelerators
+        ran_ms = min(ran_ms, RESTART_MS)
+    weight = (
+        step.need.cpu_millis
+        + MILLIS_PER_ACCELERATOR * step.need.accelerators
+    )
     return Victim(
         tasks=tuple(tasks),
         need=room_lib.needed(step),
-        rank=1 if queue is None else 1 + queue.priority,
-        loss_ms=ran_ms * len(tasks) * held_by_task,
+        loss=ran_ms * len(tasks) * weight,
     )
 
 
 def make_room(
     unit: views.Ready,
     room: room_lib.Room,
-    candidates: Iterable[Victim],
+    candidates: list[Victim],
     evacuated: list[str],
 ) -> tuple[tuple[str, ...], list[Victim]] | None:
     """Returns where a unit will fit and what must stop for it, or None.
 
-    Cheap candidates are added until the unit fits near; if it fits nowhere
-    near, until it fits at all. Those not needed for the place are left out.
+    Of the places at full speed, the one that loses least is taken; of the
+    others only if there is none.
     """
     for near in (True, False):
-        within = dict(room.soon)
-        added: list[Victim] = []
-        for victim in candidates:
-            for _, name in victim.tasks:
-                if name in within:
-                    within[name] = within[name].plus(victim.need)
-            added.append(victim)
-            names = placing.place(unit, room, within, evacuated, near=near)
-            if names is not None:
-                return names, _needed(unit, room, added, names)
+        found = [
+            attempt
+            for group in placing.groups(unit, room, evacuated, near=near)
+            if (attempt := _Attempt(unit, room, candidates, group)).made
+        ]
+        if found:
+            best = min(found, key=lambda attempt: attempt.loss)
+            return tuple(best.names), best.chosen
     return None
 
 
-def _needed(
-    unit: views.Ready,
-    room: room_lib.Room,
-    added: list[Victim],
-    names: tuple[str, ...],
-) -> list[Victim]:
-    """Drops the dearest victims again as long as the unit still fits."""
-    need = room_lib.needed(unit.step)
-
-    def fits(chosen: list[Victim]) -> bool:
-        left = {name: room.soon[name] for name in names}
-        for victim in chosen:
-            for _, name in victim.tasks:
-                if name in left:
-                    left[name] = left[name].plus(victim.need)
-        for name in names:
-            left[name] = left[name].minus(need)
-        return all(each.holds(batch.NOTHING) for each in left.values())
-
-    chosen = [v for v in added if any(name in names for _, name in v.tasks)]
-    for victim in reversed(list(chosen)):
-        rest = [each for each in chosen if each is not victim]
-        if fits(rest):
-            chosen = rest
-    return chosen
+class _Attempt:
+    """Room for a unit within one group of workers.
+
+    Attributes:
+      names: A worker for each task.
+      chosen: What must stop.
+      made: Whether all tasks fit.
+    """
+
+    def __init__(
+        self,
+        unit: views.Ready,
+        room: room_lib.Room,
+        candidates: list[Victim],
+        group: list[views.WorkerView],
+    ):
+        self._need = room_lib.needed(unit.step)
+        self._left = {w.ref.name: room.soon[w.ref.name] for w in group}
+        self._spread = {n: room.spread_left(unit, n) for n in self._left}
+        self._on: Mapping[str, list[Victim]] = _by_worker(candidates)
+        self.names: list[str] = []
+        self.chosen: list[Victim] = []
+        self.made = all(self._place_one() for _ in unit.indexes)
+
+    @property
+    def loss(self) -> int:
+        """Work that is lost in all."""
+        return sum(victim.loss for victim in self.chosen)
+
+    def _place_one(self) -> bool:
+        options = []
+        for name in self._left:
+            if self._spread[name] > 0:
+                stopped = self._cheapest_on(name)
+                if stopped is not None:
+                    loss = sum(victim.loss for victim in stopped)
+                    options.append((loss, name, stopped))
+        if not options:
+            return False
+        _, name, stopped = min(options, key=lambda option: option[:2])
+        for victim in stopped:
+            self.chosen.append(victim)
+            for _, each in victim.tasks:
+                if each in self._left:
+                    self._left[each] = self._left[each].plus(victim.need)
+        self._left[name] = self._left[name].minus(self._need)
+        self._spread[name] -= 1
+        self.names.append(name)
+        return True
+
+    def _cheapest_on(self, name: str) -> list[Victim] | None:
+        """Returns what must stop on a worker for one more task, or None."""
+        left = self._left[name]
+        stopped: list[Victim] = []
+        for victim in self._on.get(name, ()):
+            if left.holds(self._need):
+                break
+            if victim not in self.chosen:
+                left = left.plus(victim.held_on(name))
+                stopped.append(victim)
+        if not left.holds(self._need):
+            return None
+        for victim in reversed(list(stopped)):
+            rest = left.minus(victim.held_on(name))
+            if rest.holds(self._need):
+                left = rest
+                stopped.remove(victim)
+        return stopped
+
+
+def _by_worker(candidates: list[Victim]) -> dict[str, list[Victim]]:
+    """Returns the victims on each worker, cheapest first."""
+    found: dict[str, list[Victim]] = {}
+    for victim in candidates:
+        for name in {each for _, each in victim.tasks}:
+            found.setdefault(name, []).append(victim)
+    return found
