Free the runs of a worker as soon as its successor is reported

A host holds one worker, so a later one proves that the earlier is over. A start names the worker meant, so that a late one is refused by the successor; a worker that withdrew and refuses connections is reported as over.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -45,7 +45,9 @@
       sampled_ms: Own clock when that answer came.
       heard_ms: Own clock at the last answer.
       down_since_ms: Since when connections are refused; None if they aren't.
+      withdrawn: Whether the worker has said that it ends.
       over: Whether nothing of this life is left.
+      barred_before: Whether what earlier lives were ordered is barred here.
     """
 
     announced: worker_port.Announcement
@@ -56,6 +58,7 @@
     sampled_ms: int = 0
     heard_ms: int = 0
     down_since_ms: int | None = None
+    withdrawn: bool = False
     over: bool = False
     barred_before: bool = False
 
@@ -117,9 +120,8 @@
         life = self._life
         if life is not None and life.announced.name == name:
             logger.info("worker withdrew", extra={"worker": name})
-            life.announced = dataclasses.replace(
-                life.announced, draining=True
-            )
+            life.withdrawn = True
+            life.announced = dataclasses.replace(life.announced, draining=True)
             self._publish()
 
     # Services.
@@ -252,8 +254,12 @@
         if life.down_since_ms is None:
             life.down_since_ms = now
             logger.info("worker refuses connections: %s", exc)
-        if now - life.down_since_ms >= DOWN_MS:
+        # A worker that has not withdrawn may listen again in the same life.
+        if life.withdrawn and now - life.down_since_ms >= DOWN_MS:
             life.over = True
+            logger.info(
+                "worker has ended", extra={"worker": life.announced.name}
+            )
 
     # Acting.
 
@@ -301,9 +307,7 @@
         life.barred_before = not open_keys
         return life.barred_before
 
-    def _progress(
-        self, life: _Life, key: run_plan.RunKey
-    ) -> run_plan.Progress:
+    def _progress(self, life: _Life, key: run_plan.RunKey) -> run_plan.Progress:
         return life.progress.setdefault(key, run_plan.Progress())
 
     def _begin(self, life: _Life, key: run_plan.RunKey) -> None:
@@ -341,6 +345,7 @@
             state.busy = False
             return
         order = worker_port.StartOrder(
+            worker=life.announced.name,
             task=run.task,
             run=run.run,
             payload=self._board.payloads.get()[run.task.job_id],
@@ -407,7 +412,7 @@
 
     def _report(self, life: _Life) -> tuple[wire.WorkerReport, ...]:
         silent = self._clock.now() - life.heard_ms > SILENT_MS
-        if life.over or silent or life.listing is None:
+        if life.listing is None or (silent and not life.over):
             return ()
         if not life.barred_before:
             return ()
@@ -424,7 +429,8 @@
                 capacity=said.capacity,
                 draining=said.draining,
                 remaining_ms=said.remaining_ms,
-                running=life.listing.running,
+                over=life.over,
+                running=() if life.over else life.listing.running,
                 ends=ends,
             ),
         )
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -153,9 +153,7 @@
     return tuple(found)
 
 
-def settle(
-    state: Progress, answer: worker_port.StartAnswer
-) -> None:
+def settle(state: Progress, answer: worker_port.StartAnswer) -> None:
     """Takes in a worker's answer to a start."""
     verdicts = worker_port.StartVerdict
     match answer.verdict:
--- a/bilberryroute/agent/worker_port.py
+++ b/bilberryroute/agent/worker_port.py
@@ -52,11 +52,13 @@
     """Lets a run begin.
 
     Attributes:
+      worker: Name of the worker meant; another one at its address refuses.
       until_ms: Worker's clock at which all that runs there is killed, unless
         the lease is extended.
       fence: Term of the leader that decided it; lower ones are refused.
     """
 
+    worker: str
     task: batch.TaskId
     run: int
     payload: str
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -81,9 +81,7 @@
           errors.CommitUnknown: If it may or may not have been committed.
         """
         payload = machine_lib.COMMANDS.encode(command)
-        answer = await self._call_leader(
-            methods.PROPOSE, payload, within_ms
-        )
+        answer = await self._call_leader(methods.PROPOSE, payload, within_ms)
         return machine_lib.RESULTS.decode(answer)
 
     async def query(
@@ -99,9 +97,7 @@
         """
         payload = methods.QUERIES.encode(query)
         try:
-            answer = await self._call_leader(
-                methods.QUERY, payload, within_ms
-            )
+            answer = await self._call_leader(methods.QUERY, payload, within_ms)
         except errors.CommitUnknown as exc:
             raise errors.Unavailable("the leading replica is silent") from exc
         return methods.ANSWERS.decode(answer)
@@ -153,9 +149,7 @@
         address = self._leader_address()
         call = self._channel(address).unary_unary(methods.path(method))
         try:
-            answer = await call(
-                payload, timeout=clock_lib.seconds(timeout_ms)
-            )
+            answer = await call(payload, timeout=clock_lib.seconds(timeout_ms))
         except grpc.aio.AioRpcError as exc:
             if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
                 self._suspect(address)
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -85,6 +85,7 @@
       born: When this life of the worker started, as it says itself.
       draining: Whether the worker leaves and takes nothing new.
       remaining_ms: While it drains, for how long it goes on at least.
+      over: Whether this life has ended, with all that ran.
     """
 
     name: str
@@ -96,6 +97,7 @@
     capacity: batch.Resources
     draining: bool = False
     remaining_ms: int = 0
+    over: bool = False
     running: tuple[RunReport, ...] = ()
     ends: tuple[EndReport, ...] = ()
 
--- a/bilberryroute/platform/callers.py
+++ b/bilberryroute/platform/callers.py
@@ -79,9 +79,9 @@
         within_ms = _patience_ms(req)
         match req.method:
             case "POST":
-                content = jobs.decode(await api.read_body(
-                    req, self._limits.body_bytes
-                ))
+                content = jobs.decode(
+                    await api.read_body(req, self._limits.body_bytes)
+                )
                 await self._desk.submit(address, content, within_ms)
                 resp = web.json_response({})
             case "GET":
--- a/bilberryroute/platform/workers.py
+++ b/bilberryroute/platform/workers.py
@@ -20,7 +20,9 @@
 LOOK_MARGIN_MS = clock_lib.Millis(700)
 CONFLICT = 409
 OK = 200
-BUSY = frozenset({429, 503})
+# Unhealthy, or another worker than the one meant: nothing was done.
+BUSY = frozenset({421, 429, 503})
+MEANT_HEADER = "X-Expected-Instance"
 
 logger = logging.getLogger(__name__)
 
@@ -214,7 +216,7 @@
         if order.saved:
             body["checkpoint"] = order.saved
         status, text = await self._post(
-            address, "run-start", body, ORDER_TIMEOUT_MS
+            address, "run-start", body, ORDER_TIMEOUT_MS, order.worker
         )
         answer = _decode_answer(text)
         return worker_port.StartAnswer(
@@ -256,14 +258,18 @@
         call: str,
         body: dict[str, object],
         timeout_ms: clock_lib.Millis,
+        worker: str = "",
     ) -> tuple[int, bytes]:
         url = f"http://{address}/bilberryroute/{call}"
+        headers = {"Content-Type": "application/json"}
+        if worker:
+            headers[MEANT_HEADER] = worker
         try:
             async with asyncio.timeout(clock_lib.seconds(timeout_ms)):
                 async with self._session.post(
                     url,
                     data=msgspec.json.encode(body),
-                    headers={"Content-Type": "application/json"},
+                    headers=headers,
                 ) as resp:
                     return resp.status, await resp.read()
         except aiohttp.ClientConnectorError as exc:
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -107,9 +107,7 @@
         if not self._settled():
             return
         stops = self._broken_gangs() + self._misplaced()
-        plan = planner.plan(
-            self._held, self._workers(), {}, self._clock.wall()
-        )
+        plan = planner.plan(self._held, self._workers(), {}, self._clock.wall())
         commands = []
         if stops or plan.stops:
             commands.append(
@@ -213,14 +211,22 @@
         """Says whether the worker's life, or its lease, is over."""
         ref = task.worker
         began = self._board.term.get().began
+        for report in self._reports_of(ref.agent):
+            # A host holds one worker: a later one follows an earlier one.
+            if report.born > ref.born or (
+                report.over and report.born == ref.born
+            ):
+                return True
         worker = self._board.batch_workers.get().get(ref.name)
         if worker is None:
             return self._clock.now() - began > self._lapse_ms
-        if worker.report.born > ref.born:
-            return True
         heard = max(began, worker.heard_ms)
         return self._clock.now() - heard > self._lapse_ms
 
+    def _reports_of(self, agent: str) -> tuple[wire.WorkerReport, ...]:
+        view = self._board.agents.get().get(agent)
+        return () if view is None else view.renewal.batch
+
     # Placements.
 
     def _workers(self) -> list[views.WorkerView]:
@@ -245,7 +251,7 @@
             rack=report.rack,
             labels=report.labels,
             capacity=report.capacity,
-            open=not report.draining and not leaving,
+            open=not (report.draining or report.over or leaving),
             doubtful=self._health.doubtful(report.name),
         )
 
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -309,6 +309,7 @@
             report.born,
             report.pool,
             report.draining,
+            report.over,
             [(run.task, run.run) for run in report.running],
             [(end.task, end.run) for end in report.ends],
         )
--- a/bilberryroute/replica/repair.py
+++ b/bilberryroute/replica/repair.py
@@ -48,9 +48,7 @@
             if self._group.hears(member.id):
                 self._heard[member.id] = now
             self._heard.setdefault(member.id, now)
-        silent = {
-            m.id for m in members if now - self._heard[m.id] >= LOST_MS
-        }
+        silent = {m.id for m in members if now - self._heard[m.id] >= LOST_MS}
         change = next_change(members, self._size, silent)
         if change is None:
             return
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -73,8 +73,7 @@
     if step.checkpointing:
         ran_ms = min(ran_ms, RESTART_MS)
     weight = (
-        step.need.cpu_millis
-        + MILLIS_PER_ACCELERATOR * step.need.accelerators
+        step.need.cpu_millis + MILLIS_PER_ACCELERATOR * step.need.accelerators
     )
     return Victim(
         tasks=tuple(tasks),
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -193,9 +193,7 @@
     held: batch.BatchState, command: batching.PlaceRuns
 ) -> commands.Result:
     placed = [
-        unit
-        for unit in command.units
-        if _place_unit(held, unit, command.at_ms)
+        unit for unit in command.units if _place_unit(held, unit, command.at_ms)
     ]
     if not placed:
         return commands.Unchanged(reason="no unit could be placed")
@@ -221,7 +219,9 @@
         task.run = unit.run
         task.worker = member.worker
         task.placed_ms = at_ms
-        held.placed.setdefault(member.worker.agent, []).append(unit.task(member))
+        held.placed.setdefault(member.worker.agent, []).append(
+            unit.task(member)
+        )
     record.begun = True
     return True
 
@@ -244,7 +244,9 @@
     )
 
 
-def _stop(held: batch.BatchState, command: batching.StopRuns) -> commands.Result:
+def _stop(
+    held: batch.BatchState, command: batching.StopRuns
+) -> commands.Result:
     changed = False
     for each in command.runs:
         task = _present(held, each.task, each.run)
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -256,9 +256,7 @@
         text = file.read().replace('ip = "10.1.0.19"', 'ip = "10.9.0.1"')
         file.seek(0)
         file.write(text)
-    cfg = platform_settings.load(
-        settings_file, settings.Role.REPLICA
-    ).settings
+    cfg = platform_settings.load(settings_file, settings.Role.REPLICA).settings
     assert cfg.replica_id in [r.id for r in cfg.replicas]
 
 
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -118,9 +118,7 @@
         outcome: batch.RunOutcome = batch.RunOutcome.DONE,
         saved: str = "",
     ):
-        each = batching.RunEnd(
-            task=task, run=run, outcome=outcome, saved=saved
-        )
+        each = batching.RunEnd(task=task, run=run, outcome=outcome, saved=saved)
         return self.apply(batching.EndRuns(ends=(each,), at_ms=self.now))
 
 
