Plan with forecasts: reservations, backfill, due order, patience

Forecasts come from reported progress, as estimates are far off. Units go by the time in which their job should end; what can earn nothing goes last.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -11,6 +11,7 @@
 from bilberryroute.model import wire
 from bilberryroute.replica import batch_health
 from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import forecasts as forecasts_lib
 from bilberryroute.replica import leases as lease_lib
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.scheduling.batch import planner
@@ -50,6 +51,7 @@
         self._clock = parts.clock
         self._leases = leases
         self._health = batch_health.Health(parts.clock)
+        self._forecasts = forecasts_lib.Forecasts()
         self._wake = asyncio.Event()
         timing = parts.cfg.timing
         self._lapse_ms = (
@@ -99,6 +101,7 @@
         self._wake.clear()
 
     async def _round(self) -> None:
+        self._forecasts.note(self._board.batch_workers.get().values())
         ends = [*self._reported_ends(), *self._lost_runs()]
         if ends:
             await self._commit_ends(ends)
@@ -107,7 +110,12 @@
         if not self._settled():
             return
         stops = self._broken_gangs() + self._misplaced()
-        plan = planner.plan(self._held, self._workers(), {}, self._clock.wall())
+        plan = planner.plan(
+            self._held,
+            self._workers(),
+            self._forecasts.left_ms(self._clock.now()),
+            self._clock.wall(),
+        )
         commands = []
         if stops or plan.stops:
             commands.append(
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -20,16 +20,19 @@
 NEAR_SHARE = 0.5
 NEAR_MAX_MS = 1_500
 
-# Units that wait longer than this keep room free for themselves, so that
-# smaller ones do not starve them.
-RESERVE_AFTER_MS = 1_000
-RESERVED_AT_MOST = 3
+# A guaranteed unit has to begin 2.7 s after its acceptance. It waits this
+# long for runs that are about to end; the rest is for stopping others.
+GUARANTEE_PATIENCE_MS = 1_400
+
+# Waiting units that keep room free for when they are expected to fit; more
+# of them would leave little for smaller ones to fill.
+RESERVED_AT_MOST = 4
 
 
 def plan(
     held: batch.BatchState,
     workers: Iterable[views.WorkerView],
-    foreign: Mapping[str, batch.Resources],
+    left_ms: Mapping[room_lib.RunKey, int],
     wall_ms: int,
 ) -> views.Plan:
     """Returns what starts now and what stops for it.
@@ -37,10 +40,10 @@
     Args:
       held: Batch jobs.
       workers: Workers that are present.
-      foreign: Resources in use on a worker that no task accounts for.
+      left_ms: Forecasts of how long runs go on, in milliseconds.
       wall_ms: Unix time in milliseconds.
     """
-    room = room_lib.Room(held, workers, foreign)
+    room = room_lib.Room(held, workers, left_ms, wall_ms)
     return _Round(held, room, wall_ms).run()
 
 
@@ -76,16 +79,18 @@
         )
 
     def _try(self, unit: views.Ready) -> bool:
-        names = self._fit(unit, self._room.free)
+        guaranteed = unit.rank[1] < FIRST_PATIENT_URGENCY
+        within = self._room.free if guaranteed else self._room.usable(unit)
+        names = self._fit(unit, within)
         if names is not None:
             refs = tuple(self._room.workers[name].ref for name in names)
             self._units.append(unit.placed(refs))
             self._room.take(unit, names)
             return True
-        if unit.rank[1] < FIRST_PATIENT_URGENCY:
+        if guaranteed:
             self._reclaim(unit)
-        elif self._may_reserve(unit):
-            self._reserve(unit, self._fit(unit, self._room.soon))
+        elif self._reserved < RESERVED_AT_MOST:
+            self._reserve(unit)
         return False
 
     def _fit(
@@ -102,11 +107,14 @@
         return self._wall_ms - unit.since_ms < allowed_ms
 
     def _reclaim(self, unit: views.Ready) -> None:
-        """Stops others for a unit, or waits for what is being stopped."""
-        names = self._fit(unit, self._room.soon)
+        """Claims room that is about to be free, or stops others for it."""
+        waited_ms = self._wall_ms - unit.since_ms
+        patience_ms = max(0, GUARANTEE_PATIENCE_MS - waited_ms)
+        names = self._fit(unit, self._room.within(patience_ms))
         if names is None:
             names = self._stop_others(unit)
-        self._reserve(unit, names)
+        if names is not None:
+            self._room.take(unit, names)
 
     def _stop_others(self, unit: views.Ready) -> tuple[str, ...] | None:
         if self._victims is None:
@@ -124,22 +132,18 @@
             self._stops += [run for run, _ in victim.tasks]
             self._victims.remove(victim)
             for _, name in victim.tasks:
-                if name in self._room.soon:
-                    soon = self._room.soon[name]
-                    self._room.soon[name] = soon.plus(victim.need)
+                if name in self._room.workers:
+                    self._room.expect_end(name, victim.need)
         return names
 
-    def _may_reserve(self, unit: views.Ready) -> bool:
-        waited_ms = self._wall_ms - unit.since_ms
-        return (
-            waited_ms >= RESERVE_AFTER_MS and self._reserved < RESERVED_AT_MOST
-        )
-
-    def _reserve(
-        self, unit: views.Ready, names: tuple[str, ...] | None
-    ) -> None:
-        """Keeps room free for a unit, so that later ones leave it alone."""
-        if names is None:
-            return
-        self._reserved += 1
-        self._room.take(unit, names)
+    def _reserve(self, unit: views.Ready) -> None:
+        """Keeps room for a unit from when it is expected to fit."""
+        for ahead_ms in self._room.ends():
+            within = self._room.within(ahead_ms)
+            names = placing.place(
+                unit, self._room, within, self._held.evacuated, near=True
+            )
+            if names is not None:
+                self._room.reserve(unit, names, ahead_ms)
+                self._reserved += 1
+                return
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -122,7 +122,8 @@
         group: list[views.WorkerView],
     ):
         self._need = room_lib.needed(unit.step)
-        self._left = {w.ref.name: room.soon[w.ref.name] for w in group}
+        soon = room.within(0)
+        self._left = {w.ref.name: soon[w.ref.name] for w in group}
         self._spread = {n: room.spread_left(unit, n) for n in self._left}
         self._on: Mapping[str, list[Victim]] = _by_worker(candidates)
         self.names: list[str] = []
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -8,6 +8,8 @@
 # An occurrence that is due within this time counts as due: clocks of hosts
 # differ by some milliseconds, and a start may not be early.
 DUE_MARGIN_MS = 20
+# A job earns nothing any more after this multiple of its objective.
+LATE_FACTOR = 3
 
 
 def ready_units(held: batch.BatchState, wall_ms: int) -> list[views.Ready]:
@@ -19,7 +21,7 @@
         if record.result is not None or queue is None:
             continue
         for unit in _units_of(record, queue, wall_ms):
-            found.append((_rank(unit, guaranteed), unit))
+            found.append((_rank(unit, guaranteed, wall_ms), unit))
     found.sort(key=lambda pair: pair[0])
     return [_ranked(unit, rank) for rank, unit in found]
 
@@ -56,23 +58,40 @@
     return min(due, default=None)
 
 
-def _rank(unit: views.Ready, guaranteed: set[str]) -> tuple[int, ...]:
-    if unit.queue.priority == 0:
-        urgency = 0 if unit.record.id in guaranteed else 1
-    else:
-        urgency = 1 + unit.queue.priority
-    late = _hopelessly_late(unit)
+def _rank(
+    unit: views.Ready, guaranteed: set[str], wall_ms: int
+) -> tuple[int, ...]:
+    """Orders units: what can still earn anything, urgency, due time.
+
+    The guaranteed ones come first, whatever else waits.
+    """
+    if unit.record.id in guaranteed:
+        return (0, 0, unit.since_ms, 0, unit.indexes[0])
+    objective_ms = objective(unit)
+    due_ms = unit.since_ms + objective_ms
+    worthless = wall_ms > unit.since_ms + LATE_FACTOR * objective_ms
     return (
-        late,
-        urgency,
-        unit.since_ms,
+        int(worthless),
+        1 + unit.queue.priority,
+        due_ms,
         -unit.step.need.accelerators,
         unit.indexes[0],
     )
 
 
-def _hopelessly_late(unit: views.Ready) -> int:
-    return 0
+def objective(unit: views.Ready) -> int:
+    """Returns the time in which a job should end, in milliseconds."""
+    chain_ms = longest_chain(unit.record.content)
+    return int(unit.queue.slack_factor * chain_ms) + unit.queue.target_ms
+
+
+def longest_chain(content: batch.Content) -> int:
+    """Returns the estimates of the steps that follow one another, in ms."""
+    ends: list[int] = []
+    for step in content.steps:
+        begin = max((ends[each] for each in step.depends_on), default=0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends)
 
 
 def _ranked(unit: views.Ready, rank: tuple[int, ...]) -> views.Ready:
--- /dev/null
+++ b/tests/replica/test_forecasts.py
@@ -0,0 +1,43 @@
+"""Forecasts from the progress that runs report."""
+
+from bilberryroute.model import batch
+from bilberryroute.model import wire
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import forecasts as forecasts_lib
+from tests.utils import batches
+
+
+def heard(percent: int, at_ms: int, run: int = 1) -> board_lib.BatchWorker:
+    report = wire.WorkerReport(
+        name="w1",
+        born=1,
+        pool="pool",
+        failure_domain="apapa",
+        rack="r1",
+        labels=(),
+        capacity=batch.NOTHING,
+        running=(
+            wire.RunReport(task=batches.task(), run=run, percent=percent),
+        ),
+    )
+    return board_lib.BatchWorker(agent="a", report=report, heard_ms=at_ms)
+
+
+def left(*reports, now: int):
+    forecasts = forecasts_lib.Forecasts()
+    for report in reports:
+        forecasts.note([report])
+    return forecasts.left_ms(now).get((batches.task(), 1))
+
+
+def test_time_left_follows_from_the_speed():
+    assert left(heard(10, 0), heard(30, 1_000), now=1_500) == 3_000
+
+
+def test_speed_is_unknown_at_first():
+    assert left(heard(10, 0), now=100) is None
+    assert left(heard(10, 0), heard(11, 100), now=100) is None
+
+
+def test_run_that_is_reported_no_more_is_forgotten():
+    assert left(heard(10, 0), heard(30, 1_000, run=2), now=1_000) is None
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -164,3 +164,54 @@
     log.submit("j1", batches.content())
     workers = [batches.worker("w1", doubtful=True), batches.worker("w2")]
     assert chosen(plan(log, *workers)) == [["w2"]]
+
+
+def test_guarantee_waits_for_a_run_that_is_about_to_end(log):
+    log.submit("low", batches.content(batches.step(1, 8)), "nightly")
+    run(log, plan(log, batches.worker()))
+    log.submit("own", batches.content(batches.step(1, 8)), "urgent")
+    left = {(batches.task("low"), 1): 500}
+    decided = planner.plan(log.held, [batches.worker()], left, log.now)
+    assert decided.stops == () and decided.units == ()
+    late = planner.plan(log.held, [batches.worker()], left, log.now + 1_500)
+    assert late.stops
+
+
+def test_guarantee_stops_what_loses_least(log):
+    saving = batches.step(1, 8, checkpointing=True)
+    log.submit("losing", batches.content(batches.step(1, 8)), "nightly")
+    log.submit("saving", batches.content(saving), "nightly")
+    workers = [batches.worker("w1"), batches.worker("w2")]
+    run(log, plan(log, *workers))
+    log.now += 4_000
+    log.submit("own", batches.content(batches.step(1, 8)), "urgent")
+    stops = plan(log, *workers).stops
+    assert [stop.task.job_id for stop in stops] == ["saving"]
+
+
+def test_urgent_job_beyond_its_guarantee_stops_nobody(log):
+    log.submit("low", batches.content(batches.step(1, 8)), "nightly")
+    run(log, plan(log, batches.worker()))
+    log.submit("wide", batches.content(batches.step(2, 8)), "urgent")
+    assert plan(log, batches.worker()).stops == ()
+
+
+@pytest.mark.parametrize("estimate_ms, fits", [(500, True), (9_000, False)])
+def test_backfill_does_not_delay_a_reservation(log, estimate_ms, fits):
+    log.submit("now", batches.content(batches.step(1, 4)), "nightly")
+    run(log, plan(log, batches.worker()))
+    log.submit("large", batches.content(batches.step(1, 8)), "planned")
+    filler = batches.step(1, 4, estimate_ms=estimate_ms)
+    log.submit("filler", batches.content(filler), "nightly")
+    left = {(batches.task("now"), 1): 2_000}
+    decided = planner.plan(log.held, [batches.worker()], left, log.now)
+    assert [unit.job_id for unit in decided.units] == ["filler"] * fits
+
+
+def test_sooner_due_goes_first_among_equals(log):
+    long = batches.step(1, 8, estimate_ms=50_000)
+    log.submit("long", batches.content(long))
+    log.now += 100
+    log.submit("short", batches.content(batches.step(1, 8)))
+    decided = plan(log, batches.worker())
+    assert [unit.job_id for unit in decided.units] == ["short"]
