Give a job the time that its queue's tasks take, if its estimate is far below

A new leader now waits 0.4 s instead of 0.8 s for reports: placements are counted from the replicated state, so nothing unknown runs.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -23,9 +23,9 @@
 ROUND_PAUSE_MS = clock_lib.Millis(5)
 # Longest time between two rounds without any event.
 IDLE_ROUND_MS = clock_lib.Millis(250)
-# After a new leader's first round has no reports, it places nothing until
-# agents had time to renew once: what runs must be known first.
-SETTLE_RENEWALS = 1.2
+# A new leader places nothing for this share of a renewal interval, so that
+# it chooses among most workers and not among the first to report.
+SETTLE_RENEWALS = 0.6
 # A worker counts as present for this many renewal intervals.
 PRESENT_RENEWALS = 3
 # Steady clocks of workers may be this much slow (DEPLOY: 2%).
@@ -52,6 +52,7 @@
         self._leases = leases
         self._health = batch_health.Health(parts.clock)
         self._forecasts = forecasts_lib.Forecasts()
+        self._typical = forecasts_lib.TypicalTimes()
         self._wake = asyncio.Event()
         timing = parts.cfg.timing
         self._lapse_ms = (
@@ -115,6 +116,7 @@
             self._workers(),
             self._forecasts.left_ms(self._clock.now()),
             self._clock.wall(),
+            self._typical.by_queue,
         )
         commands = []
         if stops or plan.stops:
@@ -145,9 +147,17 @@
                 task = self._active(end.task, end.run)
                 if task is not None:
                     found.append(_run_end(end))
+                    self._learn(end, task)
                     self._health.note(worker.report.name, end)
         return found
 
+    def _learn(self, end: wire.EndReport, task: batch.TaskRecord) -> None:
+        """Notes how long a run took that went from its beginning to done."""
+        if end.outcome == batch.RunOutcome.DONE and not task.saved:
+            queue = self._held.jobs[end.task.job_id].queue
+            took_ms = self._clock.wall() - task.placed_ms
+            self._typical.note(queue, took_ms)
+
     def _active(
         self, task_id: batch.TaskId, run: int
     ) -> batch.TaskRecord | None:
--- a/bilberryroute/replica/forecasts.py
+++ b/bilberryroute/replica/forecasts.py
@@ -12,6 +12,9 @@
 # Two reports must be this far apart before a speed is read off them.
 MIN_SPAN_MS = 400
 ALL_PERCENT = 100
+# Share of a new run time in the average: one in four follows a change of
+# load within some runs.
+LEARNING_DIVISOR = 4
 
 RunKey = tuple[batch.TaskId, int]
 
@@ -65,3 +68,19 @@
         """Returns the time left of each run with a known speed, in ms."""
         found = {key: each.left_ms(now) for key, each in self._tracks.items()}
         return {key: left for key, left in found.items() if left is not None}
+
+
+class TypicalTimes:
+    """How long the tasks of each queue take: a moving average.
+
+    Attributes:
+      by_queue: Milliseconds by the queue's name.
+    """
+
+    def __init__(self):
+        self.by_queue: dict[str, int] = {}
+
+    def note(self, queue: str, took_ms: int) -> None:
+        """Takes in one run."""
+        known = self.by_queue.setdefault(queue, took_ms)
+        self.by_queue[queue] = known + (took_ms - known) // LEARNING_DIVISOR
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -1,5 +1,6 @@
 """One round of decisions on batch jobs. Pure."""
 
+import types
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -34,6 +35,7 @@
     workers: Iterable[views.WorkerView],
     left_ms: Mapping[room_lib.RunKey, int],
     wall_ms: int,
+    typical_ms: Mapping[str, int] = types.MappingProxyType({}),
 ) -> views.Plan:
     """Returns what starts now and what stops for it.
 
@@ -42,9 +44,11 @@
       workers: Workers that are present.
       left_ms: Forecasts of how long runs go on, in milliseconds.
       wall_ms: Unix time in milliseconds.
+      typical_ms: How long a task of each queue has taken, in milliseconds.
     """
     room = room_lib.Room(held, workers, left_ms, wall_ms)
-    return _Round(held, room, wall_ms).run()
+    ready = readiness.ready_units(held, wall_ms, typical_ms)
+    return _Round(held, room, wall_ms).run(ready)
 
 
 class _Round:
@@ -62,10 +66,10 @@
         self._reserved = 0
         self._waiting = 0
 
-    def run(self) -> views.Plan:
-        """Tries every ready unit, best rank first."""
+    def run(self, ready: list[views.Ready]) -> views.Plan:
+        """Tries units in the order given."""
         full: set[tuple] = set()
-        for unit in readiness.ready_units(self._held, self._wall_ms):
+        for unit in ready:
             key = (unit.record.id, unit.occurrence, unit.step_number)
             if key in full:
                 self._waiting += 1
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -1,6 +1,7 @@
 """Which units could start now, and in which order they are tried."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import views
@@ -12,8 +13,16 @@
 LATE_FACTOR = 3
 
 
-def ready_units(held: batch.BatchState, wall_ms: int) -> list[views.Ready]:
-    """Returns all units that could start now, best rank first."""
+def ready_units(
+    held: batch.BatchState, wall_ms: int, typical_ms: Mapping[str, int]
+) -> list[views.Ready]:
+    """Returns all units that could start now, best rank first.
+
+    Args:
+      held: Batch jobs.
+      wall_ms: Unix time in milliseconds.
+      typical_ms: How long a task of each queue has taken, in milliseconds.
+    """
     guaranteed = guaranteed_jobs(held)
     found = []
     for record in held.jobs.values():
@@ -21,7 +30,10 @@
         if record.result is not None or queue is None:
             continue
         for unit in _units_of(record, queue, wall_ms):
-            found.append((_rank(unit, guaranteed, wall_ms), unit))
+            rank = _rank(
+                unit, guaranteed, wall_ms, typical_ms.get(queue.name, 0)
+            )
+            found.append((rank, unit))
     found.sort(key=lambda pair: pair[0])
     return [_ranked(unit, rank) for rank, unit in found]
 
@@ -59,7 +71,7 @@
 
 
 def _rank(
-    unit: views.Ready, guaranteed: set[str], wall_ms: int
+    unit: views.Ready, guaranteed: set[str], wall_ms: int, typical_ms: int
 ) -> tuple[int, ...]:
     """Orders units: what can still earn anything, urgency, due time.
 
@@ -67,7 +79,7 @@
     """
     if unit.record.id in guaranteed:
         return (0, 0, unit.since_ms, 0, unit.indexes[0])
-    objective_ms = objective(unit)
+    objective_ms = objective(unit, typical_ms)
     due_ms = unit.since_ms + objective_ms
     worthless = wall_ms > unit.since_ms + LATE_FACTOR * objective_ms
     return (
@@ -79,9 +91,13 @@
     )
 
 
-def objective(unit: views.Ready) -> int:
-    """Returns the time in which a job should end, in milliseconds."""
-    chain_ms = longest_chain(unit.record.content)
+def objective(unit: views.Ready, typical_ms: int) -> int:
+    """Returns the time in which a job should end, in milliseconds.
+
+    A job whose estimate is far below what its queue's tasks have taken is
+    given the time that they took.
+    """
+    chain_ms = max(longest_chain(unit.record.content), typical_ms)
     return int(unit.queue.slack_factor * chain_ms) + unit.queue.target_ms
 
 
