Keep checkpoints in the log, leave draining workers, end after a disk failure

NoteSaved commits them once a second, all in one command. Runs that save and outlast a draining worker move in time. A replica whose folder failed never served again; it now ends after 2 s and reads its folder anew. The repair removes a replica whose name came back empty first.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -287,6 +287,7 @@
       worker: Where the present run was placed; None while it waits.
       failed: Runs that ended by a failure.
       saved: Newest checkpoint, or empty.
+      resumed: Checkpoint that the present run begins with, or empty.
       placed_ms: Unix time of the placement, in milliseconds.
     """
 
@@ -295,6 +296,7 @@
     worker: WorkerRef | None = None
     failed: int = 0
     saved: str = ""
+    resumed: str = ""
     placed_ms: int = 0
 
     @property
--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -124,6 +124,23 @@
     at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SavedRun:
+    """A checkpoint that a run has made while it goes on."""
+
+    task: batch.TaskId
+    run: int
+    saved: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NoteSaved(commands.Command):
+    """Keeps checkpoints, so that they outlive workers and leaders."""
+
+    saves: tuple[SavedRun, ...]
+    at_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BatchAccepted:
     """The change is durable; `first` is False for a resend."""
@@ -156,5 +173,6 @@
     PlaceRuns,
     StopRuns,
     EndRuns,
+    NoteSaved,
 )
 RESULTS = (BatchAccepted, BatchRefused, CatalogHeld)
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -26,6 +26,12 @@
 # A new leader places nothing for this share of a renewal interval, so that
 # it chooses among most workers and not among the first to report.
 SETTLE_RENEWALS = 0.6
+# How often new checkpoints are committed: about as often as workers make
+# them (every 1 or 2 s of work), in one command for all.
+KEEP_SAVED_MS = clock_lib.Millis(1_000)
+# A run is moved away from a draining worker if it is expected to go on for
+# longer than the worker stays, less this time for the stop itself.
+LEAVE_MARGIN_MS = 700
 # A worker counts as present for this many renewal intervals.
 PRESENT_RENEWALS = 3
 # Steady clocks of workers may be this much slow (DEPLOY: 2%).
@@ -73,6 +79,29 @@
     async def _watch_applied(self) -> None:
         await self._forward(self._board.applied)
 
+    @mode.Service.task
+    async def _keep_checkpoints(self) -> None:
+        while not self.should_stop:
+            await self.sleep(clock_lib.seconds(KEEP_SAVED_MS))
+            saves = self._new_saves() if self._leadership.active() else ()
+            if saves:
+                command = batching.NoteSaved(saves=saves, at_ms=0)
+                await self._proposer.try_propose(command)
+
+    def _new_saves(self) -> tuple[batching.SavedRun, ...]:
+        """Returns the checkpoints that are reported and not yet kept."""
+        found = []
+        for worker in self._board.batch_workers.get().values():
+            for run in worker.report.running:
+                task = self._active(run.task, run.run)
+                if task is not None and run.saved not in ("", task.saved):
+                    found.append(
+                        batching.SavedRun(
+                            task=run.task, run=run.run, saved=run.saved
+                        )
+                    )
+        return tuple(found)
+
     async def _forward(self, cell) -> None:
         """Wakes the rounds when a cell changes."""
         seen = cell.version
@@ -110,11 +139,13 @@
             self._note_committed()
         if not self._settled():
             return
+        left_ms = self._forecasts.left_ms(self._clock.now())
         stops = self._broken_gangs() + self._misplaced()
+        stops += self._leaving(left_ms)
         plan = planner.plan(
             self._held,
             self._workers(),
-            self._forecasts.left_ms(self._clock.now()),
+            left_ms,
             self._clock.wall(),
             self._typical.by_queue,
         )
@@ -153,7 +184,7 @@
 
     def _learn(self, end: wire.EndReport, task: batch.TaskRecord) -> None:
         """Notes how long a run took that went from its beginning to done."""
-        if end.outcome == batch.RunOutcome.DONE and not task.saved:
+        if end.outcome == batch.RunOutcome.DONE and task.run == 1:
             queue = self._held.jobs[end.task.job_id].queue
             took_ms = self._clock.wall() - task.placed_ms
             self._typical.note(queue, took_ms)
@@ -221,6 +252,7 @@
                             task=task_id,
                             run=task.run,
                             outcome=batch.RunOutcome.LOST,
+                            saved=task.saved,
                         )
                     )
         return found
@@ -317,6 +349,25 @@
                     found.append(batching.TaskRun(task=task_id, run=task.run))
         return found
 
+    def _leaving(
+        self, left_ms: dict[forecasts_lib.RunKey, int]
+    ) -> list[batching.TaskRun]:
+        """Returns runs that save their progress and outlast their worker."""
+        found = []
+        for worker in self._board.batch_workers.get().values():
+            if not worker.report.draining or worker.report.over:
+                continue
+            stays_ms = worker.report.remaining_ms - LEAVE_MARGIN_MS
+            for run in worker.report.running:
+                task = self._active(run.task, run.run)
+                if task is None or task.state != batch.TaskState.PLACED:
+                    continue
+                record = self._held.jobs[run.task.job_id]
+                saves = record.content.steps[run.task.step].checkpointing
+                if saves and left_ms.get((run.task, run.run), 0) > stays_ms:
+                    found.append(batching.TaskRun(task=run.task, run=run.run))
+        return found
+
     def _log_units(self, plan: views.Plan) -> None:
         for unit in plan.units:
             logger.info(
--- a/bilberryroute/replica/desired.py
+++ b/bilberryroute/replica/desired.py
@@ -140,15 +140,12 @@
 ) -> wire.DesiredRun:
     task = record.task(task_id)
     stop = task.state != batch.TaskState.PLACED
-    gang = record.content.steps[task_id.step].gang
-    steps = record.occurrences[task_id.occurrence]
-    saved = steps[task_id.step].saved if gang else task.saved
     return wire.DesiredRun(
         task=task_id,
         run=task.run,
         worker=task.worker,
         stop=stop,
-        saved="" if stop else saved,
+        saved="" if stop else task.resumed,
     )
 
 
--- a/bilberryroute/replica/repair.py
+++ b/bilberryroute/replica/repair.py
@@ -5,6 +5,8 @@
 replaces is removed.
 """
 
+import collections
+
 import mode
 
 from bilberryroute import clock as clock_lib
@@ -71,8 +73,11 @@
       silent: Members that have not answered for a while.
     """
     voters = [member for member in members if member.voter]
+    names = collections.Counter(member.replica_id for member in members)
     if len(voters) > size:
+        # One whose name came back with an empty folder is gone for certain.
         lost = [m for m in voters if m.id in silent]
+        lost.sort(key=lambda member: -names[member.replica_id])
         if lost:
             return changes.Remove(id=lost[0].id)
     for member in members:
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -4,6 +4,7 @@
 import mode
 from aiohttp import web
 
+from bilberryroute import clock as clock_lib
 from bilberryroute import context
 from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
@@ -21,6 +22,10 @@
 from bilberryroute.replica import workers as worker_lib
 
 GRPC_STOP_SECONDS = 1.0
+FAILURE_CHECK_MS = clock_lib.Millis(200)
+# A full or failing disk takes seconds to recover; restarts in between cost
+# processor time and help nobody.
+FAILURE_PAUSE_MS = clock_lib.Millis(2_000)
 
 _SERVER_OPTIONS = (
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
@@ -85,6 +90,18 @@
         for service in self._services:
             await self.add_runtime_dependency(service)
 
+    @mode.Service.task
+    async def _leave_after_failure(self) -> None:
+        """Ends the process a while after its folder failed.
+
+        A restart reads the folder anew; until then others serve.
+        """
+        while self._cfg.group.repairs_itself and not self.should_stop:
+            await self.sleep(clock_lib.seconds(FAILURE_CHECK_MS))
+            if self.parts.group.failure is not None:
+                await self.sleep(clock_lib.seconds(FAILURE_PAUSE_MS))
+                raise self.parts.group.failure
+
     async def on_stop(self) -> None:
         """Stops serving entries and other replicas."""
         if self._server is not None:
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -34,6 +34,8 @@
             return _stop(held, command)
         case batching.EndRuns():
             return _end(held, command)
+        case batching.NoteSaved():
+            return _note_saved(held, command)
     raise errors.MalformedInput(f"unknown command {command!r}")
 
 
@@ -213,8 +215,11 @@
     )
     if not _may_start(record.content, steps, unit):
         return False
+    progress = steps[unit.step]
+    gang = record.content.steps[unit.step].gang
     for member in unit.members:
-        task = steps[unit.step].tasks[member.index]
+        task = progress.tasks[member.index]
+        task.resumed = progress.saved if gang else task.saved
         task.state = batch.TaskState.PLACED
         task.run = unit.run
         task.worker = member.worker
@@ -267,6 +272,29 @@
     return task
 
 
+def _note_saved(
+    held: batch.BatchState, command: batching.NoteSaved
+) -> commands.Result:
+    for each in command.saves:
+        task = _present(held, each.task, each.run)
+        if task is not None:
+            record = held.jobs[each.task.job_id]
+            _keep_saved(record, task, each.task, each.saved)
+    # No decision depends on a checkpoint, so no desired state changes.
+    return commands.Unchanged(reason="checkpoints are kept")
+
+
+def _keep_saved(
+    record: batch.BatchRecord,
+    task: batch.TaskRecord,
+    task_id: batch.TaskId,
+    saved: str,
+) -> None:
+    task.saved = saved
+    # A checkpoint of one member is good for its whole gang.
+    record.occurrences[task_id.occurrence][task_id.step].saved = saved
+
+
 def _end(held: batch.BatchState, command: batching.EndRuns) -> commands.Result:
     changed = False
     for end in command.ends:
@@ -288,8 +316,7 @@
     step = record.content.steps[end.task.step]
     progress = record.occurrences[end.task.occurrence][end.task.step]
     if end.saved:
-        task.saved = end.saved
-        progress.saved = end.saved
+        _keep_saved(record, task, end.task, end.saved)
     match end.outcome:
         case batch.RunOutcome.DONE if not step.long_running:
             task.state = batch.TaskState.DONE
--- a/tests/state/test_batch.py
+++ b/tests/state/test_batch.py
@@ -208,3 +208,33 @@
     copy = machine_lib.StateMachine()
     copy.restore(log.machine.snapshot())
     assert copy.state == log.machine.state
+
+
+def test_checkpoints_outlive_the_run_that_made_them(log):
+    log.submit("j1", batches.content(batches.step(2, gang=True)))
+    log.place(batches.unit("j1", batches.ref("w1"), batches.ref("w2")))
+    each = batching.SavedRun(task=batches.task(index=1), run=1, saved="c3")
+    log.apply(batching.NoteSaved(saves=(each,), at_ms=1))
+    for index in (0, 1):
+        log.end(batches.task(index=index), outcome=Outcome.LOST)
+    assert log.held.jobs["j1"].occurrences[0][0].saved == "c3"
+
+
+def test_checkpoint_of_an_earlier_run_is_not_kept(log):
+    log.submit("j1", batches.content())
+    log.place(batches.unit())
+    log.end(batches.task(), outcome=Outcome.STOPPED, saved="c5")
+    late = batching.SavedRun(task=batches.task(), run=1, saved="c4")
+    log.apply(batching.NoteSaved(saves=(late,), at_ms=1))
+    assert log.held.jobs["j1"].task(batches.task()).saved == "c5"
+
+
+def test_members_of_a_gang_resume_from_one_checkpoint(log):
+    log.submit("j1", batches.content(batches.step(2, gang=True)))
+    workers = (batches.ref("w1"), batches.ref("w2"))
+    log.place(batches.unit("j1", *workers))
+    log.end(batches.task(index=0), outcome=Outcome.STOPPED, saved="c1")
+    log.end(batches.task(index=1), outcome=Outcome.STOPPED, saved="c2")
+    log.place(batches.unit("j1", *workers, run=2))
+    tasks = log.held.jobs["j1"].occurrences[0][0].tasks
+    assert {task.resumed for task in tasks} == {"c2"}
