Bound logs, write them by a thread, and show latency histograms

Each message has at most 50 lines a second, with a count of what was left out; a stalled reader costs lines, which are counted, and never blocks.

--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -70,19 +70,22 @@
     place = _place(daemon, env)
     cfg = place.settings if place is not None else _load(daemon)
     mode.Service.mundane_level = "debug"
-    logs.configure(
+    queued = logs.configure(
         stream=env.stderr if place is None else env.stdout,
         level=cfg.log_level,
         role="+".join(cfg.roles),
         host=cfg.host,
         failure_domain=cfg.failure_domain,
+        in_background=place is not None,
     )
     try:
-        return asyncio.run(_serve(cfg, env, place))
+        return asyncio.run(_serve(cfg, env, place, queued))
     except errors.BilberryrouteError:
         raise
     except Exception as exc:
         raise _typed(exc) from exc
+    finally:
+        logs.flush()
 
 
 def _load(daemon: Daemon) -> settings.Settings:
@@ -113,12 +116,17 @@
     cfg: settings.Settings,
     env: context.Environment,
     place: platform_settings.Place | None,
+    queued: logs.BoundedQueueHandler | None = None,
 ) -> status.ExitStatus:
     # Imported late: only here is it known which roles are needed.
     from bilberryroute import process
 
     with _signals() as signals:
         service = process.build(cfg, env, place)
+        if queued is not None:
+            service.metrics.refresh_with(
+                lambda m: m.log_lines_dropped.set({}, queued.dropped)
+            )
         # What start-up has built stays; a full collection need not walk it.
         gc.collect()
         gc.freeze()
--- a/bilberryroute/entry/batch.py
+++ b/bilberryroute/entry/batch.py
@@ -5,6 +5,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
@@ -39,8 +40,12 @@
         self,
         control: Control,
         timing: settings.Timing,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
     ):
         self._control = control
+        self._clock = clock
+        self._metrics = metrics
         self._keep_ms = timing.batch_kept_ms
 
     async def submit(
@@ -59,7 +64,16 @@
         command = batching.SubmitBatch(
             address=address, content=content, keep_ms=self._keep_ms, at_ms=0
         )
-        return await self._change(command, address, within_ms)
+        began = self._clock.now()
+        outcome = "accepted"
+        try:
+            return await self._change(command, address, within_ms)
+        except errors.BilberryrouteError as exc:
+            outcome = exc.kind
+            raise
+        finally:
+            took_ms = self._clock.now() - began
+            self._metrics.accept_ms.add({"outcome": outcome}, took_ms)
 
     async def cancel(
         self, address: batch.Address, within_ms: clock_lib.Millis
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -41,7 +41,9 @@
             cfg, self.board, self.control, env.clock, env.rng, metrics
         )
         self.replicas = replica_routes.ReplicaRoutes(cfg.limits, self.control)
-        self.batch = batch_lib.BatchDesk(self.control, cfg.timing)
+        self.batch = batch_lib.BatchDesk(
+            self.control, cfg.timing, env.clock, metrics
+        )
         metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
--- a/bilberryroute/logs.py
+++ b/bilberryroute/logs.py
@@ -1,9 +1,19 @@
-"""JSON logs: one object a line, with the fields of process and context."""
+"""JSON logs: one object a line, with the fields of process and context.
 
+Lines are bounded in number for each kind of message. On the platform they are
+written by a thread of their own from a bounded queue, so that a reader that
+stalls never blocks the process.
+"""
+
+import collections
 import contextlib
 import contextvars
+import copy
 import dataclasses
 import logging
+import logging.handlers
+import queue
+import time
 import types
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -16,6 +26,12 @@
 _HTTP_PARSER_LOGGER = "aiohttp.server"
 _RENAMED = {"levelname": "level", "name": "logger", "exc_info": "traceback"}
 
+# Lines of one message that are written within one second: several times what
+# a busy day brings, and a bound on what a storm can cost.
+LINES_PER_SECOND = 50
+# Lines that wait for the writer: some seconds of a storm.
+QUEUE_LINES = 4_096
+
 _fields: contextvars.ContextVar[Mapping[str, object]] = contextvars.ContextVar(
     "log_fields", default=types.MappingProxyType({})
 )
@@ -49,6 +65,63 @@
         return True
 
 
+class RateFilter(logging.Filter):
+    """Bounds the lines of each message and says how many were left out."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        super().__init__()
+        self._clock = clock
+        self._second = 0
+        self._written: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._left_out: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Says whether a line is written; notes on it what was left out."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._written.clear()
+        key = (record.name, str(record.msg))
+        self._written[key] += 1
+        if self._written[key] > LINES_PER_SECOND:
+            self._left_out[key] += 1
+            return False
+        left_out = self._left_out.pop(key, 0)
+        if left_out:
+            record.left_out = left_out
+        return True
+
+
+class BoundedQueueHandler(logging.handlers.QueueHandler):
+    """Hands lines to the writer; drops and counts them if it lags.
+
+    Attributes:
+      dropped: Lines dropped so far.
+    """
+
+    def __init__(self, lines: queue.Queue):
+        super().__init__(lines)
+        self.dropped = 0
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Adds the fields of this moment; the writer formats the line."""
+        record = copy.copy(record)
+        record.msg = record.getMessage()
+        record.args = None
+        return record
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queues a line without waiting."""
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+
+
 _context_filter = _ContextFilter()
 
 
@@ -59,7 +132,8 @@
     role: str,
     host: str,
     failure_domain: str,
-) -> None:
+    in_background: bool = False,
+) -> BoundedQueueHandler | None:
     """Sends all logs of the process to `stream` as JSON lines.
 
     Args:
@@ -68,6 +142,10 @@
       role: Roles of the process, joined by `+`.
       host: Name of the process.
       failure_domain: Failure domain of the process.
+      in_background: Whether a thread writes the lines; call `flush` last.
+
+    Returns:
+      The handler that counts dropped lines, if a thread writes.
     """
     formatter = json_formatter.MsgspecFormatter(
         _FORMAT,
@@ -81,13 +159,34 @@
     )
     handler = logging.StreamHandler(stream)
     handler.setFormatter(formatter)
-    handler.addFilter(_context_filter)
+    queued = _behind_a_queue(handler) if in_background else None
+    first = handler if queued is None else queued
+    first.addFilter(RateFilter())
+    first.addFilter(_context_filter)
     root = logging.getLogger()
-    root.handlers[:] = [handler]
+    root.handlers[:] = [first]
     root.setLevel(level)
     # aiohttp logs malformed requests with their headers, tokens included;
     # errors of handlers are logged by `api`.
     logging.getLogger(_HTTP_PARSER_LOGGER).setLevel(logging.CRITICAL)
+    return queued
+
+
+_listeners: list[logging.handlers.QueueListener] = []
+
+
+def _behind_a_queue(handler: logging.Handler) -> BoundedQueueHandler:
+    lines: queue.Queue = queue.Queue(QUEUE_LINES)
+    listener = logging.handlers.QueueListener(lines, handler)
+    listener.start()
+    _listeners.append(listener)
+    return BoundedQueueHandler(lines)
+
+
+def flush() -> None:
+    """Writes what is queued; for the end of the process."""
+    while _listeners:
+        _listeners.pop().stop()
 
 
 def show_position(position: Callable[[], Position]) -> None:
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -3,6 +3,7 @@
 A process creates one `Metrics` and hands it to each of its services.
 """
 
+import math
 from collections.abc import Callable
 
 import aioprometheus
@@ -10,6 +11,22 @@
 
 PREFIX = "bilberryroute"
 
+# From a call within a host to the longest wait that a caller accepts.
+LATENCY_BUCKETS_MS = (
+    1.0,
+    5.0,
+    10.0,
+    20.0,
+    50.0,
+    100.0,
+    200.0,
+    500.0,
+    1_000.0,
+    3_000.0,
+    10_000.0,
+    math.inf,
+)
+
 Refresher = Callable[["Metrics"], None]
 
 
@@ -38,6 +55,11 @@
       term: Highest term seen.
       revision: Configuration revision in force in this process.
       draining: 1 once the process was asked to leave.
+      log_lines_dropped: Log lines dropped as their reader lagged.
+      accept_ms: Time of a call that submits a batch job, by `outcome`.
+      first_start_ms: Time from acceptance to the first placement, by `queue`.
+      commit_ms: Time from proposal to result, by `kind` of the command.
+      round_ms: Time that the planner took for one round.
     """
 
     def __init__(self):
@@ -59,6 +81,16 @@
         self.term = self._gauge("term", "Highest term seen.")
         self.revision = self._gauge("revision", "Revision in force.")
         self.draining = self._gauge("draining", "1 while leaving.")
+        self.log_lines_dropped = self._gauge(
+            "log_lines_dropped", "Log lines dropped."
+        )
+
+        self.accept_ms = self._histogram("accept_ms", "Acceptance of jobs.")
+        self.first_start_ms = self._histogram(
+            "first_start_ms", "From acceptance to the first placement."
+        )
+        self.commit_ms = self._histogram("commit_ms", "Commit of a command.")
+        self.round_ms = self._histogram("round_ms", "Planning of one round.")
 
     def refused(self, reason: str) -> None:
         """Counts one refusal."""
@@ -96,6 +128,14 @@
             f"{PREFIX}_{name}", doc, registry=self.registry
         )
 
+    def _histogram(self, name: str, doc: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            f"{PREFIX}_{name}",
+            doc,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_MS,
+        )
+
     def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(
             f"{PREFIX}_{name}", doc, registry=self.registry
--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -30,7 +30,7 @@
     control = control_client.ControlClient(
         cfg, entry_board.new_board(), env.clock, env.rng
     )
-    desk = entry_batch.BatchDesk(control, cfg.timing)
+    desk = entry_batch.BatchDesk(control, cfg.timing, env.clock, metrics)
     door = OperatorsDoor(desk, cfg.limits)
     server = http_lib.HttpServer(
         door.application(metrics), place.doors.control, cfg.limits
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -14,9 +14,16 @@
 
 # Internal ports of each role, counted from the first free one; two processes
 # may share a machine.
-_REPLICA_PORTS = (0, 1, 2)
-_ENTRY_PORTS = (3,)
-_AGENT_PORTS = (6, 7)
+_GRPC_PORT = 1
+_REPLICA_DATAGRAM_PORT = 2
+_AGENT_DATAGRAM_PORT = 7
+
+# Where each role shows its metrics; `deploy/system.toml` names the same.
+METRICS_PORTS = {
+    settings.Role.REPLICA: 9464,
+    settings.Role.ENTRY: 9465,
+    settings.Role.AGENT: 9466,
+}
 
 # The balancer takes a process out after two missed probes, a second apart.
 BALANCER_LAG_MS = 2_300
@@ -144,25 +151,23 @@
 
 
 def _replica(ip: str, first_port: int) -> settings.ReplicaAddress:
-    _, grpc, datagram = _REPLICA_PORTS
     return settings.ReplicaAddress(
         id=f"r-{ip}",
-        grpc=f"{ip}:{first_port + grpc}",
-        datagram=f"{ip}:{first_port + datagram}",
+        grpc=f"{ip}:{first_port + _GRPC_PORT}",
+        datagram=f"{ip}:{first_port + _REPLICA_DATAGRAM_PORT}",
     )
 
 
 def _listen(said: _File, role: settings.Role) -> settings.Listen:
-    ports = {
-        settings.Role.REPLICA: _REPLICA_PORTS,
-        settings.Role.ENTRY: _ENTRY_PORTS,
-        settings.Role.AGENT: _AGENT_PORTS,
-    }[role]
+    http = f"{said.ip}:{METRICS_PORTS[role]}"
     first = said.internal_ports[0]
-    at = [f"{said.ip}:{first + port}" for port in ports]
     match role:
         case settings.Role.REPLICA:
-            return settings.Listen(http=at[0], grpc=at[1], datagram=at[2])
+            own = _replica(said.ip, first)
+            return settings.Listen(
+                http=http, grpc=own.grpc, datagram=own.datagram
+            )
         case settings.Role.AGENT:
-            return settings.Listen(http=at[0], datagram=at[1])
-    return settings.Listen(http=at[0])
+            datagram = f"{said.ip}:{first + _AGENT_DATAGRAM_PORT}"
+            return settings.Listen(http=http, datagram=datagram)
+    return settings.Listen(http=http)
--- a/bilberryroute/platform/workers.py
+++ b/bilberryroute/platform/workers.py
@@ -15,7 +15,7 @@
 
 # A worker beside the agent answers an order within some milliseconds; after
 # this long its connection is given up.
-ORDER_TIMEOUT_MS = clock_lib.Millis(700)
+ORDER_TIMEOUT_MS = clock_lib.Millis(500)
 # The same beyond the time that a look may wait.
 LOOK_MARGIN_MS = clock_lib.Millis(700)
 CONFLICT = 409
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -6,6 +6,7 @@
 import mode
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import wire
@@ -46,7 +47,10 @@
     """Commits what agents report and what the planner decides."""
 
     def __init__(
-        self, parts: parts_lib.ReplicaParts, leases: lease_lib.LeaseService
+        self,
+        parts: parts_lib.ReplicaParts,
+        leases: lease_lib.LeaseService,
+        metrics: metrics_lib.Metrics,
     ):
         super().__init__()
         self._cfg = parts.cfg
@@ -56,6 +60,7 @@
         self._proposer = parts.proposer
         self._clock = parts.clock
         self._leases = leases
+        self._metrics = metrics
         self._health = batch_health.Health(parts.clock)
         self._forecasts = forecasts_lib.Forecasts()
         self._typical = forecasts_lib.TypicalTimes()
@@ -142,6 +147,7 @@
         left_ms = self._forecasts.left_ms(self._clock.now())
         stops = self._broken_gangs() + self._misplaced()
         stops += self._leaving(left_ms)
+        planned_ms = self._clock.now()
         plan = planner.plan(
             self._held,
             self._workers(),
@@ -149,6 +155,7 @@
             self._clock.wall(),
             self._typical.by_queue,
         )
+        self._metrics.round_ms.add({}, self._clock.now() - planned_ms)
         commands = []
         if stops or plan.stops:
             commands.append(
@@ -370,6 +377,7 @@
 
     def _log_units(self, plan: views.Plan) -> None:
         for unit in plan.units:
+            self._note_first_start(unit)
             logger.info(
                 "placed",
                 extra={
@@ -381,6 +389,14 @@
                 },
             )
 
+    def _note_first_start(self, unit: batching.Unit) -> None:
+        record = self._held.jobs[unit.job_id]
+        if not record.begun and record.content.schedule is None:
+            waited_ms = self._clock.wall() - record.accepted_ms
+            self._metrics.first_start_ms.add(
+                {"queue": record.queue}, max(0, waited_ms)
+            )
+
     def _log_stops(self, plan: views.Plan) -> None:
         for run in plan.stops:
             logger.info(
--- a/bilberryroute/replica/parts.py
+++ b/bilberryroute/replica/parts.py
@@ -4,6 +4,7 @@
 import random
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
 from bilberryroute.replica import board as board_lib
@@ -38,7 +39,10 @@
 
 
 def build(
-    cfg: settings.Settings, clock: clock_lib.Clock, rng: random.Random
+    cfg: settings.Settings,
+    clock: clock_lib.Clock,
+    rng: random.Random,
+    metrics: metrics_lib.Metrics,
 ) -> ReplicaParts:
     """Returns the parts of one replica, none of them started."""
     board = board_lib.new_board()
@@ -52,7 +56,7 @@
         leadership=leadership_lib.Leadership(board, group, desired, clock),
         machine=machine,
         desired=desired,
-        proposer=proposer_lib.Proposer(group, clock),
+        proposer=proposer_lib.Proposer(group, clock, metrics),
         clock=clock,
         rng=rng,
     )
--- a/bilberryroute/replica/proposer.py
+++ b/bilberryroute/replica/proposer.py
@@ -5,6 +5,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.consensus import group as group_lib
 from bilberryroute.model import commands
 from bilberryroute.state import machine as machine_lib
@@ -15,9 +16,15 @@
 class Proposer:
     """Stamps commands with the leader's time and commits them."""
 
-    def __init__(self, group: group_lib.ReplicaGroup, clock: clock_lib.Clock):
+    def __init__(
+        self,
+        group: group_lib.ReplicaGroup,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ):
         self._group = group
         self._clock = clock
+        self._metrics = metrics
 
     async def propose(self, command: commands.Command) -> commands.Result:
         """Commits a command and returns its result.
@@ -29,7 +36,11 @@
         """
         stamped = dataclasses.replace(command, at_ms=self._clock.wall())
         payload = machine_lib.COMMANDS.encode(stamped)
+        began = self._clock.now()
         applied = await self._group.propose(payload)
+        took_ms = self._clock.now() - began
+        kind = type(command).__name__
+        self._metrics.commit_ms.add({"kind": kind}, took_ms)
         return applied.result
 
     async def try_propose(
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -50,7 +50,7 @@
         super().__init__()
         self._cfg = cfg
         self._metrics = metrics
-        self.parts = parts_lib.build(cfg, env.clock, env.rng)
+        self.parts = parts_lib.build(cfg, env.clock, env.rng, metrics)
         self._server: grpc.aio.Server | None = None
         self.parts.machine.listeners.append(self._count)
         controller = job_lib.JobController(self.parts)
@@ -62,7 +62,7 @@
             self.parts.leadership,
             controller,
             leases,
-            batch_lib.BatchController(self.parts, leases),
+            batch_lib.BatchController(self.parts, leases, metrics),
             repair_lib.RepairController(self.parts),
             worker_lib.WorkerController(self.parts),
             endpoint_lib.EndpointController(self.parts),
--- a/tests/replica/test_jobs.py
+++ b/tests/replica/test_jobs.py
@@ -4,6 +4,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import embedded
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import jobs as job_lib
 from bilberryroute.replica import parts as parts_lib
@@ -18,7 +19,7 @@
     """The controller of a replica that leads."""
     env = environment.fake_environment(clock=clock_lib.SystemClock())
     cfg = embedded.embedded_settings(str(tmp_path))
-    parts = parts_lib.build(cfg, env.clock, env.rng)
+    parts = parts_lib.build(cfg, env.clock, env.rng, metrics_lib.Metrics())
     monkeypatch.setattr(parts.leadership, "active", lambda: True)
     parts.board.term.set(board_lib.LeaderTerm(number=1))
     controller = job_lib.JobController(parts)
--- a/tests/replica/test_watch.py
+++ b/tests/replica/test_watch.py
@@ -5,6 +5,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import embedded
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.model import config
 from bilberryroute.model import wire
 from bilberryroute.replica import control as control_lib
@@ -31,7 +32,7 @@
 def parts(tmp_path, monkeypatch):
     env = environment.fake_environment(clock=clock_lib.SystemClock())
     cfg = embedded.embedded_settings(str(tmp_path))
-    built = parts_lib.build(cfg, env.clock, env.rng)
+    built = parts_lib.build(cfg, env.clock, env.rng, metrics_lib.Metrics())
     monkeypatch.setattr(built.leadership, "active", lambda: True)
     monkeypatch.setattr(type(built.group), "term", 1)
     monkeypatch.setattr(type(built.group), "members", lambda self: ())
--- a/tests/replica/test_workers.py
+++ b/tests/replica/test_workers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bilberryroute import embedded
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
 from bilberryroute.model import wire
@@ -31,7 +32,7 @@
 @pytest.fixture
 def parts(tmp_path, env) -> parts_lib.ReplicaParts:
     cfg = embedded.embedded_settings(str(tmp_path))
-    built = parts_lib.build(cfg, env.clock, env.rng)
+    built = parts_lib.build(cfg, env.clock, env.rng, metrics_lib.Metrics())
     command = commands.JoinWorker(worker=WORKER, at_ms=0)
     built.machine.state.workers[WORKER.name] = command.worker
     return built
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 import io
 import json
 import logging
+import queue
 
 import pytest
 from aiohttp import web
@@ -75,3 +76,27 @@
     writer.close()
     await runner.cleanup()
     assert "secret" not in json.dumps(lines())
+
+
+def test_lines_of_one_message_are_bounded_and_counted(lines, monkeypatch):
+    now = [10.0]
+    root = logging.getLogger()
+    root.handlers[0].filters[0]._clock = lambda: now[0]
+    log = logging.getLogger("bilberryroute.test")
+    for number in range(logs.LINES_PER_SECOND + 7):
+        log.info("placed %d", number)
+    log.info("started")
+    now[0] = 11.0
+    log.info("placed again %d", 1)
+    log.info("placed %d", 99)
+    written = lines()
+    assert len(written) == logs.LINES_PER_SECOND + 3
+    assert written[-1]["left_out"] == 7
+
+
+def test_full_queue_drops_lines_and_never_blocks():
+    waiting = queue.Queue(2)
+    handler = logs.BoundedQueueHandler(waiting)
+    for _ in range(5):
+        handler.emit(logging.makeLogRecord({"msg": "x"}))
+    assert (waiting.qsize(), handler.dropped) == (2, 3)
