--- a/bilberryroute/cli/parser.py
+++ b/bilberryroute/cli/parser.py
@@ -12,6 +12,7 @@
 import bilberryroute
 from bilberryroute import context
 from bilberryroute import status
+from bilberryroute.cli import batches
 from bilberryroute.cli import jobs
 from bilberryroute.cli import local
 from bilberryroute.cli import replicas
@@ -40,6 +41,13 @@
         "list": jobs.list_jobs,
         "cancel": jobs.cancel,
     },
+    "batch": {
+        "submit": batches.submit,
+        "show": batches.show,
+        "list": batches.list_jobs,
+        "cancel": batches.cancel,
+    },
+    "catalog": {"apply": batches.apply_catalog, "show": batches.show_catalog},
     "replica": {
         "list": replicas.list_replicas,
         "add": replicas.add,
--- a/bilberryroute/entry/batch.py
+++ b/bilberryroute/entry/batch.py
@@ -119,6 +119,18 @@
         """
         return await self._control.query(queries.GetCatalog(), within_ms)
 
+    async def show(
+        self, job_id: str, within_ms: clock_lib.Millis
+    ) -> queries.BatchDetail:
+        """Returns a batch job with its tasks; raises `errors.Gone`."""
+        return await self._control.query(
+            queries.GetBatch(job_id=job_id), within_ms
+        )
+
+    async def list_jobs(self, within_ms: clock_lib.Millis) -> queries.BatchList:
+        """Returns all batch jobs that are remembered."""
+        return await self._control.query(queries.ListBatches(), within_ms)
+
     async def set_evacuated(
         self,
         failure_domain: str,
--- /dev/null
+++ b/bilberryroute/entry/batch_api.py
@@ -0,0 +1,95 @@
+"""HTTP on batch jobs and the catalog, in the project's own form."""
+
+from aiohttp import web
+
+from bilberryroute import api
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import rights as rights_lib
+from bilberryroute import settings
+from bilberryroute.entry import batch as batch_lib
+from bilberryroute.entry import batch_models as models
+from bilberryroute.model import batch
+
+KEY_HEADER = "Bilberryroute-Key"
+PATIENCE_MS = clock_lib.Millis(8_000)
+
+
+class BatchRoutes:
+    """Serves callers and operators of batch jobs under `/v1`."""
+
+    def __init__(self, limits: settings.Limits, desk: batch_lib.BatchDesk):
+        self._limits = limits
+        self._desk = desk
+
+    def register(self, app: web.Application) -> None:
+        """Adds the routes to an application of `api.new_application`."""
+        router = app.router
+        router.add_post("/v1/catalog", self._apply_catalog)
+        router.add_get("/v1/catalog", self._show_catalog)
+        router.add_post("/v1/batch-jobs", self._submit)
+        router.add_get("/v1/batch-jobs", self._list)
+        router.add_get("/v1/batch-jobs/{id}", self._show)
+        router.add_delete("/v1/batch-jobs/{id}", self._cancel)
+
+    async def _apply_catalog(self, req: web.Request) -> web.Response:
+        rights_lib.require_operator(req)
+        model = await api.read_json(
+            req, models.CatalogModel, self._limits.ticket_bytes
+        )
+        catalog = models.to_catalog(model)
+        held = await self._desk.apply_catalog(catalog, PATIENCE_MS)
+        return api.json_response(held)
+
+    async def _show_catalog(self, req: web.Request) -> web.Response:
+        rights_lib.require_operator(req)
+        found = await self._desk.catalog(PATIENCE_MS)
+        return api.json_response(
+            {
+                "version": found.version,
+                "queues": found.queues,
+                "accounts": found.accounts,
+            }
+        )
+
+    async def _submit(self, req: web.Request) -> web.Response:
+        rights_lib.require_token(req)
+        model = await api.read_json(
+            req, models.BatchJobModel, self._limits.body_bytes
+        )
+        address = await self._address(req, model.queue, model.id)
+        accepted = await self._desk.submit(
+            address, models.to_content(model), PATIENCE_MS
+        )
+        return api.json_response(accepted)
+
+    async def _list(self, req: web.Request) -> web.Response:
+        rights_lib.require_operator(req)
+        return api.json_response(await self._desk.list_jobs(PATIENCE_MS))
+
+    async def _show(self, req: web.Request) -> web.Response:
+        rights_lib.require_operator(req)
+        found = await self._desk.show(req.match_info["id"], PATIENCE_MS)
+        return api.json_response(found)
+
+    async def _cancel(self, req: web.Request) -> web.Response:
+        rights_lib.require_token(req)
+        queue = req.query.get("queue", "")
+        address = await self._address(req, queue, req.match_info["id"])
+        return api.json_response(await self._desk.cancel(address, PATIENCE_MS))
+
+    async def _address(
+        self, req: web.Request, queue_name: str, job_id: str
+    ) -> batch.Address:
+        found = await self._desk.catalog(PATIENCE_MS)
+        for queue in found.queues:
+            if queue.name == queue_name:
+                return batch.Address(
+                    host=queue.host,
+                    path=queue.path_prefix + job_id,
+                    key=req.headers.get(KEY_HEADER, ""),
+                )
+        raise errors.NotFound(
+            f"there is no queue {queue_name!r}",
+            remedy="Check the name; `bilberryroute catalog show` lists them.",
+        )
--- /dev/null
+++ b/bilberryroute/entry/batch_models.py
@@ -0,0 +1,126 @@
+"""Validated models of catalogs and batch jobs, in the project's own form."""
+
+import collections
+from typing import Annotated
+
+import msgspec
+
+from bilberryroute import errors
+from bilberryroute.entry import operator_models as models
+from bilberryroute.model import batch
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=models.MAX_COUNT * 1_000)]
+Text = Annotated[str, msgspec.Meta(max_length=4_096)]
+
+
+class NeedModel(models.Model):
+    """See `batch.Resources`."""
+
+    cpu_millis: Amount = 0
+    memory_mb: Amount = 0
+    accelerators: Amount = 0
+
+
+class StepModel(models.Model):
+    """See `batch.Step`."""
+
+    count: models.Count
+    need: NeedModel = NeedModel()
+    estimate_ms: Amount = 0
+    depends_on: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    spread_limit: Amount = 0
+    long_running: bool = False
+
+
+class ScheduleModel(models.Model):
+    """See `batch.Schedule`."""
+
+    count: models.Count
+    first_ms: Amount
+    interval_ms: Amount
+
+
+class BatchJobModel(models.Model):
+    """A batch job, by the name of its queue."""
+
+    queue: models.Name
+    id: models.Name
+    steps: Annotated[tuple[StepModel, ...], msgspec.Meta(min_length=1)]
+    payload: Text = ""
+    schedule: ScheduleModel | None = None
+
+
+class QueueModel(models.Model):
+    """See `batch.Queue`."""
+
+    name: models.Name
+    host: str
+    path_prefix: Annotated[str, msgspec.Meta(pattern=r"\A/(.*/)?\Z")]
+    pool: models.Name
+    priority: Amount = 0
+    max_attempts: models.Count = 1
+    slack_factor: float = 1.0
+    target_ms: Amount = 0
+    timeout_ms: models.Duration = 3_000
+    open: bool = False
+
+
+class BatchAccountModel(models.Model):
+    """See `batch.BatchAccount`."""
+
+    name: models.Name
+    keys: tuple[str, ...] = ()
+    guaranteed: Amount = 0
+
+
+class CatalogModel(models.Model):
+    """All queues and accounts under one version."""
+
+    version: Annotated[int, msgspec.Meta(ge=1, le=models.MAX_NUMBER)]
+    queues: tuple[QueueModel, ...] = ()
+    accounts: tuple[BatchAccountModel, ...] = ()
+
+
+def to_content(model: BatchJobModel) -> batch.Content:
+    """Returns what is to be run.
+
+    Raises:
+      errors.MalformedInput: If a step depends on one that is not before it.
+    """
+    for number, step in enumerate(model.steps):
+        if any(not 0 <= each < number for each in step.depends_on):
+            raise errors.MalformedInput(
+                f"step {number} depends on a step that is not before it"
+            )
+    return msgspec.convert(
+        {
+            "payload": model.payload,
+            "steps": msgspec.to_builtins(model.steps),
+            "schedule": msgspec.to_builtins(model.schedule),
+        },
+        batch.Content,
+    )
+
+
+def to_catalog(model: CatalogModel) -> batch.Catalog:
+    """Returns the catalog.
+
+    Raises:
+      errors.MalformedInput: If queues or accounts clash.
+    """
+    places = collections.Counter((q.host, q.path_prefix) for q in model.queues)
+    keys = collections.Counter(k for a in model.accounts for k in set(a.keys))
+    if any(count > 1 for count in places.values()):
+        raise errors.MalformedInput("two queues share host and path prefix")
+    if any(count > 1 for count in keys.values()):
+        raise errors.MalformedInput("two client accounts share a key")
+    said = msgspec.to_builtins(model)
+    return msgspec.convert(
+        said | {"document": msgspec.json.encode(model)},
+        batch.Catalog,
+    )
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -8,6 +8,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import batch as batch_lib
+from bilberryroute.entry import batch_api
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import control as control_lib
 from bilberryroute.entry import operators as operator_lib
@@ -44,6 +45,7 @@
         self.batch = batch_lib.BatchDesk(
             self.control, cfg.timing, env.clock, metrics
         )
+        self.batch_routes = batch_api.BatchRoutes(cfg.limits, self.batch)
         metrics.refresh_with(self._refresh)
 
     def register(self, app: web.Application) -> None:
@@ -51,6 +53,7 @@
         self.requests.register(app)
         self.operators.register(app)
         self.replicas.register(app)
+        self.batch_routes.register(app)
 
     def _refresh(self, metrics: metrics_lib.Metrics) -> None:
         """Sets the gauges that are read only when asked for."""
--- a/bilberryroute/model/queries.py
+++ b/bilberryroute/model/queries.py
@@ -54,6 +54,46 @@
     """Asks for the catalog in force; `Unavailable` if there is none."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GetBatch(Query):
+    """Asks for a batch job with its tasks; `Gone` if there is none."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ListBatches(Query):
+    """Asks for all batch jobs that are remembered."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchDetail:
+    """A batch job and all that was decided about it."""
+
+    record: batch.BatchRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchSummary:
+    """A batch job in one line: its tasks by where they stand."""
+
+    id: str
+    queue: str
+    account: str
+    result: jobs.JobResult | None
+    begun: bool
+    done: int
+    active: int
+    failed: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchList:
+    """Batch jobs in the order of acceptance."""
+
+    jobs: tuple[BatchSummary, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BatchView:
     """Where a batch job stands.
@@ -81,6 +121,8 @@
 
     version: int
     document: bytes
+    queues: tuple[batch.Queue, ...] = ()
+    accounts: tuple[batch.BatchAccount, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -266,4 +308,6 @@
     | BatchView
     | PendingView
     | CatalogView
+    | BatchDetail
+    | BatchList
 )
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -50,6 +50,10 @@
                 return self._look_up(address)
             case queries.GetCatalog():
                 return self._catalog()
+            case queries.GetBatch(job_id=job_id):
+                return self._batch(job_id)
+            case queries.ListBatches():
+                return self._batches()
         raise errors.MalformedInput(f"unknown query {query!r}")
 
     def _look_up(
@@ -74,9 +78,22 @@
         if catalog.version == 0:
             raise errors.Unavailable("no catalog is in force yet")
         return queries.CatalogView(
-            version=catalog.version, document=catalog.document
+            version=catalog.version,
+            document=catalog.document,
+            queues=catalog.queues,
+            accounts=catalog.accounts,
         )
 
+    def _batch(self, job_id: str) -> queries.BatchDetail:
+        record = self._machine.state.batch.jobs.get(job_id)
+        if record is None:
+            raise errors.Gone(f"there is no batch job {job_id!r}")
+        return queries.BatchDetail(record=record)
+
+    def _batches(self) -> queries.BatchList:
+        records = self._machine.state.batch.jobs.values()
+        return queries.BatchList(jobs=tuple(map(_summary, records)))
+
     def members(self) -> membership.Members:
         """Returns the group of replicas."""
         return membership.Members(replicas=self._replicas())
@@ -262,3 +279,22 @@
             if view is not None and key in view.tasks:
                 found.append(view.tasks[key].state)
         return found
+
+
+def _summary(record: batch.BatchRecord) -> queries.BatchSummary:
+    tasks = [
+        task
+        for steps in record.occurrences.values()
+        for step in steps
+        for task in step.tasks
+    ]
+    return queries.BatchSummary(
+        id=record.id,
+        queue=record.queue,
+        account=record.account,
+        result=record.result,
+        begun=record.begun,
+        done=sum(task.state == batch.TaskState.DONE for task in tasks),
+        active=sum(task.active for task in tasks),
+        failed=sum(task.failed for task in tasks),
+    )
--- a/bilberryroute/transport/control.py
+++ b/bilberryroute/transport/control.py
@@ -19,6 +19,8 @@
     queries.GetStatus,
     queries.LookUpBatch,
     queries.GetCatalog,
+    queries.GetBatch,
+    queries.ListBatches,
 )
 
 ANSWERS = codec.Union(
@@ -29,6 +31,8 @@
     queries.BatchView,
     queries.PendingView,
     queries.CatalogView,
+    queries.BatchDetail,
+    queries.BatchList,
 )
 
 MEMBER_CHANGES = codec.Union(
