Ask an advisory service for permits where a queue wants them

Queues with a recommendation in their configuration start nothing without a ticket. The leader asks once a step, in the background, and keeps what holds; placements carry the permit.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -350,6 +350,7 @@
             run=run.run,
             payload=self._board.payloads.get()[run.task.job_id],
             saved=run.saved,
+            permit=run.permit,
             until_ms=until_ms,
             fence=lease.term,
         )
--- a/bilberryroute/agent/worker_port.py
+++ b/bilberryroute/agent/worker_port.py
@@ -53,6 +53,7 @@
 
     Attributes:
       worker: Name of the worker meant; another one at its address refuses.
+      permit: Permit of an advisory service, or empty.
       until_ms: Worker's clock at which all that runs there is killed, unless
         the lease is extended.
       fence: Term of the leader that decided it; lower ones are refused.
@@ -63,6 +64,7 @@
     run: int
     payload: str
     saved: str
+    permit: str
     until_ms: int
     fence: int
 
--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -288,6 +288,7 @@
       failed: Runs that ended by a failure.
       saved: Newest checkpoint, or empty.
       resumed: Checkpoint that the present run begins with, or empty.
+      permit: Permit of an advisory service for the present run, or empty.
       placed_ms: Unix time of the placement, in milliseconds.
     """
 
@@ -297,6 +298,7 @@
     failed: int = 0
     saved: str = ""
     resumed: str = ""
+    permit: str = ""
     placed_ms: int = 0
 
     @property
--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -47,10 +47,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
-    """A task's place within a unit."""
+    """A task's place within a unit.
+
+    Attributes:
+      permit: Permit of an advisory service for the worker, or empty.
+    """
 
     index: int
     worker: batch.WorkerRef
+    permit: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -140,6 +140,7 @@
       worker: The life of the worker that it was placed on.
       stop: Whether it is to end.
       saved: Checkpoint to resume from, or empty.
+      permit: Permit of an advisory service, or empty.
     """
 
     task: batch.TaskId
@@ -147,6 +148,7 @@
     worker: batch.WorkerRef
     stop: bool
     saved: str = ""
+    permit: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -61,6 +61,7 @@
         they may be out of date.
       bootstrap: Whether the whole system starts for the first time.
       app: On a worker's machine, where the worker takes orders.
+      recommendation: Address of the advisory service.
     """
 
     node_name: str
@@ -72,6 +73,7 @@
     bootstrap: bool = False
     data_dir: str = ""
     app: str = ""
+    recommendation: str = ""
     listen_addrs: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
 
@@ -93,10 +95,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Place:
-    """What the platform tells one process."""
+    """What the platform tells one process.
+
+    Attributes:
+      advisor: Address of the advisory service, or empty.
+    """
 
     settings: settings.Settings
     doors: Doors
+    advisor: str = ""
 
 
 def load(path: str, role: settings.Role) -> Place:
@@ -147,7 +154,7 @@
         readiness=listen.readiness_addr if role == settings.Role.ENTRY else "",
         control=listen.control_plane if role != settings.Role.ENTRY else "",
     )
-    return Place(settings=cfg, doors=doors)
+    return Place(settings=cfg, doors=doors, advisor=said.recommendation)
 
 
 def _replica(ip: str, first_port: int) -> settings.ReplicaAddress:
--- a/bilberryroute/platform/workers.py
+++ b/bilberryroute/platform/workers.py
@@ -215,6 +215,8 @@
         }
         if order.saved:
             body["checkpoint"] = order.saved
+        if order.permit:
+            body["ticket"] = order.permit
         status, text = await self._post(
             address, "run-start", body, ORDER_TIMEOUT_MS, order.worker
         )
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -13,7 +13,6 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import rights as rights_lib
 from bilberryroute import settings
-from bilberryroute.agent import worker_port
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
 
@@ -49,9 +48,10 @@
     ):
         super().__init__()
         self.metrics = metrics_lib.Metrics()
-        self._port = _worker_port(place)
+        self._client = _platform_client(place)
         self.roles = [
-            _role(r, cfg, env, self.metrics, self._port) for r in _ordered(cfg)
+            _role(r, cfg, env, self.metrics, self._client)
+            for r in _ordered(cfg)
         ]
         self._doors: list[mode.Service] = []
         if place is not None:
@@ -72,8 +72,8 @@
 
     async def on_start(self) -> None:
         """Starts the roles, then listens."""
-        if self._port is not None:
-            await self.add_runtime_dependency(self._port)
+        if self._client is not None:
+            await self.add_runtime_dependency(self._client)
         for role in self.roles:
             await self.add_runtime_dependency(role)
         await self.add_runtime_dependency(self.http)
@@ -124,33 +124,40 @@
     cfg: settings.Settings,
     env: context.Environment,
     metrics: metrics_lib.Metrics,
-    port: worker_port.WorkerPort | None,
+    client: mode.Service | None,
 ) -> RoleService:
     """Builds one role; imports it here, so that others cost no memory."""
     match role:
         case settings.Role.REPLICA:
             from bilberryroute.replica import service as replica_service
 
-            return replica_service.ReplicaRole(cfg, env, metrics)
+            return replica_service.ReplicaRole(cfg, env, metrics, client)
         case settings.Role.AGENT:
             from bilberryroute.agent import service as agent_service
 
-            return agent_service.AgentRole(cfg, env, metrics, port)
+            return agent_service.AgentRole(cfg, env, metrics, client)
         case settings.Role.ENTRY:
             from bilberryroute.entry import service as entry_service
 
             return entry_service.EntryRole(cfg, env, metrics)
 
 
-def _worker_port(
+def _platform_client(
     place: platform_settings.Place | None,
-) -> worker_port.WorkerPort | None:
-    """Returns the port to the worker beside an agent on the platform."""
-    if place is None or settings.Role.AGENT not in place.settings.roles:
+) -> mode.Service | None:
+    """Returns what a role asks of the platform: its worker, or advice."""
+    if place is None:
         return None
-    from bilberryroute.platform import workers
+    match place.settings.roles[0]:
+        case settings.Role.AGENT:
+            from bilberryroute.platform import workers
+
+            return workers.WorkerClient()
+        case settings.Role.REPLICA if place.advisor:
+            from bilberryroute.platform import advice
 
-    return workers.WorkerClient()
+            return advice.AdviceClient(place.advisor)
+    return None
 
 
 def _doors(
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -10,6 +10,7 @@
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import wire
+from bilberryroute.replica import advice as advice_lib
 from bilberryroute.replica import batch_health
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import forecasts as forecasts_lib
@@ -51,6 +52,7 @@
         parts: parts_lib.ReplicaParts,
         leases: lease_lib.LeaseService,
         metrics: metrics_lib.Metrics,
+        advisor: advice_lib.Advisor | None = None,
     ):
         super().__init__()
         self._cfg = parts.cfg
@@ -65,6 +67,7 @@
         self._forecasts = forecasts_lib.Forecasts()
         self._typical = forecasts_lib.TypicalTimes()
         self._wake = asyncio.Event()
+        self._permits = advice_lib.Permits(advisor, parts.clock, self._wake)
         timing = parts.cfg.timing
         self._lapse_ms = (
             timing.agent_lease_ms
@@ -72,6 +75,10 @@
             + LAPSE_MARGIN_MS
         )
 
+    async def on_start(self) -> None:
+        """Starts what asks for permits."""
+        await self.add_runtime_dependency(self._permits)
+
     @property
     def _held(self) -> batch.BatchState:
         return self._machine.state.batch
@@ -154,8 +161,12 @@
             left_ms,
             self._clock.wall(),
             self._typical.by_queue,
+            self._permits.held(),
         )
         self._metrics.round_ms.add({}, self._clock.now() - planned_ms)
+        self._permits.keep_only(set(plan.advised))
+        for key, workers in plan.advised.items():
+            self._permits.want(key, workers)
         commands = []
         if stops or plan.stops:
             commands.append(
@@ -185,6 +196,8 @@
                 task = self._active(end.task, end.run)
                 if task is not None:
                     found.append(_run_end(end))
+                    if end.outcome == batch.RunOutcome.REJECTED:
+                        self._permits.drop(_step_key(end.task))
                     self._learn(end, task)
                     self._health.note(worker.report.name, end)
         return found
@@ -415,5 +428,9 @@
     )
 
 
+def _step_key(task: batch.TaskId) -> views.StepKey:
+    return (task.job_id, task.occurrence, task.step)
+
+
 def _label(task: batch.TaskId) -> str:
     return f"{task.occurrence}.{task.step}.{task.index}"
--- a/bilberryroute/replica/desired.py
+++ b/bilberryroute/replica/desired.py
@@ -146,6 +146,7 @@
         worker=task.worker,
         stop=stop,
         saved="" if stop else task.resumed,
+        permit="" if stop else task.permit,
     )
 
 
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -11,6 +11,7 @@
 from bilberryroute import settings
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
+from bilberryroute.replica import advice as advice_lib
 from bilberryroute.replica import batch as batch_lib
 from bilberryroute.replica import control as control_lib
 from bilberryroute.replica import endpoints as endpoint_lib
@@ -46,6 +47,7 @@
         cfg: settings.Settings,
         env: context.Environment,
         metrics: metrics_lib.Metrics,
+        advisor: advice_lib.Advisor | None = None,
     ):
         super().__init__()
         self._cfg = cfg
@@ -62,7 +64,7 @@
             self.parts.leadership,
             controller,
             leases,
-            batch_lib.BatchController(self.parts, leases, metrics),
+            batch_lib.BatchController(self.parts, leases, metrics, advisor),
             repair_lib.RepairController(self.parts),
             worker_lib.WorkerController(self.parts),
             endpoint_lib.EndpointController(self.parts),
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -36,6 +36,9 @@
     left_ms: Mapping[room_lib.RunKey, int],
     wall_ms: int,
     typical_ms: Mapping[str, int] = types.MappingProxyType({}),
+    permits: Mapping[views.StepKey, Mapping[str, str]] = (
+        types.MappingProxyType({})
+    ),
 ) -> views.Plan:
     """Returns what starts now and what stops for it.
 
@@ -45,8 +48,9 @@
       left_ms: Forecasts of how long runs go on, in milliseconds.
       wall_ms: Unix time in milliseconds.
       typical_ms: How long a task of each queue has taken, in milliseconds.
+      permits: Permits of advised queues, by step and worker.
     """
-    room = room_lib.Room(held, workers, left_ms, wall_ms)
+    room = room_lib.Room(held, workers, left_ms, wall_ms, permits)
     ready = readiness.ready_units(held, wall_ms, typical_ms)
     return _Round(held, room, wall_ms).run(ready)
 
@@ -65,30 +69,36 @@
         self._victims: list[preempting.Victim] | None = None
         self._reserved = 0
         self._waiting = 0
+        self._advised: dict[views.StepKey, list[str]] = {}
 
     def run(self, ready: list[views.Ready]) -> views.Plan:
         """Tries units in the order given."""
-        full: set[tuple] = set()
+        full: set[views.StepKey] = set()
         for unit in ready:
-            key = (unit.record.id, unit.occurrence, unit.step_number)
-            if key in full:
+            if unit.step_key in full:
                 self._waiting += 1
             elif not self._try(unit):
                 self._waiting += 1
-                full.add(key)
+                full.add(unit.step_key)
         return views.Plan(
             units=tuple(self._units),
             stops=tuple(self._stops),
             waiting=self._waiting,
+            advised=self._advised,
         )
 
     def _try(self, unit: views.Ready) -> bool:
+        if unit.queue.advised:
+            self._advised[unit.step_key] = self._room.candidates(
+                unit, self._held.evacuated
+            )
         guaranteed = unit.rank[1] < FIRST_PATIENT_URGENCY
         within = self._room.free if guaranteed else self._room.usable(unit)
         names = self._fit(unit, within)
         if names is not None:
             refs = tuple(self._room.workers[name].ref for name in names)
-            self._units.append(unit.placed(refs))
+            permits = self._room.permits(unit)
+            self._units.append(unit.placed(refs, permits))
             self._room.take(unit, names)
             return True
         if guaranteed:
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -8,7 +8,6 @@
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import views
 
-StepKey = tuple[str, int, int]
 RunKey = tuple[batch.TaskId, int]
 
 # Least time that a run without any forecast is taken to go on.
@@ -47,6 +46,7 @@
         workers: Iterable[views.WorkerView],
         left_ms: Mapping[RunKey, int],
         wall_ms: int,
+        permits: Mapping[views.StepKey, Mapping[str, str]],
     ):
         """Counts the room.
 
@@ -55,12 +55,14 @@
           workers: Workers that are present.
           left_ms: Forecasts of how long runs go on, in milliseconds.
           wall_ms: Unix time in milliseconds.
+          permits: Permits of advised queues, by step and worker.
         """
+        self._permits = permits
         self.workers = {worker.ref.name: worker for worker in workers}
         self.free: dict[str, batch.Resources] = {}
         self._uses: dict[str, list[_Use]] = {}
         self._reserved: dict[str, list[_Reservation]] = {}
-        self._tasks: dict[str, collections.Counter[StepKey]] = {}
+        self._tasks: dict[str, collections.Counter[views.StepKey]] = {}
         for name, worker in self.workers.items():
             self._count(held, name, worker, left_ms, wall_ms)
 
@@ -74,7 +76,7 @@
     ) -> None:
         free = worker.capacity
         uses = []
-        counter: collections.Counter[StepKey] = collections.Counter()
+        counter: collections.Counter[views.StepKey] = collections.Counter()
         for task_id in held.placed.get(worker.ref.agent, ()):
             record = held.jobs[task_id.job_id]
             task = record.task(task_id)
@@ -98,21 +100,32 @@
         self, unit: views.Ready, worker: views.WorkerView, evacuated: list[str]
     ) -> bool:
         """Says whether a unit's tasks may run on a worker, room aside."""
-        label = unit.step.required_label
-        return (
-            worker.open
-            and worker.pool == unit.queue.pool
-            and worker.failure_domain not in evacuated
-            and (not label or label in worker.labels)
-        )
+        advised = unit.queue.advised
+        if advised and worker.ref.name not in self.permits(unit):
+            return False
+        return _suits(unit, worker, evacuated)
+
+    def permits(self, unit: views.Ready) -> Mapping[str, str]:
+        """Returns the permits of a unit's step, by worker."""
+        return self._permits.get(unit.step_key, {})
+
+    def candidates(self, unit: views.Ready, evacuated: list[str]) -> list[str]:
+        """Returns the workers on which an advised unit might run."""
+        need = needed(unit.step)
+        fitting = [
+            worker
+            for worker in self.workers.values()
+            if _suits(unit, worker, evacuated) and worker.capacity.holds(need)
+        ]
+        fitting.sort(key=lambda w: not self.free[w.ref.name].holds(need))
+        return [worker.ref.name for worker in fitting]
 
     def spread_left(self, unit: views.Ready, name: str) -> int:
         """Returns how many more tasks of the step a worker may take."""
         limit = unit.step.spread_limit
         if not limit:
             return unit.step.count
-        key = (unit.record.id, unit.occurrence, unit.step_number)
-        return limit - self._tasks[name][key]
+        return limit - self._tasks[name][unit.step_key]
 
     def within(self, ahead_ms: int) -> dict[str, batch.Resources]:
         """Returns the room once all that ends until then has ended."""
@@ -139,10 +152,9 @@
     def take(self, unit: views.Ready, names: Iterable[str]) -> None:
         """Uses or claims a unit's need at once, once for each name."""
         need = needed(unit.step)
-        key = (unit.record.id, unit.occurrence, unit.step_number)
         for name in names:
             self.free[name] = self.free[name].minus(need)
-            self._tasks[name][key] += 1
+            self._tasks[name][unit.step_key] += 1
 
     def reserve(
         self, unit: views.Ready, names: Iterable[str], from_ms: int
@@ -169,6 +181,18 @@
         return free
 
 
+def _suits(
+    unit: views.Ready, worker: views.WorkerView, evacuated: list[str]
+) -> bool:
+    label = unit.step.required_label
+    return (
+        worker.open
+        and worker.pool == unit.queue.pool
+        and worker.failure_domain not in evacuated
+        and (not label or label in worker.labels)
+    )
+
+
 def _left(
     task: batch.TaskRecord,
     step: batch.Step,
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -1,10 +1,13 @@
 """What the planner is shown, and what it decides."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 
+StepKey = tuple[str, int, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerView:
@@ -48,7 +51,16 @@
     rank: tuple[int, ...] = ()
     since_ms: int = 0
 
-    def placed(self, workers: tuple[batch.WorkerRef, ...]) -> batching.Unit:
+    @property
+    def step_key(self) -> StepKey:
+        """The step of one occurrence that the unit belongs to."""
+        return (self.record.id, self.occurrence, self.step_number)
+
+    def placed(
+        self,
+        workers: tuple[batch.WorkerRef, ...],
+        permits: Mapping[str, str],
+    ) -> batching.Unit:
         """Returns the command's unit for workers in the order of indexes."""
         return batching.Unit(
             job_id=self.record.id,
@@ -56,7 +68,11 @@
             step=self.step_number,
             run=self.run,
             members=tuple(
-                batching.Member(index=index, worker=worker)
+                batching.Member(
+                    index=index,
+                    worker=worker,
+                    permit=permits.get(worker.name, ""),
+                )
                 for index, worker in zip(self.indexes, workers, strict=True)
             ),
         )
@@ -70,8 +86,10 @@
       units: To be placed, in order.
       stops: Runs to stop, so that units of a better rank fit.
       waiting: How many units could start but for want of room.
+      advised: Steps that need permits, with the workers that could take them.
     """
 
     units: tuple[batching.Unit, ...] = ()
     stops: tuple[batching.TaskRun, ...] = ()
     waiting: int = 0
+    advised: dict[StepKey, list[str]] = dataclasses.field(default_factory=dict)
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -219,6 +219,7 @@
     gang = record.content.steps[unit.step].gang
     for member in unit.members:
         task = progress.tasks[member.index]
+        task.permit = member.permit
         task.resumed = progress.saved if gang else task.saved
         task.state = batch.TaskState.PLACED
         task.run = unit.run
--- /dev/null
+++ b/tests/replica/test_advice.py
@@ -0,0 +1,127 @@
+"""Permits of the advisory service."""
+
+import asyncio
+
+import pytest
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute.platform import advice as wire_form
+from bilberryroute.replica import advice as advice_lib
+from bilberryroute.scheduling.batch import planner
+from tests.utils import batches
+
+KEY = ("j1", 0, 0)
+
+
+class FakeAdvisor:
+    """Allows every worker whose name is not in `barred`."""
+
+    def __init__(self):
+        self.calls: list[list[str]] = []
+        self.barred: set[str] = set()
+        self.fault: errors.BilberryrouteError | None = None
+
+    async def advise(self, step, workers):
+        self.calls.append(workers)
+        if self.fault is not None:
+            raise self.fault
+        permits = {n: f"p-{n}" for n in workers if n not in self.barred}
+        return advice_lib.Advice(permits=permits, valid_ms=3_000)
+
+
+@pytest.fixture
+def clock():
+    return clock_lib.ManualClock(start=10_000)
+
+
+@pytest.fixture
+def advisor():
+    return FakeAdvisor()
+
+
+@pytest.fixture
+async def permits(advisor, clock):
+    news = asyncio.Event()
+    service = advice_lib.Permits(advisor, clock, news)
+    await service.start()
+    yield service
+    await service.stop()
+
+
+async def ask(permits, *workers):
+    permits.want(KEY, list(workers))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+
+
+async def test_step_is_asked_for_once_while_its_permits_hold(
+    permits, advisor, clock
+):
+    await ask(permits, "w1", "w2")
+    clock.advance(1_000)
+    await ask(permits, "w1", "w2")
+    assert advisor.calls == [["w1", "w2"]]
+    assert permits.held() == {KEY: {"w1": "p-w1", "w2": "p-w2"}}
+
+
+async def test_permits_are_asked_for_anew_before_they_end(
+    permits, advisor, clock
+):
+    await ask(permits, "w1")
+    clock.advance(2_700)
+    assert permits.held() == {}
+    await ask(permits, "w1")
+    assert len(advisor.calls) == 2
+
+
+async def test_other_workers_are_asked_about_after_a_pause(
+    permits, advisor, clock
+):
+    advisor.barred = {"w1"}
+    await ask(permits, "w1")
+    assert permits.held() == {KEY: {}}
+    await ask(permits, "w1", "w2")
+    assert len(advisor.calls) == 1
+    clock.advance(advice_lib.PAUSE_MS)
+    await ask(permits, "w1", "w2")
+    assert permits.held() == {KEY: {"w2": "p-w2"}}
+
+
+async def test_failed_call_is_repeated(permits, advisor, clock):
+    advisor.fault = errors.Unavailable("busy")
+    await ask(permits, "w1")
+    advisor.fault = None
+    clock.advance(advice_lib.PAUSE_MS)
+    await ask(permits, "w1")
+    assert permits.held() == {KEY: {"w1": "p-w1"}}
+
+
+@pytest.fixture
+def advised():
+    log = batches.Log()
+    batches.advised(log.held)
+    log.submit("j1", batches.content())
+    return log
+
+
+def test_advised_unit_waits_for_its_permit(advised):
+    workers = [batches.worker("w1"), batches.worker("w2")]
+    first = planner.plan(advised.held, workers, {}, advised.now)
+    assert first.units == ()
+    assert first.advised == {KEY: ["w1", "w2"]}
+    allowed = {KEY: {"w2": "p"}}
+    then = planner.plan(advised.held, workers, {}, advised.now, permits=allowed)
+    (member,) = then.units[0].members
+    assert (member.worker.name, member.permit) == ("w2", "p")
+
+
+def test_answer_is_decoded():
+    found = wire_form.decode(b'{"allowed":[["i1","t1"]],"validityMs":3000}')
+    assert found == advice_lib.Advice(permits={"i1": "t1"}, valid_ms=3_000)
+
+
+@pytest.mark.parametrize("text", [b"", b"[]", b'{"allowed":[["i1"]]}'])
+def test_unreadable_answers_are_refused(text):
+    with pytest.raises(errors.MalformedInput):
+        wire_form.decode(text)
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -1,5 +1,7 @@
 """Batch jobs, catalogs and workers for tests."""
 
+import dataclasses
+
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import commands
@@ -71,6 +73,15 @@
     return views.WorkerView(**(defaults | more))
 
 
+def advised(held: batch.BatchState) -> None:
+    """Makes every queue ask for permits."""
+    queues = tuple(
+        dataclasses.replace(queue, advised=True)
+        for queue in held.catalog.queues
+    )
+    held.catalog = dataclasses.replace(held.catalog, queues=queues)
+
+
 class Log:
     """Applies commands on batch jobs the way a replicated log does.
 
