--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -25,6 +25,7 @@
 from bilberryroute.transport import codec
 
 COALESCE_MS = 10
+LOSS_CHECK_MS = 250
 UNANSWERED_DIVISOR = 3
 DATAGRAM_BYTES = 65_507
 EPOCH_BITS = 50
@@ -102,6 +103,7 @@
         self._ids = sorted(self._configured)
         self._target = 0
         self._answered = True
+        self._leader = ""
         self._wake = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -226,6 +228,7 @@
                 lease=lease, desired=desired, covered=covered
             ):
                 self._answered = True
+                self._note_leader(grant)
                 self._learn_replicas(grant.replicas)
                 self._take_batch(grant)
                 self._take_desired(desired)
@@ -241,6 +244,32 @@
             case lease_keeper.Dropped(reason=reason):
                 self._metrics.dropped(reason)
 
+    def _note_leader(self, grant: wire.Grant) -> None:
+        """Logs a new leader, and a lease that is held again."""
+        now = self._clock.now()
+        lost_ms = now - self.board.lease.get().expires
+        if grant.leader_id != self._leader or lost_ms > 0:
+            logger.info(
+                "leased",
+                extra={
+                    "leader": grant.leader_id,
+                    "term": grant.term,
+                    "without_lease_ms": max(0, lost_ms) if self._leader else 0,
+                },
+            )
+            self._leader = grant.leader_id
+
+    @Service.task
+    async def _watch_loss(self) -> None:
+        """Logs once when the lease has run out."""
+        held = False
+        while not self.should_stop:
+            await self.sleep(clock_lib.seconds(LOSS_CHECK_MS))
+            holds = self.board.lease.get().left(self._clock.now()) > 0
+            if held and not holds:
+                logger.warning("lease lost", extra={"leader": self._leader})
+            held = holds
+
     def _take_batch(self, grant: wire.Grant) -> None:
         """Takes over payloads, before what needs them, and committed ends."""
         wanted = grant.desired or self.board.desired.get()
--- a/bilberryroute/cli/parser.py
+++ b/bilberryroute/cli/parser.py
@@ -19,6 +19,7 @@
 from bilberryroute.cli import requests
 from bilberryroute.cli import system
 from bilberryroute.cli import tickets
+from bilberryroute.cli import trace
 
 Action = Callable[[context.Environment], status.ExitStatus]
 
@@ -56,6 +57,7 @@
     },
     "request": requests.send,
     "status": system.show_status,
+    "trace": trace.trace,
     "drain": system.drain,
     "version": local.version,
 }
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -316,6 +316,13 @@
 
     def _note_role(self, change: messages.RoleChanged) -> None:
         leader = records.replica_id(change.leader) or None
+        known = self.role_cell.get()
+        if (change.role, leader) != (known.role, known.leader_id):
+            self.log.info(
+                "role: %s",
+                change.role,
+                extra={"term": change.term, "leader": leader or ""},
+            )
         self.role_cell.set(
             RoleState(role=change.role, term=change.term, leader_id=leader)
         )
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -63,6 +63,7 @@
         self._turn = 0
         self._learned: dict[str, str] = {}
         self._suspected: dict[str, int] = {}
+        self._watched = ""
 
     async def on_stop(self) -> None:
         """Closes all channels."""
@@ -199,6 +200,7 @@
             # Any error ends this watch only; the next one starts afresh.
             with contextlib.suppress(grpc.aio.AioRpcError, TimeoutError):
                 await self._watch_once()
+            self._note_lost()
             self._follow(None)
             pause = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await self.sleep(clock_lib.seconds(pause))
@@ -236,10 +238,25 @@
                     cell.changed(seen), clock_lib.seconds(REPORT_MS)
                 )
 
+    def _note_watched(self, leader_id: str) -> None:
+        if leader_id != self._watched:
+            self._watched = leader_id
+            self.log.info("hears the leader", extra={"leader": leader_id})
+
+    def _note_lost(self) -> None:
+        if self._watched:
+            silent_ms = self._clock.now() - self._board.heard_ms.get()
+            self.log.info(
+                "lost the leader",
+                extra={"leader": self._watched, "silent_ms": silent_ms},
+            )
+            self._watched = ""
+
     def _take(self, event: wire.WatchEvent) -> None:
         """Writes an event to the board; nothing steps back."""
         if event.term < self._board.term.get():
             return
+        self._note_watched(event.leader_id)
         self._board.term.set(event.term)
         self._board.heard_ms.set(self._clock.now())
         self._learned = {r.id: r.grpc for r in event.replicas}
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -67,6 +67,7 @@
         self._forecasts = forecasts_lib.Forecasts()
         self._typical = forecasts_lib.TypicalTimes()
         self._wake = asyncio.Event()
+        self._waits: set[str] = set()
         self._permits = advice_lib.Permits(advisor, parts.clock, self._wake)
         timing = parts.cfg.timing
         self._lapse_ms = (
@@ -179,6 +180,7 @@
             self._log_units(plan)
         if plan.stops:
             self._log_stops(plan)
+        self._log_waits(plan)
         await asyncio.gather(*map(self._proposer.try_propose, commands))
 
     def _settled(self) -> bool:
@@ -232,8 +234,23 @@
                         "outcome": str(end.outcome),
                     },
                 )
+            self._log_ended_jobs({end.task.job_id for end in ends})
             self._note_committed()
 
+    def _log_ended_jobs(self, job_ids: set[str]) -> None:
+        for job_id in sorted(job_ids):
+            record = self._held.jobs.get(job_id)
+            if record is not None and record.result is not None:
+                logger.info(
+                    "job ended",
+                    extra={
+                        "job_id": job_id,
+                        "result": str(record.result),
+                        "reason": record.reason,
+                        "took_ms": record.ended_ms - record.accepted_ms,
+                    },
+                )
+
     def _note_committed(self) -> None:
         """Lets agents know which ends their workers may forget."""
         told = set()
@@ -395,7 +412,7 @@
                 "placed",
                 extra={
                     "job_id": unit.job_id,
-                    "step": unit.step,
+                    "tasks": [_label(unit.task(m)) for m in unit.members],
                     "run": unit.run,
                     "workers": [m.worker.name for m in unit.members],
                     "waiting": plan.waiting,
@@ -410,6 +427,20 @@
                 {"queue": record.queue}, max(0, waited_ms)
             )
 
+    def _log_waits(self, plan: views.Plan) -> None:
+        """Says once of each job that it has begun to wait for room."""
+        for job_id in sorted(plan.waits.keys() - self._waits):
+            logger.info(
+                "waits for room",
+                extra={
+                    "job_id": job_id,
+                    "rank": plan.waits[job_id],
+                    "waiting": plan.waiting,
+                    "workers": len(self._workers()),
+                },
+            )
+        self._waits = set(plan.waits)
+
     def _log_stops(self, plan: views.Plan) -> None:
         for run in plan.stops:
             logger.info(
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -69,6 +69,7 @@
         self._victims: list[preempting.Victim] | None = None
         self._reserved = 0
         self._waiting = 0
+        self._waits: dict[str, tuple[int, ...]] = {}
         self._advised: dict[views.StepKey, list[str]] = {}
 
     def run(self, ready: list[views.Ready]) -> views.Plan:
@@ -79,11 +80,13 @@
                 self._waiting += 1
             elif not self._try(unit):
                 self._waiting += 1
+                self._waits.setdefault(unit.record.id, unit.rank)
                 full.add(unit.step_key)
         return views.Plan(
             units=tuple(self._units),
             stops=tuple(self._stops),
             waiting=self._waiting,
+            waits=self._waits,
             advised=self._advised,
         )
 
