--- a/bilberryroute/blackboard.py
+++ b/bilberryroute/blackboard.py
@@ -44,3 +44,11 @@
         while self.version == seen:
             await self._changed.wait()
         return self.version
+
+
+async def forward(cell: Cell, wake: asyncio.Event) -> None:
+    """Sets an event whenever a cell changes, until cancelled."""
+    seen = cell.version
+    while True:
+        seen = await cell.changed(seen)
+        wake.set()
--- a/bilberryroute/entry/batch.py
+++ b/bilberryroute/entry/batch.py
@@ -9,6 +9,7 @@
 from bilberryroute import settings
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
 from bilberryroute.model import queries
 
@@ -50,7 +51,7 @@
 
     async def submit(
         self,
-        address: batch.Address,
+        address: catalog_model.Address,
         content: batch.Content,
         within_ms: clock_lib.Millis,
     ) -> batching.BatchAccepted:
@@ -76,14 +77,14 @@
             self._metrics.accept_ms.add({"outcome": outcome}, took_ms)
 
     async def cancel(
-        self, address: batch.Address, within_ms: clock_lib.Millis
+        self, address: catalog_model.Address, within_ms: clock_lib.Millis
     ) -> batching.BatchAccepted:
         """Cancels a job; raises as `submit` does."""
         command = batching.CancelBatch(address=address, at_ms=0)
         return await self._change(command, address, within_ms)
 
     async def look_up(
-        self, address: batch.Address, within_ms: clock_lib.Millis
+        self, address: catalog_model.Address, within_ms: clock_lib.Millis
     ) -> queries.BatchView | queries.PendingView:
         """Returns where a job stands, or how many of a queue wait.
 
@@ -96,7 +97,7 @@
         )
 
     async def apply_catalog(
-        self, catalog: batch.Catalog, within_ms: clock_lib.Millis
+        self, catalog: catalog_model.Catalog, within_ms: clock_lib.Millis
     ) -> batching.CatalogHeld:
         """Puts a catalog in force, unless a higher version is."""
         command = batching.ApplyCatalog(catalog=catalog, at_ms=0)
@@ -150,7 +151,7 @@
     async def _change(
         self,
         command: commands.Command,
-        address: batch.Address,
+        address: catalog_model.Address,
         within_ms: clock_lib.Millis,
     ) -> batching.BatchAccepted:
         name = type(command).__name__
--- a/bilberryroute/entry/batch_api.py
+++ b/bilberryroute/entry/batch_api.py
@@ -9,7 +9,7 @@
 from bilberryroute import settings
 from bilberryroute.entry import batch as batch_lib
 from bilberryroute.entry import batch_models as models
-from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 
 KEY_HEADER = "Bilberryroute-Key"
 PATIENCE_MS = clock_lib.Millis(8_000)
@@ -80,11 +80,11 @@
 
     async def _address(
         self, req: web.Request, queue_name: str, job_id: str
-    ) -> batch.Address:
+    ) -> catalog_model.Address:
         found = await self._desk.catalog(PATIENCE_MS)
         for queue in found.queues:
             if queue.name == queue_name:
-                return batch.Address(
+                return catalog_model.Address(
                     host=queue.host,
                     path=queue.path_prefix + job_id,
                     key=req.headers.get(KEY_HEADER, ""),
--- a/bilberryroute/entry/batch_models.py
+++ b/bilberryroute/entry/batch_models.py
@@ -8,6 +8,7 @@
 from bilberryroute import errors
 from bilberryroute.entry import operator_models as models
 from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 
 Amount = Annotated[int, msgspec.Meta(ge=0, le=models.MAX_COUNT * 1_000)]
 Text = Annotated[str, msgspec.Meta(max_length=4_096)]
@@ -56,7 +57,7 @@
 
 
 class QueueModel(models.Model):
-    """See `batch.Queue`."""
+    """See `catalog_model.Queue`."""
 
     name: models.Name
     host: str
@@ -71,7 +72,7 @@
 
 
 class BatchAccountModel(models.Model):
-    """See `batch.BatchAccount`."""
+    """See `catalog_model.BatchAccount`."""
 
     name: models.Name
     keys: tuple[str, ...] = ()
@@ -107,7 +108,7 @@
     )
 
 
-def to_catalog(model: CatalogModel) -> batch.Catalog:
+def to_catalog(model: CatalogModel) -> catalog_model.Catalog:
     """Returns the catalog.
 
     Raises:
@@ -122,5 +123,5 @@
     said = msgspec.to_builtins(model)
     return msgspec.convert(
         said | {"document": msgspec.json.encode(model)},
-        batch.Catalog,
+        catalog_model.Catalog,
     )
--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
 
 
@@ -10,7 +11,7 @@
 class ApplyCatalog(commands.Command):
     """Replaces all queues and accounts if the version is higher."""
 
-    catalog: batch.Catalog
+    catalog: catalog_model.Catalog
     at_ms: int
 
 
@@ -31,7 +32,7 @@
       keep_ms: How long ended jobs are remembered, in milliseconds.
     """
 
-    address: batch.Address
+    address: catalog_model.Address
     content: batch.Content
     keep_ms: int
     at_ms: int
@@ -41,7 +42,7 @@
 class CancelBatch(commands.Command):
     """Cancels a batch job; its tasks are stopped."""
 
-    address: batch.Address
+    address: catalog_model.Address
     at_ms: int
 
 
--- a/bilberryroute/model/queries.py
+++ b/bilberryroute/model/queries.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import config
 from bilberryroute.model import jobs
 
@@ -46,7 +47,7 @@
 class LookUpBatch(Query):
     """Asks where a batch job stands, or how many of a queue wait."""
 
-    address: batch.Address
+    address: catalog_model.Address
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,8 +122,8 @@
 
     version: int
     document: bytes
-    queues: tuple[batch.Queue, ...] = ()
-    accounts: tuple[batch.BatchAccount, ...] = ()
+    queues: tuple[catalog_model.Queue, ...] = ()
+    accounts: tuple[catalog_model.BatchAccount, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/platform/callers.py
+++ b/bilberryroute/platform/callers.py
@@ -11,7 +11,7 @@
 from bilberryroute import settings
 from bilberryroute.entry import batch as entry_batch
 from bilberryroute.entry import service as entry_service
-from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import queries
 from bilberryroute.platform import doors
 from bilberryroute.platform import jobs
@@ -97,9 +97,9 @@
         return resp
 
 
-def _address(req: web.Request) -> batch.Address:
+def _address(req: web.Request) -> catalog_model.Address:
     scheme, _, key = req.headers.get("Authorization", "").partition(" ")
-    return batch.Address(
+    return catalog_model.Address(
         host=req.host.rsplit(":", 1)[0],
         path=req.path,
         key=key if scheme == "Bearer" else "",
--- a/bilberryroute/platform/catalog.py
+++ b/bilberryroute/platform/catalog.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bilberryroute import errors
-from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 
 # Kind of accelerator under which an account's guarantee is listed.
 _ACCELERATORS = "gpu"
@@ -62,7 +62,7 @@
 _configs = msgspec.json.Decoder(_Config)
 
 
-def decode(body: bytes) -> batch.Catalog:
+def decode(body: bytes) -> catalog_model.Catalog:
     """Returns the catalog that an operator wants in force.
 
     Raises:
@@ -74,7 +74,7 @@
         raise errors.MalformedInput(f"malformed configuration: {exc}") from exc
     _check_routes(said)
     _check_keys(said)
-    return batch.Catalog(
+    return catalog_model.Catalog(
         version=said.version,
         queues=tuple(map(_queue, said.routes)),
         accounts=tuple(map(_account, said.tenants)),
@@ -110,8 +110,8 @@
                 )
 
 
-def _queue(route: _Route) -> batch.Queue:
-    return batch.Queue(
+def _queue(route: _Route) -> catalog_model.Queue:
+    return catalog_model.Queue(
         name=route.name,
         host=route.host,
         path_prefix=route.path_prefix,
@@ -126,8 +126,8 @@
     )
 
 
-def _account(tenant: _Tenant) -> batch.BatchAccount:
-    return batch.BatchAccount(
+def _account(tenant: _Tenant) -> catalog_model.BatchAccount:
+    return catalog_model.BatchAccount(
         name=tenant.name,
         keys=tenant.api_keys,
         guaranteed=tenant.guaranteed_gpus.get(_ACCELERATORS, 0),
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -6,6 +6,7 @@
 from bilberryroute import errors
 from bilberryroute.consensus import records
 from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import jobs
 from bilberryroute.model import membership
 from bilberryroute.model import queries
@@ -57,7 +58,7 @@
         raise errors.MalformedInput(f"unknown query {query!r}")
 
     def _look_up(
-        self, address: batch.Address
+        self, address: catalog_model.Address
     ) -> queries.BatchView | queries.PendingView:
         held = self._machine.state.batch
         allowed = batch_rules.authorize(held.catalog, address)
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from bilberryroute.model import batch
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.scheduling.batch import views
 
 # An occurrence that is due within this time counts as due: clocks of hosts
@@ -125,7 +126,7 @@
 
 
 def _units_of(
-    record: batch.BatchRecord, queue: batch.Queue, wall_ms: int
+    record: batch.BatchRecord, queue: catalog_model.Queue, wall_ms: int
 ) -> Iterator[views.Ready]:
     for number in range(record.occurrence_count):
         due_ms = record.due_ms(number)
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -5,6 +5,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import catalog as catalog_model
 
 StepKey = tuple[str, int, int]
 
@@ -42,7 +43,7 @@
     """
 
     record: batch.BatchRecord
-    queue: batch.Queue
+    queue: catalog_model.Queue
     occurrence: int
     step_number: int
     step: batch.Step
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -7,6 +7,7 @@
 from bilberryroute import errors
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
 from bilberryroute.state import records
@@ -40,8 +41,8 @@
 
 
 def authorize(
-    catalog: batch.Catalog, address: batch.Address
-) -> tuple[batch.Queue, str] | Refusal:
+    catalog: catalog_model.Catalog, address: catalog_model.Address
+) -> tuple[catalog_model.Queue, str] | Refusal:
     """Returns the queue that a caller may use and its account, or a refusal."""
     if catalog.version == 0:
         return Refusal(
@@ -59,7 +60,7 @@
 
 
 def find(
-    held: batch.BatchState, address: batch.Address
+    held: batch.BatchState, address: catalog_model.Address
 ) -> batch.BatchRecord | Refusal:
     """Returns the job that a caller names, or a refusal."""
     allowed = authorize(held.catalog, address)
@@ -76,7 +77,7 @@
     return record
 
 
-def pending(held: batch.BatchState, queue: batch.Queue) -> int:
+def pending(held: batch.BatchState, queue: catalog_model.Queue) -> int:
     """Returns how many accepted jobs of a queue have not begun."""
     return sum(
         record.queue == queue.name
--- a/tests/state/test_batch.py
+++ b/tests/state/test_batch.py
@@ -5,6 +5,7 @@
 from bilberryroute import errors
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
 from bilberryroute.state import machine as machine_lib
@@ -65,10 +66,10 @@
 
 def test_longest_prefix_chooses_the_queue():
     queues = tuple(
-        batch.Queue(name=name, host="h", path_prefix=prefix, pool="p")
+        catalog_model.Queue(name=name, host="h", path_prefix=prefix, pool="p")
         for name, prefix in (("short", "/a/"), ("long", "/a/b/"))
     )
-    found = batch.Catalog(version=1, queues=queues).match("h", "/a/b/c")
+    found = catalog_model.Catalog(version=1, queues=queues).match("h", "/a/b/c")
     assert found.name == "long"
 
 
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -4,6 +4,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
 from bilberryroute.scheduling.batch import views
 from bilberryroute.state import machine as machine_lib
@@ -29,9 +30,9 @@
     return batch.Content(payload="text", steps=steps or (step(),), **more)
 
 
-def catalog(version: int = 1, **more) -> batch.Catalog:
+def catalog(version: int = 1, **more) -> catalog_model.Catalog:
     queues = tuple(
-        batch.Queue(
+        catalog_model.Queue(
             name=name,
             host=HOST,
             path_prefix=f"/{name}/",
@@ -44,15 +45,17 @@
         )
         for priority, name in enumerate(("urgent", "planned", "nightly"))
     )
-    accounts = (batch.BatchAccount(name="trust", keys=(KEY,), guaranteed=8),)
+    accounts = (
+        catalog_model.BatchAccount(name="trust", keys=(KEY,), guaranteed=8),
+    )
     defaults = {"queues": queues, "accounts": accounts, "document": b"{}"}
-    return batch.Catalog(version=version, **(defaults | more))
+    return catalog_model.Catalog(version=version, **(defaults | more))
 
 
 def address(
     queue: str = "planned", job_id: str = "", key: str = KEY
-) -> batch.Address:
-    return batch.Address(host=HOST, path=f"/{queue}/{job_id}", key=key)
+) -> catalog_model.Address:
+    return catalog_model.Address(host=HOST, path=f"/{queue}/{job_id}", key=key)
 
 
 def ref(name: str = "w1", born: int = 1) -> batch.WorkerRef:
