--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -11,6 +11,7 @@
 
 import mode
 
+from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute import context
 from bilberryroute import errors
@@ -18,8 +19,8 @@
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import run_plan
+from bilberryroute.agent import worker_life as life_lib
 from bilberryroute.agent import worker_port
-from bilberryroute.model import batch
 from bilberryroute.model import wire
 
 # How long a look at the worker may wait for an end; a lease lasts several.
@@ -36,33 +37,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Life:
-    """One life of the worker, as far as this agent has seen it.
-
-    Attributes:
-      clock_ms: Worker's clock at the newest answer.
-      sampled_ms: Own clock when that answer came.
-      heard_ms: Own clock at the last answer.
-      down_since_ms: Since when connections are refused; None if they aren't.
-      withdrawn: Whether the worker has said that it ends.
-      over: Whether nothing of this life is left.
-      barred_before: Whether what earlier lives were ordered is barred here.
-    """
-
-    announced: worker_port.Announcement
-    listing: worker_port.Listing | None = None
-    progress: dict[run_plan.RunKey, run_plan.Progress] = dataclasses.field(
-        default_factory=dict
-    )
-    sampled_ms: int = 0
-    heard_ms: int = 0
-    down_since_ms: int | None = None
-    withdrawn: bool = False
-    over: bool = False
-    barred_before: bool = False
-
-
 class BatchAgent(mode.Service):
     """Keeps one worker's runs as the leader desires them."""
 
@@ -80,7 +54,7 @@
         self._board = board
         self._port = port
         self._metrics = metrics
-        self._life: _Life | None = None
+        self._life: life_lib.Life | None = None
         self._wake = asyncio.Event()
         self._look_soon = asyncio.Event()
 
@@ -89,7 +63,7 @@
     def announce(self, said: worker_port.Announcement) -> None:
         """Takes in an announcement; one that was overtaken is dropped."""
         life = self._life
-        if life is not None and not self._is_news(life, said):
+        if life is not None and not life.is_news(said):
             self._metrics.dropped("late_announcement")
             return
         if life is None or life.announced.born != said.born or life.over:
@@ -102,17 +76,11 @@
         self._publish()
         self._wake.set()
 
-    def _is_news(self, life: _Life, said: worker_port.Announcement) -> bool:
-        known = life.announced
-        if said.born != known.born:
-            return said.born > known.born
-        return said.sequence > known.sequence
-
     def _begin_life(self, said: worker_port.Announcement) -> None:
         logger.info(
             "worker announced", extra={"worker": said.name, "born": said.born}
         )
-        self._life = _Life(announced=said, heard_ms=self._clock.now())
+        self._life = life_lib.Life(announced=said, heard_ms=self._clock.now())
         self._look_soon.set()
 
     def withdraw(self, name: str) -> None:
@@ -128,25 +96,15 @@
 
     @mode.Service.task
     async def _watch_desired(self) -> None:
-        await self._forward(self._board.desired)
+        await blackboard.forward(self._board.desired, self._wake)
 
     @mode.Service.task
     async def _watch_lease(self) -> None:
-        await self._forward(self._board.lease)
+        await blackboard.forward(self._board.lease, self._wake)
 
     @mode.Service.task
     async def _watch_committed(self) -> None:
-        cell = self._board.committed
-        seen = cell.version
-        while not self.should_stop:
-            seen = await cell.changed(seen)
-            self._look_soon.set()
-
-    async def _forward(self, cell) -> None:
-        seen = cell.version
-        while not self.should_stop:
-            seen = await cell.changed(seen)
-            self._wake.set()
+        await blackboard.forward(self._board.committed, self._look_soon)
 
     @mode.Service.task
     async def _plan(self) -> None:
@@ -185,7 +143,7 @@
 
     # Looking.
 
-    async def _look_once(self, life: _Life, wait_ms: int) -> None:
+    async def _look_once(self, life: life_lib.Life, wait_ms: int) -> None:
         order = worker_port.HoldOrder(
             fence=self._board.lease.get().term,
             until_ms=self._until_ms(life),
@@ -205,24 +163,18 @@
             self._take(life, listing)
         self._publish()
 
-    def _until_ms(self, life: _Life) -> int | None:
+    def _until_ms(self, life: life_lib.Life) -> int | None:
         """Returns how long what runs may run on, on the worker's clock."""
         now = self._clock.now()
         if life.listing is None or self._board.lease.get().left(now) == 0:
             return None
-        return self._worker_clock(life) + self._cfg.timing.run_lease_ms
-
-    def _worker_clock(self, life: _Life) -> int:
-        """Returns a reading that the worker's clock has not passed by much."""
-        return life.listing.clock_ms + max(
-            0, self._clock.now() - life.sampled_ms
-        )
+        return life.worker_clock(now) + self._cfg.timing.run_lease_ms
 
-    def _committed(self, life: _Life) -> int:
+    def _committed(self, life: life_lib.Life) -> int:
         known = self._board.committed.get()
         return known.get((life.announced.name, life.announced.born), 0)
 
-    def _take(self, life: _Life, listing: worker_port.Listing) -> None:
+    def _take(self, life: life_lib.Life, listing: worker_port.Listing) -> None:
         life.heard_ms = self._clock.now()
         life.down_since_ms = None
         if listing.born and listing.born != life.announced.born:
@@ -236,7 +188,7 @@
         self._wake.set()
 
     def _meet_other_life(
-        self, life: _Life, listing: worker_port.Listing
+        self, life: life_lib.Life, listing: worker_port.Listing
     ) -> None:
         """The worker has started anew, and will announce itself."""
         if listing.born > life.announced.born and life is self._life:
@@ -249,7 +201,9 @@
             )
             self._begin_life(said)
 
-    def _note_down(self, life: _Life, exc: worker_port.WorkerDown) -> None:
+    def _note_down(
+        self, life: life_lib.Life, exc: worker_port.WorkerDown
+    ) -> None:
         now = self._clock.now()
         if life.down_since_ms is None:
             life.down_since_ms = now
@@ -280,7 +234,7 @@
         self._forget(life)
         self._publish()
 
-    def _settle_earlier(self, life: _Life) -> bool:
+    def _settle_earlier(self, life: life_lib.Life) -> bool:
         """Bars what earlier lives were ordered to run; an order may be late.
 
         Returns whether that is done, so that this life may be reported.
@@ -298,31 +252,29 @@
         open_keys = [
             key
             for key in earlier
-            if self._progress(life, key).phase != run_plan.Phase.BARRED
+            if life.progress_of(key).phase != run_plan.Phase.BARRED
         ]
         for key in open_keys:
-            if not self._progress(life, key).busy:
+            if not life.progress_of(key).busy:
                 self._begin(life, key)
                 self.add_future(self._stop(life, key))
         life.barred_before = not open_keys
         return life.barred_before
 
-    def _progress(self, life: _Life, key: run_plan.RunKey) -> run_plan.Progress:
-        return life.progress.setdefault(key, run_plan.Progress())
-
-    def _begin(self, life: _Life, key: run_plan.RunKey) -> None:
-        self._progress(life, key).busy = True
+    def _begin(self, life: life_lib.Life, key: run_plan.RunKey) -> None:
+        life.progress_of(key).busy = True
 
-    def _view(self, life: _Life) -> run_plan.View:
+    def _view(self, life: life_lib.Life) -> run_plan.View:
         board = self._board
         said = life.announced
         desired = board.desired.get()
         closed = said.draining or said.failure_domain in desired.evacuated
         leased = board.lease.get().left(self._clock.now()) > 0
         return run_plan.View(
-            worker=self._ref(life),
+            worker=life.ref(self._cfg.host),
             desired=desired.runs,
-            covered=life_name(said.name, said.born) in board.covered.get(),
+            covered=life_lib.life_name(said.name, said.born)
+            in board.covered.get(),
             may_start=leased and not closed and not board.draining.get(),
             closed=closed,
             payloads=frozenset(board.payloads.get()),
@@ -330,15 +282,8 @@
             progress=life.progress,
         )
 
-    def _ref(self, life: _Life) -> batch.WorkerRef:
-        return batch.WorkerRef(
-            agent=self._cfg.host,
-            name=life.announced.name,
-            born=life.announced.born,
-        )
-
-    async def _start(self, life: _Life, run: wire.DesiredRun) -> None:
-        state = self._progress(life, (run.task, run.run))
+    async def _start(self, life: life_lib.Life, run: wire.DesiredRun) -> None:
+        state = life.progress_of((run.task, run.run))
         lease = self._board.lease.get()
         until_ms = self._until_ms(life)
         if until_ms is None:
@@ -374,8 +319,8 @@
         self._wake.set()
         self._look_soon.set()
 
-    async def _stop(self, life: _Life, key: run_plan.RunKey) -> None:
-        state = self._progress(life, key)
+    async def _stop(self, life: life_lib.Life, key: run_plan.RunKey) -> None:
+        state = life.progress_of(key)
         task, run = key
         fence = self._board.lease.get().term
         try:
@@ -394,7 +339,7 @@
         self._wake.set()
         self._look_soon.set()
 
-    def _forget(self, life: _Life) -> None:
+    def _forget(self, life: life_lib.Life) -> None:
         """Drops what was done about runs that nobody speaks of any more."""
         spoken = {(r.task, r.run) for r in self._board.desired.get().runs}
         spoken |= {(r.task, r.run) for r in life.listing.running}
@@ -411,35 +356,14 @@
         if report != self._board.batch.get():
             self._board.batch.set(report)
 
-    def _report(self, life: _Life) -> tuple[wire.WorkerReport, ...]:
+    def _report(self, life: life_lib.Life) -> tuple[wire.WorkerReport, ...]:
         silent = self._clock.now() - life.heard_ms > SILENT_MS
         if life.listing is None or (silent and not life.over):
             return ()
         if not life.barred_before:
             return ()
-        said = life.announced
         ends = life.listing.ends + run_plan.own_ends(self._view(life))
-        return (
-            wire.WorkerReport(
-                name=said.name,
-                born=said.born,
-                pool=said.pool,
-                failure_domain=said.failure_domain,
-                rack=said.rack,
-                labels=said.labels,
-                capacity=said.capacity,
-                draining=said.draining,
-                remaining_ms=said.remaining_ms,
-                over=life.over,
-                running=() if life.over else life.listing.running,
-                ends=ends,
-            ),
-        )
-
-
-def life_name(name: str, born: int) -> str:
-    """Returns the name of one life of a worker."""
-    return f"{name}@{born}"
+        return (life.report(ends),)
 
 
 def _fields(run: wire.DesiredRun) -> dict[str, object]:
--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -18,9 +18,9 @@
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
-from bilberryroute.agent import batch as batch_lib
 from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import lease_keeper
+from bilberryroute.agent import worker_life
 from bilberryroute.model import wire
 from bilberryroute.transport import codec
 
@@ -212,7 +212,7 @@
         """Returns what a desired state must be made for to be complete."""
         names = set(self.board.workers.get())
         for report in self.board.batch.get():
-            names.add(batch_lib.life_name(report.name, report.born))
+            names.add(worker_life.life_name(report.name, report.born))
         return frozenset(names)
 
     def receive(self, payload: bytes) -> None:
--- /dev/null
+++ b/bilberryroute/agent/worker_life.py
@@ -0,0 +1,79 @@
+"""One life of the worker beside an agent, as the agent has seen it."""
+
+import dataclasses
+
+from bilberryroute.agent import run_plan
+from bilberryroute.agent import worker_port
+from bilberryroute.model import batch
+from bilberryroute.model import wire
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Life:
+    """One life of the worker, as far as this agent has seen it.
+
+    Attributes:
+      clock_ms: Worker's clock at the newest answer.
+      sampled_ms: Own clock when that answer came.
+      heard_ms: Own clock at the last answer.
+      down_since_ms: Since when connections are refused; None if they aren't.
+      withdrawn: Whether the worker has said that it ends.
+      over: Whether nothing of this life is left.
+      barred_before: Whether what earlier lives were ordered is barred here.
+    """
+
+    announced: worker_port.Announcement
+    listing: worker_port.Listing | None = None
+    progress: dict[run_plan.RunKey, run_plan.Progress] = dataclasses.field(
+        default_factory=dict
+    )
+    sampled_ms: int = 0
+    heard_ms: int = 0
+    down_since_ms: int | None = None
+    withdrawn: bool = False
+    over: bool = False
+    barred_before: bool = False
+
+    def is_news(self, said: worker_port.Announcement) -> bool:
+        """Says whether an announcement was not overtaken by another."""
+        known = self.announced
+        if said.born != known.born:
+            return said.born > known.born
+        return said.sequence > known.sequence
+
+    def worker_clock(self, now: int) -> int:
+        """Returns a reading that the worker's clock has passed already."""
+        return self.listing.clock_ms + max(0, now - self.sampled_ms)
+
+    def progress_of(self, key: run_plan.RunKey) -> run_plan.Progress:
+        """Returns what was done about a run, from now on kept."""
+        return self.progress.setdefault(key, run_plan.Progress())
+
+    def ref(self, agent: str) -> batch.WorkerRef:
+        """Returns how the leader names this life."""
+        return batch.WorkerRef(
+            agent=agent, name=self.announced.name, born=self.announced.born
+        )
+
+    def report(self, ends: tuple[wire.EndReport, ...]) -> wire.WorkerReport:
+        """Returns what the leader is told, with these ends."""
+        said = self.announced
+        return wire.WorkerReport(
+            name=said.name,
+            born=said.born,
+            pool=said.pool,
+            failure_domain=said.failure_domain,
+            rack=said.rack,
+            labels=said.labels,
+            capacity=said.capacity,
+            draining=said.draining,
+            remaining_ms=said.remaining_ms,
+            over=self.over,
+            running=() if self.over else self.listing.running,
+            ends=ends,
+        )
+
+
+def life_name(name: str, born: int) -> str:
+    """Returns the name of one life of a worker."""
+    return f"{name}@{born}"
--- a/bilberryroute/consensus/config.py
+++ b/bilberryroute/consensus/config.py
@@ -57,6 +57,10 @@
             f"replica {self.replica_id!r} is not among the replicas"
         )
 
+    def route(self, name: str, address: str | None) -> str | None:
+        """Returns the gRPC address of a replica, by the settings if named."""
+        return self.routes.get(name, address)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoleState:
--- a/bilberryroute/consensus/founding.py
+++ b/bilberryroute/consensus/founding.py
@@ -13,6 +13,7 @@
 from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.consensus import changes
+from bilberryroute.consensus import config
 from bilberryroute.consensus import greeting
 from bilberryroute.consensus import records
 
@@ -27,6 +28,23 @@
     return list(await asyncio.gather(*greetings))
 
 
+async def first_membership(
+    own: greeting.Hello, cfg: config.GroupConfig
+) -> records.Membership | None:
+    """Greets the replicas of the settings, as a folder without a group.
+
+    Returns:
+      The membership to found the group with, or None: then a leader that was
+      greeted takes this replica in, or it greets again.
+    """
+    names = [m for m in cfg.members if m.id != cfg.replica_id]
+    addresses = [cfg.route(m.id, m.grpc) for m in names]
+    answers = await greet_all(own, addresses)
+    if not cfg.policy.may_found:
+        return None
+    return founders(own, cfg.members, answers)
+
+
 def founders(
     own: greeting.Hello,
     members: Sequence[settings.ReplicaAddress],
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -175,7 +175,7 @@
         if not self.is_leader():
             raise errors.NotLeader(self._other_leader())
         if isinstance(change, changes.AddLearner) and not change.id:
-            address = self._route(change.address.id, change.address.grpc)
+            address = self._cfg.route(change.address.id, change.address.grpc)
             change = await founding.identify(change, address, self._hello())
         now = self._clock.now()
         membership = changes.apply(self._core, change, now)
@@ -208,15 +208,8 @@
 
     @Service.task
     async def _join_group(self) -> None:
-        names = [m for m in self._cfg.members if m.id != self._cfg.replica_id]
         while not self.should_stop and not self._group:
-            addresses = [self._route(m.id, m.grpc) for m in names]
-            answers = await founding.greet_all(self._hello(), addresses)
-            first = None
-            if self._cfg.policy.may_found:
-                first = founding.founders(
-                    self._hello(), self._cfg.members, answers
-                )
+            first = await founding.first_membership(self._hello(), self._cfg)
             if first is not None and not self._group:
                 self._handle(self._core.found(first, self._clock.now()))
                 self._wake_timer.set()
@@ -278,10 +271,7 @@
         member = self._core.membership.find(member_id)
         settled = member.address.grpc if member is not None else None
         known = (m.grpc for m in self._cfg.members if m.id == name)
-        return self._route(name, learned or settled or next(known, None))
-
-    def _route(self, name: str, address: str | None) -> str | None:
-        return self._cfg.routes.get(name, address)
+        return self._cfg.route(name, learned or settled or next(known, None))
 
     def _apply(self, entries: tuple[records.Entry, ...]) -> None:
         for entry in entries:
--- a/bilberryroute/platform/advice.py
+++ b/bilberryroute/platform/advice.py
@@ -1,19 +1,15 @@
 """Wire form of the advisory service."""
 
-import asyncio
-
-import aiohttp
-import mode
 import msgspec
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute.model import batch
+from bilberryroute.platform import client
 from bilberryroute.replica import advice
 
 # The service takes calls in turn, each some milliseconds a worker.
 TIMEOUT_MS = clock_lib.Millis(5_000)
-OK = 200
 
 
 class _Answer(msgspec.Struct, rename="camel"):
@@ -30,22 +26,12 @@
 _answers = msgspec.json.Decoder(_Answer)
 
 
-class AdviceClient(mode.Service):
+class AdviceClient(client.PlatformClient):
     """The advisory service of the platform; `replica.advice.Advisor`."""
 
     def __init__(self, address: str):
         super().__init__()
-        self._url = f"http://{address}/bilberryroute/advise"
-        self._session: aiohttp.ClientSession | None = None
-
-    async def on_start(self) -> None:
-        """Opens the connection pool."""
-        self._session = aiohttp.ClientSession()
-
-    async def on_stop(self) -> None:
-        """Closes the connection pool."""
-        if self._session is not None:
-            await self._session.close()
+        self._address = address
 
     async def advise(
         self, step: batch.TaskId, workers: list[str]
@@ -53,16 +39,12 @@
         """Says on which of the workers a step may run."""
         name = f"{step.job_id}.{step.occurrence}.{step.step}"
         body = {"step": name, "workers": workers}
-        try:
-            async with asyncio.timeout(clock_lib.seconds(TIMEOUT_MS)):
-                async with self._session.post(self._url, json=body) as resp:
-                    if resp.status != OK:
-                        raise errors.Unavailable(
-                            f"the advisory service answered {resp.status}"
-                        )
-                    return decode(await resp.read())
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            raise errors.Unavailable(f"no advice: {exc!r}") from exc
+        answer = await self.post(self._address, "advise", body, TIMEOUT_MS)
+        if answer.status != client.OK:
+            raise errors.Unavailable(
+                f"the advisory service answered {answer.status}"
+            )
+        return decode(answer.body)
 
 
 def decode(text: bytes) -> advice.Advice:
--- a/bilberryroute/platform/workers.py
+++ b/bilberryroute/platform/workers.py
@@ -1,10 +1,7 @@
 """Wire form of a worker: its announcements, and orders to it."""
 
-import asyncio
 import logging
 
-import aiohttp
-import mode
 import msgspec
 
 from bilberryroute import clock as clock_lib
@@ -12,6 +9,7 @@
 from bilberryroute.agent import worker_port
 from bilberryroute.model import batch
 from bilberryroute.model import wire
+from bilberryroute.platform import client
 
 # A worker beside the agent answers an order within some milliseconds; after
 # this long its connection is given up.
@@ -19,7 +17,6 @@
 # The same beyond the time that a look may wait.
 LOOK_MARGIN_MS = clock_lib.Millis(700)
 CONFLICT = 409
-OK = 200
 # Unhealthy, or another worker than the one meant: nothing was done.
 BUSY = frozenset({421, 429, 503})
 MEANT_HEADER = "X-Expected-Instance"
@@ -186,22 +183,9 @@
     )
 
 
-class WorkerClient(mode.Service):
+class WorkerClient(client.PlatformClient):
     """Orders to the worker beside this process; `worker_port.WorkerPort`."""
 
-    def __init__(self):
-        super().__init__()
-        self._session: aiohttp.ClientSession | None = None
-
-    async def on_start(self) -> None:
-        """Opens the connection pool."""
-        self._session = aiohttp.ClientSession()
-
-    async def on_stop(self) -> None:
-        """Closes the connection pool."""
-        if self._session is not None:
-            await self._session.close()
-
     async def start_run(
         self, address: str, order: worker_port.StartOrder
     ) -> worker_port.StartAnswer:
@@ -217,12 +201,16 @@
             body["checkpoint"] = order.saved
         if order.permit:
             body["ticket"] = order.permit
-        status, text = await self._post(
-            address, "run-start", body, ORDER_TIMEOUT_MS, order.worker
+        said = await self._order(
+            address,
+            "run-start",
+            body,
+            ORDER_TIMEOUT_MS,
+            headers={MEANT_HEADER: order.worker},
         )
-        answer = _decode_answer(text)
+        answer = _decode_answer(said.body)
         return worker_port.StartAnswer(
-            verdict=_verdict(status, answer), clock_ms=answer.clock_ms
+            verdict=_verdict(said.status, answer), clock_ms=answer.clock_ms
         )
 
     async def stop_run(
@@ -230,12 +218,9 @@
     ) -> int:
         """Ends a run, also one that is still to come; returns the clock."""
         body = {"task": task_name(task), "run": run, "fencingToken": fence}
-        status, text = await self._post(
-            address, "run-stop", body, ORDER_TIMEOUT_MS
-        )
-        if status != OK:
-            raise errors.Unavailable(f"the worker answered a stop by {status}")
-        return _decode_answer(text).clock_ms
+        said = await self._order(address, "run-stop", body, ORDER_TIMEOUT_MS)
+        _require_done(said, "stop")
+        return _decode_answer(said.body).clock_ms
 
     async def hold(
         self, address: str, order: worker_port.HoldOrder
@@ -249,37 +234,29 @@
         if order.until_ms is not None:
             body["untilMs"] = order.until_ms
         timeout_ms = clock_lib.Millis(order.wait_ms + LOOK_MARGIN_MS)
-        status, text = await self._post(address, "hold", body, timeout_ms)
-        if status != OK:
-            raise errors.Unavailable(f"the worker answered a look by {status}")
-        return decode_listing(text)
+        said = await self._order(address, "hold", body, timeout_ms)
+        _require_done(said, "look")
+        return decode_listing(said.body)
 
-    async def _post(
+    async def _order(
         self,
         address: str,
         call: str,
         body: dict[str, object],
         timeout_ms: clock_lib.Millis,
-        worker: str = "",
-    ) -> tuple[int, bytes]:
-        url = f"http://{address}/bilberryroute/{call}"
-        headers = {"Content-Type": "application/json"}
-        if worker:
-            headers[MEANT_HEADER] = worker
+        headers: dict[str, str] | None = None,
+    ) -> client.Answer:
         try:
-            async with asyncio.timeout(clock_lib.seconds(timeout_ms)):
-                async with self._session.post(
-                    url,
-                    data=msgspec.json.encode(body),
-                    headers=headers,
-                ) as resp:
-                    return resp.status, await resp.read()
-        except aiohttp.ClientConnectorError as exc:
-            if isinstance(exc.os_error, ConnectionRefusedError):
-                raise worker_port.WorkerDown(f"{address} refuses") from exc
-            raise errors.Unavailable(f"{call}: {exc}") from exc
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            raise errors.Unavailable(f"{call}: {exc!r}") from exc
+            return await self.post(address, call, body, timeout_ms, headers)
+        except client.PortClosed as exc:
+            raise worker_port.WorkerDown(exc.message) from exc
+
+
+def _require_done(said: client.Answer, order: str) -> None:
+    if said.status != client.OK:
+        raise errors.Unavailable(
+            f"the worker answered a {order} by {said.status}"
+        )
 
 
 def _decode_answer(text: bytes) -> _Answer:
@@ -292,7 +269,7 @@
 
 
 def _verdict(status: int, answer: _Answer) -> worker_port.StartVerdict:
-    if status == OK:
+    if status == client.OK:
         return worker_port.StartVerdict.STARTED
     if status == CONFLICT and answer.reason in _VERDICTS:
         return _VERDICTS[answer.reason]
