--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 4
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test format lint bench slopes report binary clean
+.PHONY: install demo platform-build deploy-lock test format lint bench slopes report binary clean
 
 install: $(STAMP)
 
@@ -18,6 +18,7 @@
 
 demo: install
 	$(BIN)/python -m extras.demo
+	$(BIN)/python -m extras.demo_platform
 
 format: install
 	$(BIN)/pyink --quiet bilberryroute tests benchmarks extras
@@ -32,6 +33,13 @@
 	$(BIN)/python -m pytest -n $(WORKERS) -m "not serial"
 	$(BIN)/python -m pytest -m serial
 
+deploy-lock: install
+	$(BIN)/python -m extras.deploy_lock
+
+# What the users' platform runs before the first start of a process.
+platform-build:
+	$(PYTHON) extras/platform_build.py
+
 binary: install
 	$(BIN)/python extras/build_binary.py
 
