Send payloads in several datagrams; test what the leader concludes from reports

Cause (by reading): 16 payloads of 4,000 bytes and the desired state exceed one datagram of 64 KB; the grant would never be sent and the agent would lose its lease. Now at most 24 KB of payloads go in one grant, and the agent renews at once when it holds them.

--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -278,6 +278,7 @@
         held = {job: text for job, text in held.items() if job in jobs}
         if held.keys() != self.board.payloads.get().keys():
             self.board.payloads.set(held)
+            self._wake.set()
         known = self.board.committed.get()
         news = {(c.worker, c.born): c.number for c in grant.committed}
         if any(number > known.get(key, 0) for key, number in news.items()):
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -14,6 +14,9 @@
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.transport import codec
 
+# Room for payloads beside the desired state in one datagram of 64 KB.
+PAYLOAD_BYTES = 24_000
+
 logger = logging.getLogger(__name__)
 
 _renewals = codec.Decoder(wire.Renewal)
@@ -149,13 +152,24 @@
     def _payloads(
         self, renewal: wire.Renewal, wanted: wire.Desired
     ) -> dict[str, str]:
-        """Returns the payloads that an agent needs and does not hold."""
+        """Returns payloads that an agent needs and does not hold.
+
+        As many as a datagram has room for; the agent renews once it holds
+        them, and is sent the next ones.
+        """
         jobs = self._machine.state.batch.jobs
-        return {
-            run.task.job_id: jobs[run.task.job_id].content.payload
-            for run in wanted.runs
-            if not run.stop and run.task.job_id not in renewal.payloads
-        }
+        chosen: dict[str, str] = {}
+        size = 0
+        for run in wanted.runs:
+            job_id = run.task.job_id
+            if run.stop or job_id in renewal.payloads or job_id in chosen:
+                continue
+            payload = jobs[job_id].content.payload
+            size += len(payload.encode())
+            if chosen and size > PAYLOAD_BYTES:
+                break
+            chosen[job_id] = payload
+        return chosen
 
     def push_to(self, agents: Iterable[str]) -> None:
         """Sends agents their desired state and committed ends soon."""
--- /dev/null
+++ b/tests/replica/test_batch.py
@@ -0,0 +1,217 @@
+"""What the leader concludes from reports on batch jobs, and from silence."""
+
+import dataclasses
+
+import pytest
+
+from bilberryroute import embedded
+from bilberryroute import metrics as metrics_lib
+from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import wire
+from bilberryroute.replica import batch_ends
+from bilberryroute.replica import batch_upkeep
+from bilberryroute.replica import board as board_lib
+from bilberryroute.replica import leases as lease_lib
+from bilberryroute.replica import parts as parts_lib
+from bilberryroute.transport import codec
+from tests.utils import batches
+from tests.utils import environment
+
+DATAGRAM_BYTES = 65_507
+
+
+@pytest.fixture
+def env():
+    return environment.fake_environment()
+
+
+@pytest.fixture
+def parts(tmp_path, env) -> parts_lib.ReplicaParts:
+    cfg = embedded.embedded_settings(str(tmp_path))
+    return parts_lib.build(cfg, env.clock, env.rng, metrics_lib.Metrics())
+
+
+@pytest.fixture
+def log(parts):
+    made = batches.Log()
+    made.machine = parts.machine
+    made.apply(batching.ApplyCatalog(catalog=batches.catalog(), at_ms=1))
+    made.submit("j1", batches.content(batches.step(4)))
+    made.place(batches.unit("j1", batches.ref("w1")))
+    return made
+
+
+def report(born: int = 1, name: str = "w1", **more) -> wire.WorkerReport:
+    return wire.WorkerReport(
+        name=name,
+        born=born,
+        pool="pool",
+        failure_domain="apapa",
+        rack="r1",
+        labels=(),
+        capacity=batches.task_need(),
+        **more,
+    )
+
+
+def renewal(*reports: wire.WorkerReport, payloads=()) -> wire.Renewal:
+    return wire.Renewal(
+        agent="a-w1",
+        incarnation="i",
+        failure_domain="apapa",
+        sent_ms=1,
+        term=1,
+        desired_version=0,
+        revision=0,
+        http="",
+        draining=False,
+        endpoints=(),
+        workers=(),
+        tasks=(),
+        batch=reports,
+        payloads=payloads,
+    )
+
+
+def hear(parts, *reports: wire.WorkerReport) -> None:
+    """Puts a renewal that arrives now on the board."""
+    now = parts.clock.now()
+    parts.board.agents.get()["a-w1"] = board_lib.AgentView(
+        renewal=renewal(*reports),
+        address=("", 0),
+        heard_ms=now,
+        since_ms=0,
+        tasks={},
+    )
+    for each in reports:
+        parts.board.batch_workers.get()[each.name] = board_lib.BatchWorker(
+            agent="a-w1", report=each, heard_ms=now
+        )
+
+
+def lost(parts) -> list[batching.RunEnd]:
+    return batch_ends.lost(
+        parts.machine.state.batch,
+        parts.board,
+        parts.cfg.timing,
+        parts.clock.now(),
+    )
+
+
+def test_run_is_lost_only_once_its_lease_has_surely_lapsed(parts, env, log):
+    hear(parts, report())
+    env.clock.advance(batch_ends.lapse_ms(parts.cfg.timing))
+    assert lost(parts) == []
+    env.clock.advance(1)
+    assert [end.outcome for end in lost(parts)] == [batch.RunOutcome.LOST]
+
+
+def test_silence_counts_from_the_reports_and_the_term(parts, env, log):
+    timing = parts.cfg.timing
+    longest_ms = timing.agent_lease_ms + 1.02 * timing.run_lease_ms
+    assert batch_ends.lapse_ms(timing) > longest_ms
+    env.clock.advance(10 * batch_ends.lapse_ms(timing))
+    parts.board.term.set(
+        board_lib.LeaderTerm(number=2, began=parts.clock.now())
+    )
+    assert lost(parts) == []
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [
+        {"born": 2},
+        {"born": 2, "name": "w1-again"},
+        {"born": 1, "over": True},
+    ],
+)
+def test_run_of_an_earlier_life_is_lost_at_once(parts, log, seen):
+    hear(parts, report(**seen))
+    assert len(lost(parts)) == 1
+
+
+def test_run_of_the_present_life_goes_on(parts, log):
+    hear(parts, report(born=1))
+    assert lost(parts) == []
+
+
+def end_of(number: int, index: int) -> wire.EndReport:
+    return wire.EndReport(
+        number=number,
+        task=batches.task(index=index),
+        run=1,
+        outcome=batch.RunOutcome.DONE,
+    )
+
+
+def test_worker_forgets_no_end_that_is_not_committed(parts, log):
+    log.place(batches.unit("j1", batches.ref("w1"), first=1))
+    hear(parts, report(ends=(end_of(4, 0), end_of(5, 1), end_of(6, 2))))
+    held = parts.machine.state.batch
+    assert batch_ends.note_committed(held, parts.board) == set()
+    log.end(batches.task(index=0))
+    assert batch_ends.note_committed(held, parts.board) == {"a-w1"}
+    assert parts.board.committed_ends == {("w1", 1): 4}
+    log.end(batches.task(index=1))
+    batch_ends.note_committed(held, parts.board)
+    assert parts.board.committed_ends == {("w1", 1): 6}
+
+
+def test_checkpoints_are_kept_once(parts, log):
+    running = (wire.RunReport(task=batches.task(), run=1, saved="c1"),)
+    hear(parts, report(running=running))
+    held = parts.machine.state.batch
+    workers = parts.board.batch_workers.get()
+    saves = batch_upkeep.new_saves(held, workers)
+    assert [each.saved for each in saves] == ["c1"]
+    log.apply(batching.NoteSaved(saves=saves, at_ms=1))
+    assert batch_upkeep.new_saves(held, workers) == ()
+
+
+def test_members_of_a_gang_that_lost_one_are_stopped(parts, log):
+    log.submit("g", batches.content(batches.step(2, gang=True)))
+    log.place(batches.unit("g", batches.ref("w1"), batches.ref("w2")))
+    held = parts.machine.state.batch
+    assert batch_upkeep.stops(held, {}, {}) == []
+    log.end(batches.task("g", 0), outcome=batch.RunOutcome.LOST)
+    (stop,) = batch_upkeep.stops(held, {}, {})
+    assert stop.task == batches.task("g", 1)
+
+
+def test_run_that_saves_leaves_a_draining_worker_in_time(parts, log):
+    saving = batches.step(1, checkpointing=True)
+    log.submit("s", batches.content(saving))
+    log.place(batches.unit("s", batches.ref("w1")))
+    task = batches.task("s")
+    running = tuple(
+        wire.RunReport(task=each, run=1) for each in (task, batches.task())
+    )
+    seen = report(running=running, draining=True, remaining_ms=2_000)
+    hear(parts, seen)
+    held = parts.machine.state.batch
+    workers = parts.board.batch_workers.get()
+    left = {(task, 1): 900, (batches.task(), 1): 9_000}
+    assert batch_upkeep.stops(held, workers, left) == []
+    left = {(task, 1): 1_900, (batches.task(), 1): 9_000}
+    (stop,) = batch_upkeep.stops(held, workers, left)
+    assert stop.task == task
+
+
+def test_many_payloads_go_in_several_datagrams(parts, log):
+    service = lease_lib.LeaseService(parts)
+    for number in range(16):
+        content = dataclasses.replace(
+            batches.content(), payload=f"{number:x}" * 4_000
+        )
+        log.submit(f"p{number}", content)
+        log.place(batches.unit(f"p{number}", batches.ref("w1")))
+    known: set[str] = set()
+    for _ in range(16):
+        seen = renewal(report(), payloads=tuple(known))
+        grant = service._grant(seen)
+        assert len(codec.encode(grant)) < DATAGRAM_BYTES
+        if not grant.payloads:
+            break
+        known |= grant.payloads.keys()
+    assert known == {"j1", *(f"p{number}" for number in range(16))}
