--- a/bilberryroute/cli/trace.py
+++ b/bilberryroute/cli/trace.py
@@ -25,6 +25,10 @@
         "revision",
     }
 )
+# Messages that often explain what befell a job; services put their own name
+# in front.
+_LANDMARKS = (": leading", "role: leader", "lost the leader", "lease lost")
+
 _OBJECT = re.compile(r"\{.*\}")
 
 
@@ -98,8 +102,8 @@
 
 def _is_landmark(line: dict) -> bool:
     message = str(line.get("message", ""))
-    return line.get("level") != "INFO" or message.startswith(
-        ("leading", "role: leader", "lost the leader", "lease lost")
+    return line.get("level") != "INFO" or any(
+        each in message for each in _LANDMARKS
     )
 
 
