--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -73,8 +73,6 @@
         self.applied_cell = blackboard.Cell(0)
         self.failure: errors.BilberryrouteError | None = None
 
-    # What others may ask.
-
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the handler for other replicas to a server not yet started."""
         handler = peers.handler(self._on_arrival, self._on_hello, self._clock)
@@ -183,8 +181,6 @@
         await self._commit(outputs, timeout_ms)
         return membership.members
 
-    # Service.
-
     async def on_start(self) -> None:
         """Recovers the log; raises `errors.StorageError` if it cannot."""
         recovered = await self._writer.open(self._cfg.replica_id)
@@ -241,8 +237,6 @@
                 return
             self._handle(self._core.synced(synced, self._clock.now()))
 
-    # What the core asks for.
-
     def _handle(self, outputs: list[messages.Output]) -> None:
         try:
             for output in outputs:
@@ -320,8 +314,6 @@
         if change.role is not messages.Role.LEADER:
             self._proposals.fail("leadership was lost")
 
-    # Shared.
-
     def _propose_batch(self) -> None:
         """Sends at once whatever this turn of the event loop brought."""
         batch, self._batch = self._batch, []
