--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -41,6 +41,7 @@
         self.verdict = worker_port.StartVerdict.STARTED
         self.mute: set[str] = set()
         self.down = False
+        self.refused = 0
 
     async def start_run(self, address, order):
         self._answer("start", order.task, order.run)
@@ -58,6 +59,7 @@
     async def hold(self, address, order):
         await asyncio.sleep(0.005)
         if self.down:
+            self.refused += 1
             raise worker_port.WorkerDown("refused")
         self.holds.append(order)
         return worker_port.Listing(
@@ -81,13 +83,18 @@
 
 
 class Rig:
-    """An agent with a lease, its board and its port."""
+    """An agent with a lease, its board and its port.
+
+    Attributes:
+      clock: The agent's; it stands still unless a test moves it.
+    """
 
     def __init__(self):
         self.board = board_lib.new_board()
         self.port = FakePort()
         env = environment.fake_environment()
-        env.clock = clock_lib.SystemClock()
+        self.clock = clock_lib.ManualClock(start=10_000)
+        env.clock = self.clock
         cfg = settings.Settings(
             host="a-w1",
             failure_domain="apapa",
@@ -183,9 +190,18 @@
 async def test_lease_is_extended_on_the_workers_clock(rig):
     rig.announce()
     await rig.until(lambda: len(rig.port.holds) > 3)
-    order = rig.port.holds[-1]
-    ahead_ms = order.until_ms - rig.port.clock_ms
-    assert RUN_LEASE_MS - 500 < ahead_ms <= RUN_LEASE_MS + 500
+    seen_ms = rig.port.clock_ms
+    rig.clock.advance(700)
+    count = len(rig.port.holds)
+    await rig.until(lambda: len(rig.port.holds) > count + 1)
+    # Its last reading, the time since then, and the lease.
+    extended = {order.until_ms for order in rig.port.holds}
+    assert any(
+        seen_ms <= until_ms - RUN_LEASE_MS <= seen_ms + 710
+        for until_ms in extended - {None}
+    )
+    longest = max(extended - {None})
+    assert longest <= rig.port.clock_ms + 700 + RUN_LEASE_MS
 
 
 async def test_nothing_starts_in_an_evacuated_domain(rig):
@@ -267,14 +283,17 @@
     await rig.until(lambda: rig.board.batch.get())
     rig.port.down = True
     rig.agent.withdraw("w1")
+    await rig.until(lambda: rig.port.refused > 1)
+    assert not rig.board.batch.get()[0].over
+    rig.clock.advance(batch_lib.DOWN_MS)
     await rig.until(
         lambda: rig.board.batch.get() and rig.board.batch.get()[0].over
     )
 
 
-async def test_silent_worker_is_not_reported(rig, monkeypatch):
-    monkeypatch.setattr(batch_lib, "SILENT_MS", 100)
+async def test_silent_worker_is_not_reported(rig):
     rig.announce()
     await rig.until(lambda: rig.board.batch.get())
     rig.port.down = True
+    rig.clock.advance(batch_lib.SILENT_MS + 1)
     await rig.until(lambda: rig.board.batch.get() == ())
