Hand leadership over on a stop instead of leaving an election behind

Cause: a leader that gets SIGTERM ended without a word, so followers waited for their election timeout.

Change: on drain the leader ends its lease for good, refuses new commands, and once a voter holds its whole log asks that voter to stand at once. Voters grant such a candidate a vote although they still hear the old leader; that is safe because its lease is over. Commands under way are committed first; later ones are refused, so no caller is left with an unknown outcome.

Tests first: the scenario `hand_over_is_quick` fails without the leave to vote, `hand_over_waits_for_a_whole_log` with any successor, and exploration with hand-overs (1,000 schedules) finds overlapping leases if a leaving leader keeps its own.

--- a/bilberryroute/consensus/config.py
+++ b/bilberryroute/consensus/config.py
@@ -8,6 +8,7 @@
 from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.consensus import messages
+from bilberryroute.consensus import records
 
 
 class Applier(Protocol):
@@ -61,6 +62,25 @@
         """Returns the gRPC address of a replica, by the settings if named."""
         return self.routes.get(name, address)
 
+    def locate(
+        self,
+        membership: records.Membership,
+        member_id: str,
+        learned: str | None,
+    ) -> str | None:
+        """Returns the gRPC address of a data folder's replica, or None.
+
+        Args:
+          membership: The group.
+          member_id: Identity of the data folder.
+          learned: Address that came with a message from there, if one did.
+        """
+        name = records.replica_id(member_id)
+        member = membership.find(member_id)
+        settled = member.address.grpc if member is not None else None
+        known = (m.grpc for m in self.members if m.id == name)
+        return self.route(name, learned or settled or next(known, None))
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoleState:
--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -183,6 +183,18 @@
         self._election.deadline_ms = now
         return self._outbox.drain()
 
+    def hand_over(self, now: int) -> list[messages.Output]:
+        """Takes no more commands, and lets another voter lead soon.
+
+        The lease ends at once and for good, which is what allows voters to
+        elect the successor while they still hear this leader.
+        """
+        if self._leading is not None:
+            self._leading.leave(now)
+            self._replicate(now, heartbeat=True)
+            self._hand_over_if_ready(now)
+        return self._outbox.drain()
+
     def halt(self) -> list[messages.Output]:
         """Takes no further part, after a failed write."""
         self._leading = None
@@ -209,11 +221,11 @@
         self._enter(messages.Role.PRE_CANDIDATE, "")
         self._ask_for_votes(now, pre=True)
 
-    def _become_candidate(self, now: int) -> None:
+    def _become_candidate(self, now: int, *, handed_over: bool = False) -> None:
         self.journal.set_term(self.term + 1, self.id)
         self._election.postpone(now)
         self._enter(messages.Role.CANDIDATE, "")
-        self._ask_for_votes(now, pre=False)
+        self._ask_for_votes(now, pre=False, handed_over=handed_over)
 
     def _become_leader(self, now: int) -> None:
         self._leading = leading_lib.Leading(
@@ -234,8 +246,10 @@
             else:
                 self._election.postpone(now)
 
-    def _ask_for_votes(self, now: int, *, pre: bool) -> None:
-        request = self._election.request(pre=pre)
+    def _ask_for_votes(
+        self, now: int, *, pre: bool, handed_over: bool = False
+    ) -> None:
+        request = self._election.request(pre=pre, handed_over=handed_over)
         for voter in self.membership.voters:
             if voter != self.id:
                 self._send(voter, request, after=self.journal.written)
@@ -254,7 +268,7 @@
     def _on_vote_request(
         self, sender: str, req: messages.VoteRequest, now: int
     ) -> None:
-        if self._hears_leader(now):
+        if self._hears_leader(now) and not req.handed_over:
             return
         if not req.pre and req.term > self.term:
             self._become_follower(req.term, "", now)
@@ -275,6 +289,20 @@
             self._election.count(sender)
             self._count_votes(now)
 
+    def _on_stand_now(
+        self, sender: str, req: messages.StandNow, now: int
+    ) -> None:
+        follows = self.role is messages.Role.FOLLOWER
+        asked = (req.term, sender) == (self.term, self.leader)
+        if follows and asked and self._election.may_stand():
+            self._become_candidate(now, handed_over=True)
+
+    def _hand_over_if_ready(self, now: int) -> None:
+        successor = self._leading and self._leading.successor(now)
+        if successor:
+            self._send(successor, messages.StandNow(term=self.term))
+            self._become_follower(self.term, "", now)
+
     def _hears_leader(self, now: int) -> bool:
         if self._leading is not None:
             return self._leading.hears_majority(now)
@@ -306,7 +334,8 @@
             self._send(sender, reply, after=self.journal.written)
 
     def _tick_leader(self, now: int) -> None:
-        if not self._leading.hears_majority(now):
+        leads = self._leading.hears_majority(now) and self._leading.stays(now)
+        if not leads:
             self._become_follower(self.term, "", now)
         elif self._leading.heartbeat_due(now):
             self._replicate(now, heartbeat=True)
@@ -340,6 +369,7 @@
         self._advance_commit(now)
         if self._leading is not None:
             self._replicate(now, heartbeat=False)
+            self._hand_over_if_ready(now)
 
     def _advance_commit(self, now: int) -> None:
         if self._leading is None:
@@ -361,11 +391,9 @@
             self._become_follower(self.term, "", now)
 
     def _accepts(self, envelope: messages.Envelope) -> bool:
-        if envelope.receiver != self.id or not envelope.group:
-            return False
-        if not self.journal.hard_state.group:
-            self.journal.bind(envelope.group)
-        return envelope.group == self.journal.hard_state.group
+        return envelope.receiver == self.id and self.journal.belongs_to(
+            envelope.group
+        )
 
     def _dispatch(self, sender: str, body: messages.Message, now: int) -> None:
         match body:
@@ -373,6 +401,8 @@
                 self._on_vote_request(sender, body, now)
             case messages.VoteReply():
                 self._on_vote_reply(sender, body, now)
+            case messages.StandNow():
+                self._on_stand_now(sender, body, now)
             case messages.AppendRequest():
                 self._on_append_request(sender, body, now)
             case messages.SnapshotChunk():
--- a/bilberryroute/consensus/election.py
+++ b/bilberryroute/consensus/election.py
@@ -70,7 +70,9 @@
         possible = log.memberships_from(self._journal.commit_index)
         return any(self._id in m.voters for m in possible)
 
-    def request(self, *, pre: bool) -> messages.VoteRequest:
+    def request(
+        self, *, pre: bool, handed_over: bool = False
+    ) -> messages.VoteRequest:
         """Begins to count; returns the request for the other voters."""
         self._votes = {self._id}
         log = self._journal.log
@@ -79,6 +81,7 @@
             pre=pre,
             last_index=log.last_index,
             last_term=log.last_term,
+            handed_over=handed_over,
         )
 
     def count(self, sender: str) -> None:
--- a/bilberryroute/consensus/founding.py
+++ b/bilberryroute/consensus/founding.py
@@ -115,6 +115,19 @@
     return replace(change, id=answer.id)
 
 
+def hello(
+    own: settings.ReplicaAddress, identity: str, group: str
+) -> greeting.Hello:
+    """Returns what a replica says of itself, of its folder and group."""
+    return greeting.Hello(
+        id=identity,
+        group=group,
+        grpc=own.grpc,
+        datagram=own.datagram,
+        failure_domain=own.failure_domain,
+    )
+
+
 def address_of(hello: greeting.Hello) -> settings.ReplicaAddress:
     """Returns where the replica that sent a greeting listens."""
     return settings.ReplicaAddress(
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -27,6 +27,9 @@
 
 PROPOSE_TIMEOUT_MS = 3_000
 KEPT_SHARE = 4
+# Longest wait of a leaving leader for a successor: some round trips between
+# failure domains, and a disk that syncs slowly.
+HAND_OVER_MS = clock_lib.Millis(500)
 
 
 Applier = config.Applier
@@ -181,6 +184,20 @@
         await self._commit(outputs, timeout_ms)
         return membership.members
 
+    async def hand_over(self) -> None:
+        """Lets another replica lead, if this one does and one is ready."""
+        if not self.is_leader() or len(self.members()) == 1:
+            return
+        self._handle(self._core.hand_over(self._clock.now()))
+        try:
+            async with asyncio.timeout(clock_lib.seconds(HAND_OVER_MS)):
+                while not self._other_leader():
+                    await self.role_cell.changed(self.role_cell.version)
+        except TimeoutError:
+            self.log.info("no replica was ready to take over")
+        else:
+            self.log.info("handed over", extra={"leader": self.leader_id})
+
     async def on_start(self) -> None:
         """Recovers the log; raises `errors.StorageError` if it cannot."""
         recovered = await self._writer.open(self._cfg.replica_id)
@@ -261,11 +278,7 @@
                 self._note_role(output)
 
     def _address_of(self, member_id: str, learned: str | None) -> str | None:
-        name = records.replica_id(member_id)
-        member = self._core.membership.find(member_id)
-        settled = member.address.grpc if member is not None else None
-        known = (m.grpc for m in self._cfg.members if m.id == name)
-        return self._cfg.route(name, learned or settled or next(known, None))
+        return self._cfg.locate(self._core.membership, member_id, learned)
 
     def _apply(self, entries: tuple[records.Entry, ...]) -> None:
         for entry in entries:
@@ -275,14 +288,10 @@
                     entry.index, entry.term, entry.payload
                 )
             else:
-                self._note_members()
+                self._carrier.keep_only({m.id for m in self.members()})
             self.applied_cell.set(entry.index)
             self._proposals.resolve(entry, result)
 
-    def _note_members(self) -> None:
-        members = self._core.membership.members
-        self._carrier.keep_only({m.id for m in members})
-
     def _compact(self) -> None:
         if self._core.role is messages.Role.HALTED:
             return
@@ -386,11 +395,4 @@
         return self._core.journal.hard_state.group
 
     def _hello(self) -> greeting.Hello:
-        own = self._cfg.address
-        return greeting.Hello(
-            id=self._core.id,
-            group=self._group,
-            grpc=own.grpc,
-            datagram=own.datagram,
-            failure_domain=own.failure_domain,
-        )
+        return founding.hello(self._cfg.address, self._core.id, self._group)
--- a/bilberryroute/consensus/journal.py
+++ b/bilberryroute/consensus/journal.py
@@ -54,6 +54,15 @@
             records.HardState(term=term, vote=vote, group=self.hard_state.group)
         )
 
+    def belongs_to(self, group: str) -> bool:
+        """Says whether a message is of this folder's group.
+
+        The first message binds a folder that belongs to none.
+        """
+        if group and not self.hard_state.group:
+            self.bind(group)
+        return bool(group) and group == self.hard_state.group
+
     def bind(self, group: str) -> None:
         """Binds the data folder to a group, for good."""
         state = self.hard_state
--- a/bilberryroute/consensus/leading.py
+++ b/bilberryroute/consensus/leading.py
@@ -21,6 +21,8 @@
     Attributes:
       peers: What is known of each other member.
       deadline_ms: When the next heartbeat is due.
+      leave_by_ms: Set once it takes nothing new and hands over: when it
+        stops trying to; None before.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
     ):
         self.peers: dict[str, progress.Progress] = {}
         self.deadline_ms = now
+        self.leave_by_ms: int | None = None
         self._began_ms = now
         self._id = own_id
         self._journal = journal
@@ -56,8 +59,36 @@
 
     def lease_holds(self, now: int) -> bool:
         """Returns whether no other leader can commit anything yet."""
+        if self.leave_by_ms is not None:
+            return False
         return now < self.acked_ms(now) + self._timing.leader_lease_ms
 
+    def leave(self, now: int) -> None:
+        """Ends the lease for good; the first call sets how long it tries."""
+        if self.leave_by_ms is None:
+            self.leave_by_ms = now + self._timing.election_ms
+
+    def stays(self, now: int) -> bool:
+        """Returns whether it may go on, as far as it hands over."""
+        return self.leave_by_ms is None or now < self.leave_by_ms
+
+    def successor(self, now: int) -> str | None:
+        """Returns a voter to hand over to, or None while there is none.
+
+        It holds all that this leader holds, and answered last.
+        """
+        behind = self._journal.commit_index < self._journal.log.last_index
+        if self.leave_by_ms is None or behind:
+            return None
+        ready = [
+            voter
+            for voter in self._journal.membership.voters
+            if voter != self._id
+            and self.hears(voter, now)
+            and self._peer(voter).match_index == self._journal.log.last_index
+        ]
+        return max(ready, key=lambda v: self._peer(v).acked_ms, default=None)
+
     def hears_majority(self, now: int) -> bool:
         """Returns whether it may go on trying to lead."""
         heard_ms = max(self.acked_ms(now), self._began_ms)
--- a/bilberryroute/consensus/messages.py
+++ b/bilberryroute/consensus/messages.py
@@ -18,12 +18,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VoteRequest:
-    """A candidate asks for a vote, or in pre-vote whether it would get one."""
+    """A candidate asks for a vote, or in pre-vote whether it would get one.
+
+    Attributes:
+      handed_over: Whether the leader of the term before asked the candidate
+        to stand; its lease has ended, so nobody needs to wait for that.
+    """
 
     term: int
     pre: bool
     last_index: int
     last_term: int
+    handed_over: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,9 +97,17 @@
     sent_ms: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StandNow:
+    """The leader of a term, which leads no more, asks a voter to stand."""
+
+    term: int
+
+
 Message = (
     VoteRequest
     | VoteReply
+    | StandNow
     | AppendRequest
     | AppendReply
     | SnapshotChunk
--- a/bilberryroute/consensus/peers.py
+++ b/bilberryroute/consensus/peers.py
@@ -40,6 +40,7 @@
 _bodies = codec.Union(
     messages.VoteRequest,
     messages.VoteReply,
+    messages.StandNow,
     messages.AppendRequest,
     messages.AppendReply,
     messages.SnapshotChunk,
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -80,7 +80,8 @@
         return self.parts.group.leader_id is not None
 
     async def drain(self) -> None:
-        """Leaves at once: other replicas take over."""
+        """Hands leadership over, so that nobody waits for an election."""
+        await self.parts.group.hand_over()
 
     async def on_start(self) -> None:
         """Starts the log, then what depends on it."""
--- a/tests/consensus/faults.py
+++ b/tests/consensus/faults.py
@@ -14,8 +14,11 @@
 class Chaos:
     """Draws faults for a simulation from its own random source."""
 
-    def __init__(self, simulation: simulation_lib.Simulation):
+    def __init__(
+        self, simulation: simulation_lib.Simulation, *, handing_over: bool
+    ):
         self.simulation = simulation
+        self.handing_over = handing_over
         self.rng = simulation.rng
         self.active = True
         self.actions = self._draw_actions()
@@ -38,6 +41,8 @@
             self.change,
         )
         drawn = [a for a in kinds for _ in range(self.rng.choice((0, 1, 4)))]
+        if self.handing_over:
+            drawn += [self.hand_over] * (1 + len(drawn) // 2)
         return [self.restart] * (1 + len(drawn) // 6) + drawn
 
     def _schedule(self, action, every_ms: int) -> None:
@@ -118,6 +123,12 @@
         until = self.simulation.now + self.rng.random() * 2_000
         node.frozen_until = max(node.frozen_until, until)
 
+    def hand_over(self) -> None:
+        """Has the leader hand over."""
+        leader = self.simulation.leader()
+        if leader is not None and self.simulation.now >= leader.frozen_until:
+            self.simulation.hand_over(leader)
+
     def cut(self) -> None:
         """Cuts some directions between replicas for a while."""
         names = list(self.simulation.nodes)
@@ -210,9 +221,16 @@
                 simulation.boot(node)
 
 
-def explore(simulation: simulation_lib.Simulation) -> None:
-    """Runs one schedule of faults, then checks that the group recovers."""
-    chaos = Chaos(simulation)
+def explore(
+    simulation: simulation_lib.Simulation, *, handing_over: bool = False
+) -> None:
+    """Runs one schedule of faults, then checks that the group recovers.
+
+    Args:
+      simulation: A group that has not begun to run.
+      handing_over: Whether leaders hand over besides.
+    """
+    chaos = Chaos(simulation, handing_over=handing_over)
     simulation.run_until(SCHEDULE_MS)
     chaos.calm()
     end = simulation.now + CALM_MS
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -69,6 +69,32 @@
     require(leader.core.term == term, "the term was raised")
 
 
+def hand_over_is_quick() -> None:
+    """A leader that hands over and ends is followed without a timeout."""
+    simulation = _quiet_group()
+    leader = simulation.leader()
+    simulation.hand_over(leader)
+    simulation.run_until(simulation.now + 1)
+    require(leader.core.role is messages.Role.FOLLOWER, "it leads on")
+    simulation.crash(leader)
+    simulation.run_until(simulation.now + 100)
+    successor = simulation.leader()
+    require(successor not in (None, leader), "nobody took over")
+
+
+def hand_over_waits_for_a_whole_log() -> None:
+    """A voter that lacks entries is not asked to lead."""
+    simulation = _quiet_group()
+    leader = simulation.leader()
+    behind, whole = sorted(_followers(simulation), key=lambda n: n.disk.id)
+    _cut_both(simulation, behind.name, [leader.name])
+    simulation.propose(leader)
+    simulation.run_until(simulation.now + 100)
+    simulation.hand_over(leader)
+    simulation.run_until(simulation.now + 100)
+    require(simulation.leader() is whole, "the wrong one took over")
+
+
 def isolated_leader_steps_down() -> None:
     """A leader that hears no majority knows by itself that it leads no more."""
     simulation = _quiet_group()
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -251,6 +251,10 @@
         except errors.NotLeader:
             return
 
+    def hand_over(self, node: Node) -> None:
+        """Has a leader hand over."""
+        self._handle(node, node.core.hand_over(node.local(self.now)))
+
     def change(self, node: Node, change: changes.Change) -> bool:
         """Has a leader change the membership; returns whether it did."""
         local = node.local(self.now)
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -8,6 +8,7 @@
 from bilberryroute.consensus import election as election_lib
 from bilberryroute.consensus import journal as journal_lib
 from bilberryroute.consensus import leading as leading_lib
+from bilberryroute.consensus import messages
 from bilberryroute.consensus import records
 from tests.consensus import faults
 from tests.consensus import scenarios
@@ -25,12 +26,12 @@
     monkeypatch.setattr(leading_lib, "CHUNK_BYTES", 3)
 
 
-def _explore(seed: int) -> None:
+def _explore(seed: int, *, handing_over: bool = False) -> None:
     simulation = simulation_lib.Simulation(
         seed, size=3 + seed % 3, spares=1 + seed % 2
     )
     try:
-        faults.explore(simulation)
+        faults.explore(simulation, handing_over=handing_over)
     except Exception as exc:
         exc.add_note(f"seed {seed}:\n" + "\n".join(simulation.log))
         raise
@@ -42,6 +43,12 @@
         _explore(seed)
 
 
+@pytest.mark.parametrize("chunk", range(_CHUNKS))
+def test_invariants_hold_while_leaders_hand_over(chunk):
+    for seed in range(_FIRST + chunk, _FIRST + _COUNT // 3, _CHUNKS):
+        _explore(seed, handing_over=True)
+
+
 def _forget_vote(patch):
     """Term and vote are not written."""
 
@@ -153,6 +160,33 @@
     )
 
 
+def _keep_lease_while_leaving(patch):
+    """A leader that hands over goes on under its lease."""
+
+    def lease_holds(self, now):
+        return now < self.acked_ms(now) + self._timing.leader_lease_ms
+
+    def hand_over(self, now):
+        if self._leading is not None and self._leading.leave_by_ms is not None:
+            successor = self._leading.successor(now)
+            if successor is not None:
+                self._send(successor, messages.StandNow(term=self.term))
+
+    patch.setattr(leading_lib.Leading, "lease_holds", lease_holds)
+    patch.setattr(core_lib.Core, "_hand_over_if_ready", hand_over)
+
+
+def _hand_over_to_any_voter(patch):
+    """The successor need not hold all that the leader holds."""
+
+    def successor(self, now):
+        del now
+        others = [v for v in self._journal.membership.voters if v != self._id]
+        return others[0] if others else None
+
+    patch.setattr(leading_lib.Leading, "successor", successor)
+
+
 # The mechanism taken away, the first seed of 300 that show it, the report.
 MUTANTS = {
     _forget_vote: (10, "voted twice"),
@@ -170,9 +204,19 @@
     _change_before_own_term: scenarios.change_waits_for_own_term,
     _stand_without_pre_vote: scenarios.isolated_follower_returns,
     _lead_without_majority: scenarios.isolated_leader_steps_down,
+    _hand_over_to_any_voter: scenarios.hand_over_waits_for_a_whole_log,
 }
 
 
+def test_exploration_fails_if_a_leaving_leader_keeps_its_lease(monkeypatch):
+    _keep_lease_while_leaving(monkeypatch)
+    with pytest.raises(
+        simulation_lib.Violation, match="leases overlap|elected in a lease"
+    ):
+        for tried in range(_MUTANT_SEEDS):
+            _explore(tried, handing_over=True)
+
+
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda m: m.__name__)
 def test_exploration_fails_without(mutant, monkeypatch):
     seed, report = MUTANTS[mutant]
@@ -192,3 +236,20 @@
     mutant(monkeypatch)
     with pytest.raises(simulation_lib.Violation):
         SCENARIO_MUTANTS[mutant]()
+
+
+def test_hand_over_is_quick():
+    scenarios.hand_over_is_quick()
+
+
+def test_hand_over_fails_without_leave_to_vote(monkeypatch):
+    """Voters that still hear the old leader must not wait for its timeout."""
+    hears = core_lib.Core._on_vote_request
+
+    def deaf(self, sender, req, now):
+        if not self._hears_leader(now):
+            hears(self, sender, req, now)
+
+    monkeypatch.setattr(core_lib.Core, "_on_vote_request", deaf)
+    with pytest.raises(simulation_lib.Violation):
+        scenarios.hand_over_is_quick()
--- a/tests/consensus/test_group.py
+++ b/tests/consensus/test_group.py
@@ -91,6 +91,36 @@
     assert cluster.groups[name]._applier.items == _expected(20)
 
 
+async def test_leader_that_hands_over_loses_nothing(make_cluster):
+    cluster = await make_cluster(3)
+    leader = await cluster.leader()
+    await _propose(leader, 0, 10)
+    taken = [
+        asyncio.create_task(leader.propose(b"%d" % i)) for i in range(10, 20)
+    ]
+    while leader._core.log.last_index < 20:
+        await asyncio.sleep(0)
+    handing_over = asyncio.create_task(leader.hand_over())
+    await asyncio.sleep(0)
+    with pytest.raises(errors.NotLeader):
+        await leader.propose(b"too late")
+    applied = await asyncio.gather(*taken)
+    await handing_over
+    successor = await cluster.leader()
+    assert successor is not leader
+    await cluster.settled(applied[-1].index)
+    assert successor._applier.items == _expected(20)
+
+
+async def test_replica_that_does_not_lead_hands_nothing_over(make_cluster):
+    cluster = await make_cluster(3)
+    leader = await cluster.leader()
+    term = leader.term
+    await cluster.groups[cluster.follower()].hand_over()
+    assert leader.is_leader()
+    assert leader.term == term
+
+
 async def test_isolated_follower_does_not_disturb_on_return(make_cluster):
     cluster = await make_cluster(3, relayed=True)
     leader = await cluster.leader()
