Pace what fills a worker by the tail latency of what serves beside it

Cause: tasks that fill worked at their full share whatever they did to the tasks beside them that serve users; the listing's load figures were dropped.

Change: the agent reads the load of each run, and one share for all that fills its worker follows the run nearest to its target: a quarter of it once a target is missed, half from 0.85 of a target, a tenth more below 0.65, one step in 700 ms. A run that an earlier process of the agent began is paced anew, since its share is not known. Looks wait 300 ms instead of 1 s while something fills.

Shown by: a closed loop of twenty loads, in which no target is missed for 4 s on end; the walk over the adapter (`test_fill_gives_way_...`).

Two fields that nothing read are gone (an announcement's clock, which is still required of its wire form, and a documented one of a worker's life).

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -18,6 +18,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import pacing
 from bilberryroute.agent import run_plan
 from bilberryroute.agent import worker_life as life_lib
 from bilberryroute.agent import worker_port
@@ -54,6 +55,7 @@
         self._board = board
         self._port = port
         self._metrics = metrics
+        self._pacing = pacing.Pacing(port, metrics)
         self._life: life_lib.Life | None = None
         self._wake = asyncio.Event()
         self._look_soon = asyncio.Event()
@@ -125,8 +127,12 @@
             if life is None or life.over:
                 await self._rest(PLAN_MS)
                 continue
-            wait_ms = 0 if life.listing is None else LOOK_MS
-            await self._look_once(life, wait_ms)
+            await self._look_once(life, self._look_ms(life))
+
+    def _look_ms(self, life: life_lib.Life) -> int:
+        if life.listing is None:
+            return 0
+        return pacing.LOOK_MS if self._pacing.has_work() else LOOK_MS
 
     @mode.Service.task
     async def _look_at_once(self) -> None:
@@ -197,7 +203,6 @@
                 born=listing.born,
                 sequence=0,
                 draining=False,
-                clock_ms=listing.clock_ms,
             )
             self._begin_life(said)
 
@@ -231,9 +236,17 @@
                 case run_plan.Stop(key=key):
                     self._begin(life, key)
                     self.add_future(self._stop(life, key))
+        self._pace(life)
         self._forget(life)
         self._publish()
 
+    def _pace(self, life: life_lib.Life) -> None:
+        desired = self._board.desired.get().runs
+        fence = self._board.lease.get().term
+        now = self._clock.now()
+        for order in self._pacing.orders(life, desired, now, fence):
+            self.add_future(order)
+
     def _settle_earlier(self, life: life_lib.Life) -> bool:
         """Bars what earlier lives were ordered to run; an order may be late.
 
@@ -289,6 +302,7 @@
         if until_ms is None:
             state.busy = False
             return
+        fields = run_plan.key_fields((run.task, run.run))
         order = worker_port.StartOrder(
             worker=life.announced.name,
             task=run.task,
@@ -303,14 +317,14 @@
             answer = await self._port.start_run(life.announced.address, order)
         except errors.BilberryrouteError as exc:
             self._metrics.retried("start_unanswered")
-            logger.info("start unanswered: %s", exc, extra=_fields(run))
+            logger.info("start unanswered: %s", exc, extra=fields)
             await self._rest(RETRY_MS)
         else:
             run_plan.settle(state, answer)
             logger.info(
                 "start: %s",
                 answer.verdict,
-                extra=_fields(run) | {"term": lease.term},
+                extra=fields | {"term": lease.term},
             )
             if answer.verdict != worker_port.StartVerdict.STARTED:
                 self._metrics.retried(f"start_{answer.verdict}")
@@ -329,12 +343,14 @@
             )
         except errors.BilberryrouteError as exc:
             self._metrics.retried("stop_unanswered")
-            logger.info("stop unanswered: %s", exc, extra=_key_fields(key))
+            logger.info(
+                "stop unanswered: %s", exc, extra=run_plan.key_fields(key)
+            )
             await self._rest(RETRY_MS)
         else:
             state.phase = run_plan.Phase.BARRED
             state.clock_ms = clock_ms
-            logger.info("stopped", extra=_key_fields(key))
+            logger.info("stopped", extra=run_plan.key_fields(key))
         state.busy = False
         self._wake.set()
         self._look_soon.set()
@@ -364,16 +380,3 @@
             return ()
         ends = life.listing.ends + run_plan.own_ends(self._view(life))
         return (life.report(ends),)
-
-
-def _fields(run: wire.DesiredRun) -> dict[str, object]:
-    return _key_fields((run.task, run.run))
-
-
-def _key_fields(key: run_plan.RunKey) -> dict[str, object]:
-    task, run = key
-    return {
-        "job_id": task.job_id,
-        "task": f"{task.occurrence}.{task.step}.{task.index}",
-        "run": run,
-    }
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -10,6 +10,16 @@
 RunKey = tuple[batch.TaskId, int]
 
 
+def key_fields(key: RunKey) -> dict[str, object]:
+    """Returns the fields of a log line on a run."""
+    task, run = key
+    return {
+        "job_id": task.job_id,
+        "task": f"{task.occurrence}.{task.step}.{task.index}",
+        "run": run,
+    }
+
+
 class Phase(enum.StrEnum):
     """How far an agent has come with one run.
 
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -13,8 +13,7 @@
     """One life of the worker, as far as this agent has seen it.
 
     Attributes:
-      clock_ms: Worker's clock at the newest answer.
-      sampled_ms: Own clock when that answer came.
+      sampled_ms: Own clock when the newest answer came.
       heard_ms: Own clock at the last answer.
       down_since_ms: Since when connections are refused; None if they aren't.
       withdrawn: Whether the worker has said that it ends.
--- a/bilberryroute/agent/worker_port.py
+++ b/bilberryroute/agent/worker_port.py
@@ -28,7 +28,6 @@
       born: When this life of the worker started, in its own words.
       sequence: Rises with each announcement of one life.
       address: Where it takes orders, `ip:port`.
-      clock_ms: The worker's steady clock at the sending.
       draining: Whether it leaves and takes nothing new.
       remaining_ms: While it drains, for how long it goes on at least.
     """
@@ -42,7 +41,6 @@
     rack: str
     labels: tuple[str, ...]
     capacity: batch.Resources
-    clock_ms: int
     draining: bool = False
     remaining_ms: int = 0
 
@@ -117,12 +115,17 @@
 
     Attributes:
       born: Life that answered; 0 if it told none.
+      loads: By task and run: the tail latency in milliseconds of a run that
+        serves, and the processors in use, in thousandths, of any other.
     """
 
     born: int
     clock_ms: int
     running: tuple[wire.RunReport, ...]
     ends: tuple[wire.EndReport, ...]
+    loads: dict[tuple[batch.TaskId, int], int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class WorkerPort(Protocol):
@@ -140,5 +143,15 @@
     ) -> int:
         """Ends a run, also one that is still to come; returns the clock."""
 
+    async def pace_run(
+        self,
+        address: str,
+        task: batch.TaskId,
+        run: int,
+        percent: int,
+        fence: int,
+    ) -> None:
+        """Lets a run work at a share, 0 to 100, until the next such order."""
+
     async def hold(self, address: str, order: HoldOrder) -> Listing:
         """Extends the lease and returns what runs and what ended."""
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -141,6 +141,9 @@
       stop: Whether it is to end.
       saved: Checkpoint to resume from, or empty.
       permit: Permit of an advisory service, or empty.
+      tail_target_ms: Bound of the tail latency within which the run serves;
+        0 for none.
+      fills: Whether the run takes only the processors that others leave.
     """
 
     task: batch.TaskId
@@ -149,6 +152,8 @@
     stop: bool
     saved: str = ""
     permit: str = ""
+    tail_target_ms: int = 0
+    fills: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/platform/workers.py
+++ b/bilberryroute/platform/workers.py
@@ -46,7 +46,7 @@
     Attributes:
       service: Pool that it belongs to.
       labels: Its kind, and last the rack that it stands in.
-      clock_ms: Its steady clock.
+      clock_ms: Its steady clock; a worker's own announcement always has it.
       born: Unix time of its start in milliseconds: one value a life.
     """
 
@@ -118,7 +118,6 @@
             memory_mb=said.capacity.mem_request_mb,
             accelerators=said.capacity.gpu,
         ),
-        clock_ms=said.clock_ms,
         draining=said.state == "draining",
         remaining_ms=said.remaining_ms,
     )
@@ -160,6 +159,7 @@
             clock_ms=said.clock_ms,
             running=tuple(map(_running, said.running)),
             ends=tuple(map(_end, said.finished)),
+            loads=_loads(said.running),
         )
     except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
         raise errors.MalformedInput(f"malformed list of runs: {exc}") from exc
@@ -172,6 +172,13 @@
     )
 
 
+def _loads(rows: list[list]) -> dict[tuple[batch.TaskId, int], int]:
+    """Returns the fifth entries of rows; workers may leave them out."""
+    return {
+        (task_id(row[0]), row[1]): int(row[4]) for row in rows if len(row) > 4
+    }
+
+
 def _end(row: list) -> wire.EndReport:
     number, name, run, how, saved = row[:5]
     return wire.EndReport(
@@ -222,6 +229,24 @@
         _require_done(said, "stop")
         return _decode_answer(said.body).clock_ms
 
+    async def pace_run(
+        self,
+        address: str,
+        task: batch.TaskId,
+        run: int,
+        percent: int,
+        fence: int,
+    ) -> None:
+        """Lets a run work at a share until the next such order."""
+        body = {
+            "task": task_name(task),
+            "run": run,
+            "percent": percent,
+            "fencingToken": fence,
+        }
+        said = await self._order(address, "pace", body, ORDER_TIMEOUT_MS)
+        _require_done(said, "pace")
+
     async def hold(
         self, address: str, order: worker_port.HoldOrder
     ) -> worker_port.Listing:
--- a/bilberryroute/replica/desired.py
+++ b/bilberryroute/replica/desired.py
@@ -140,6 +140,7 @@
 ) -> wire.DesiredRun:
     task = record.task(task_id)
     stop = task.state != batch.TaskState.PLACED
+    step = record.content.steps[task_id.step]
     return wire.DesiredRun(
         task=task_id,
         run=task.run,
@@ -147,6 +148,8 @@
         stop=stop,
         saved="" if stop else task.resumed,
         permit="" if stop else task.permit,
+        tail_target_ms=step.tail_target_ms,
+        fills=step.fills,
     )
 
 
--- a/extras/fakes/fake_runner.py
+++ b/extras/fakes/fake_runner.py
@@ -35,12 +35,16 @@
       run_ms: How long each task takes.
       room: Accelerators free; each task holds one.
       starts: Every start that was carried out, in order.
+      loads: What is reported of how a task does, by task; else 0.
+      paced: Share at which a task works, by task, once it was ordered.
     """
 
     def __init__(self, run_ms: int, room: int):
         self.run_ms = run_ms
         self.room = room
         self.starts: list[tuple[str, int]] = []
+        self.loads: dict[str, int] = {}
+        self.paced: dict[str, int] = {}
         self._running: dict[str, _Run] = {}
         self._ends: list[list] = []
         self._barred: dict[str, int] = {}
@@ -78,6 +82,13 @@
             self._end(task, "stopped")
         return 200, {"clockMs": now}
 
+    def pace(self, order: dict, now: int) -> tuple[int, dict]:
+        """Lets a run work at a share."""
+        if not self._fenced(order):
+            return 409, {"clockMs": now, "reason": "fence"}
+        self.paced[order["task"]] = order["percent"]
+        return 200, {"clockMs": now}
+
     def hold(self, order: dict, now: int) -> tuple[int, dict]:
         """Extends the lease, forgets committed ends, returns both lists."""
         if not self._fenced(order):
@@ -91,7 +102,13 @@
     def lists(self, now: int) -> dict:
         """Returns what runs and what ended."""
         rows = [
-            [task, each.run, "", 100 * (now - each.began_ms) // self.run_ms]
+            [
+                task,
+                each.run,
+                "",
+                100 * (now - each.began_ms) // self.run_ms,
+                self.loads.get(task, 0),
+            ]
             for task, each in self._running.items()
         ]
         return {"clockMs": now, "running": rows, "finished": self._ends}
@@ -166,6 +183,7 @@
             "run-start": self.table.start,
             "run-stop": self.table.stop,
             "hold": self.table.hold,
+            "pace": self.table.pace,
         }[req.match_info["call"]]
         status, body = carry_out(order, self._now())
         if "finished" in body and order.get("waitMs") and not body["finished"]:
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -42,6 +42,7 @@
         self.mute: set[str] = set()
         self.down = False
         self.refused = 0
+        self.loads: dict = {}
 
     async def start_run(self, address, order):
         self._answer("start", order.task, order.run)
@@ -56,6 +57,9 @@
         self.running.pop(task, None)
         return self._tick()
 
+    async def pace_run(self, address, task, run, percent, fence):
+        self._answer(f"pace {percent}", task, run)
+
     async def hold(self, address, order):
         await asyncio.sleep(0.005)
         if self.down:
@@ -70,6 +74,7 @@
                 for task, run in self.running.items()
             ),
             ends=tuple(self.ends),
+            loads=self.loads,
         )
 
     def _tick(self) -> int:
@@ -120,7 +125,6 @@
             "rack": "r1",
             "labels": ("a",),
             "capacity": batch.NOTHING,
-            "clock_ms": 1,
         }
         self.agent.announce(
             worker_port.Announcement(
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -161,6 +161,7 @@
         {"sequence": "four"},
         {"capacity": None},
         {"service": 7},
+        {"clockMs": None},
     ],
 )
 def test_foreign_announcements_are_refused(change):
@@ -180,6 +181,7 @@
     assert found.running[0].task == batch.TaskId(
         job_id="5c0e", occurrence=0, step=1, index=17
     )
+    assert found.loads == {(found.running[0].task, 2): 300}
     assert found.ends[0].outcome == batch.RunOutcome.DONE
     assert workers.task_name(found.ends[0].task) == "5c0e.0.1.9"
 
--- a/tests/platform/test_walk.py
+++ b/tests/platform/test_walk.py
@@ -48,6 +48,23 @@
             await asyncio.sleep(0.02)
 
 
+async def test_fill_gives_way_to_a_task_over_its_target(site):
+    site.table.run_ms = 60_000
+    site.table.loads[f"{ID}.0.0.0"] = 90
+    steps = [
+        {"count": 1, "cpu": 500, "longRunning": True, "targetMs": 50},
+        {"count": 1, "cpu": 500, "fills": True},
+    ]
+    await site.call("POST", "callers", PATH, {"spec": "", "steps": steps})
+    async with asyncio.timeout(10):
+        while site.table.paced.get(f"{ID}.0.1.0") != 0:
+            await asyncio.sleep(0.02)
+    site.table.loads.clear()
+    async with asyncio.timeout(10):
+        while site.table.paced[f"{ID}.0.1.0"] < 20:
+            await asyncio.sleep(0.02)
+
+
 async def test_evacuated_domain_gets_nothing_until_it_is_back(site):
     zone = "/bilberryroute/evacuate/apapa"
     assert await site.call("POST", "control", zone) == (200, {})
