Bound how many tasks of a step decisions take away at once

Cause: what gives way to a guarantee was chosen without regard to a step's bound on tasks that may be away (`max_unavailable`), and room held by long-running tasks was forecast to be free after their estimate.

Change: `scheduling/batch/availability.py` counts a task as here only while its worker reports it at work, so what is on its way, has just been stopped or sits on a draining worker counts as away. Forecasts never count on the end of a long-running task. Jobs within guarantees are worked out once a round; `StopRuns` loses a reason that was always empty.

--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -104,7 +104,6 @@
     """Stops runs; their tasks wait again once the runs have ended."""
 
     runs: tuple[TaskRun, ...]
-    reason: str
     at_ms: int
 
 
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -198,6 +198,7 @@
             self._clock.wall(),
             self._typical.by_queue,
             self._permits.held(),
+            batch_upkeep.at_work(self._reports),
         )
         self._metrics.round_ms.add({}, self._clock.now() - began)
         return plan
@@ -255,7 +256,7 @@
     found: list[commands.Command] = []
     runs = (*corrections, *plan.stops)
     if runs:
-        found.append(batching.StopRuns(runs=runs, reason="", at_ms=0))
+        found.append(batching.StopRuns(runs=runs, at_ms=0))
     if plan.units:
         found.append(batching.PlaceRuns(units=plan.units, at_ms=0))
     return found
--- a/bilberryroute/replica/batch_upkeep.py
+++ b/bilberryroute/replica/batch_upkeep.py
@@ -10,6 +10,8 @@
 # A run is moved away from a draining worker if it is expected to go on for
 # longer than the worker stays, less this time for the stop itself.
 LEAVE_MARGIN_MS = 700
+# Progress that a long-running run reports once it is at work.
+AT_WORK_PERCENT = 100
 
 Workers = Mapping[str, board_lib.BatchWorker]
 
@@ -27,6 +29,16 @@
     ]
 
 
+def at_work(workers: Workers) -> frozenset[tuple[batch.TaskId, int]]:
+    """Returns the long-running runs that serve on workers that stay."""
+    return frozenset(
+        (run.task, run.run)
+        for worker in workers.values()
+        for run in worker.report.running
+        if run.percent >= AT_WORK_PERCENT and not worker.report.draining
+    )
+
+
 def new_saves(
     held: batch.BatchState, workers: Workers
 ) -> tuple[batching.SavedRun, ...]:
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -3,9 +3,11 @@
 import types
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.scheduling.batch import availability
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import preempting
 from bilberryroute.scheduling.batch import readiness
@@ -39,6 +41,7 @@
     permits: Mapping[views.StepKey, Mapping[str, str]] = (
         types.MappingProxyType({})
     ),
+    at_work: Set[room_lib.RunKey] = frozenset(),
 ) -> views.Plan:
     """Returns what starts now and what stops for it.
 
@@ -49,21 +52,30 @@
       wall_ms: Unix time in milliseconds.
       typical_ms: How long a task of each queue has taken, in milliseconds.
       permits: Permits of advised queues, by step and worker.
+      at_work: Runs that their workers report as at work.
     """
     room = room_lib.Room(held, workers, left_ms, wall_ms, permits)
-    ready = readiness.ready_units(held, wall_ms, typical_ms)
-    return _Round(held, room, wall_ms).run(ready)
+    guaranteed = readiness.guaranteed_jobs(held)
+    ready = readiness.ready_units(held, guaranteed, wall_ms, typical_ms)
+    return _Round(held, room, guaranteed, wall_ms, at_work).run(ready)
 
 
 class _Round:
     """State of one round."""
 
     def __init__(
-        self, held: batch.BatchState, room: room_lib.Room, wall_ms: int
+        self,
+        held: batch.BatchState,
+        room: room_lib.Room,
+        guaranteed: set[str],
+        wall_ms: int,
+        at_work: Set[room_lib.RunKey],
     ):
         self._held = held
         self._room = room
+        self._guaranteed = guaranteed
         self._wall_ms = wall_ms
+        self._at_work = at_work
         self._units: list[batching.Unit] = []
         self._stops: list[batching.TaskRun] = []
         self._victims: list[preempting.Victim] | None = None
@@ -135,9 +147,11 @@
 
     def _stop_others(self, unit: views.Ready) -> tuple[str, ...] | None:
         if self._victims is None:
-            guaranteed = readiness.guaranteed_jobs(self._held)
             self._victims = preempting.victims(
-                self._held, guaranteed, self._wall_ms
+                self._held,
+                self._guaranteed,
+                self._wall_ms,
+                availability.Budget(self._held, self._at_work),
             )
         found = preempting.make_room(
             unit, self._room, self._victims, self._held.evacuated
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -5,6 +5,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.scheduling.batch import availability
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
@@ -40,9 +41,16 @@
 
 
 def victims(
-    held: batch.BatchState, guaranteed: set[str], wall_ms: int
+    held: batch.BatchState,
+    guaranteed: set[str],
+    wall_ms: int,
+    budget: availability.Budget,
 ) -> list[Victim]:
-    """Returns all units that could be stopped, cheapest first."""
+    """Returns all units that could be stopped, cheapest first.
+
+    Of a step that bounds how many of its tasks may be away, no more are among
+    them than it allows.
+    """
     found: dict[tuple, list[tuple[batching.TaskRun, str]]] = {}
     for task_ids in held.placed.values():
         for task_id in task_ids:
@@ -56,9 +64,17 @@
             key = (record.id, task_id.occurrence, task_id.step, index)
             each = batching.TaskRun(task=task_id, run=task.run)
             found.setdefault(key, []).append((each, task.worker.name))
-    chosen = [_victim(held, tasks, wall_ms) for tasks in found.values()]
-    chosen.sort(key=lambda victim: victim.loss)
-    return chosen
+    units = [_victim(held, tasks, wall_ms) for tasks in found.values()]
+    units.sort(key=lambda victim: victim.loss)
+    return [unit for unit in units if _may_go(unit, budget)]
+
+
+def _may_go(unit: Victim, budget: availability.Budget) -> bool:
+    runs = [run for run, _ in unit.tasks]
+    allowed = budget.allows(runs)
+    if allowed:
+        budget.spend(runs)
+    return allowed
 
 
 def _victim(
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -1,5 +1,6 @@
 """Which units could start now, and in which order they are tried."""
 
+import dataclasses
 from collections.abc import Iterator
 from collections.abc import Mapping
 
@@ -15,16 +16,19 @@
 
 
 def ready_units(
-    held: batch.BatchState, wall_ms: int, typical_ms: Mapping[str, int]
+    held: batch.BatchState,
+    guaranteed: set[str],
+    wall_ms: int,
+    typical_ms: Mapping[str, int],
 ) -> list[views.Ready]:
     """Returns all units that could start now, best rank first.
 
     Args:
       held: Batch jobs.
+      guaranteed: Jobs within their accounts' guarantees.
       wall_ms: Unix time in milliseconds.
       typical_ms: How long a task of each queue has taken, in milliseconds.
     """
-    guaranteed = guaranteed_jobs(held)
     found = []
     for record in held.jobs.values():
         queue = held.catalog.queue(record.queue)
@@ -36,7 +40,7 @@
             )
             found.append((rank, unit))
     found.sort(key=lambda pair: pair[0])
-    return [_ranked(unit, rank) for rank, unit in found]
+    return [dataclasses.replace(unit, rank=rank) for rank, unit in found]
 
 
 def guaranteed_jobs(held: batch.BatchState) -> set[str]:
@@ -111,20 +115,6 @@
     return max(ends)
 
 
-def _ranked(unit: views.Ready, rank: tuple[int, ...]) -> views.Ready:
-    return views.Ready(
-        record=unit.record,
-        queue=unit.queue,
-        occurrence=unit.occurrence,
-        step_number=unit.step_number,
-        step=unit.step,
-        indexes=unit.indexes,
-        run=unit.run,
-        rank=rank,
-        since_ms=unit.since_ms,
-    )
-
-
 def _units_of(
     record: batch.BatchRecord, queue: catalog_model.Queue, wall_ms: int
 ) -> Iterator[views.Ready]:
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -12,6 +12,8 @@
 
 # Least time that a run without any forecast is taken to go on.
 UNKNOWN_LEFT_MS = 1_000
+# Stands for the end of a run that goes on until its job is cancelled.
+NEVER_MS = 1 << 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -201,6 +203,8 @@
 ) -> int:
     if task.state != batch.TaskState.PLACED:
         return 0  # It is being stopped.
+    if step.long_running:
+        return NEVER_MS
     if forecast is not None:
         return max(0, forecast)
     ran_ms = wall_ms - task.placed_ms
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -121,7 +121,7 @@
     log.submit("own", batches.content(batches.step(1, 8)), "urgent")
     decided = plan(log, batches.worker())
     assert [stop.task.job_id for stop in decided.stops] == ["low"]
-    log.apply(batches.batching.StopRuns(runs=decided.stops, reason="", at_ms=1))
+    log.apply(batches.batching.StopRuns(runs=decided.stops, at_ms=1))
     again = plan(log, batches.worker())
     assert again.stops == () and again.units == ()
     log.end(batches.task("low"), outcome=batch.RunOutcome.STOPPED)
@@ -151,7 +151,6 @@
     log.apply(
         batches.batching.StopRuns(
             runs=(batches.batching.TaskRun(task=batches.task("small"), run=1),),
-            reason="",
             at_ms=1,
         )
     )
