Let work that would be late overtake what loses nothing by it

Cause: only guaranteed jobs stopped others.

Change: a unit that is not expected to fit before it would be late may stop runs of less urgent queues which save their progress when stopped, and whose jobs are in time even after it has run. `scheduling/batch/deadlines.py` holds objectives, slack and spare time, by what a queue's tasks have taken rather than by estimates.

Tests first: test_job_that_would_be_late_overtakes_what_loses_nothing failed before; four more hold its limits.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -1,5 +1,6 @@
 """One round of decisions on batch jobs. Pure."""
 
+import dataclasses
 import types
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -8,6 +9,7 @@
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.scheduling.batch import availability
+from bilberryroute.scheduling.batch import deadlines
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import preempting
 from bilberryroute.scheduling.batch import readiness
@@ -57,7 +59,16 @@
     room = room_lib.Room(held, workers, left_ms, wall_ms, permits)
     guaranteed = readiness.guaranteed_jobs(held)
     ready = readiness.ready_units(held, guaranteed, wall_ms, typical_ms)
-    return _Round(held, room, guaranteed, wall_ms, at_work).run(ready)
+    times = deadlines.Deadlines(held, typical_ms, left_ms, wall_ms)
+    return _Round(held, room, guaranteed, times, wall_ms, at_work).run(ready)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Fit:
+    """Workers on which a unit fits, and in how many milliseconds."""
+
+    ahead_ms: int
+    names: tuple[str, ...]
 
 
 class _Round:
@@ -68,12 +79,14 @@
         held: batch.BatchState,
         room: room_lib.Room,
         guaranteed: set[str],
+        times: deadlines.Deadlines,
         wall_ms: int,
         at_work: Set[room_lib.RunKey],
     ):
         self._held = held
         self._room = room
         self._guaranteed = guaranteed
+        self._times = times
         self._wall_ms = wall_ms
         self._at_work = at_work
         self._units: list[batching.Unit] = []
@@ -118,8 +131,8 @@
             return True
         if guaranteed:
             self._reclaim(unit)
-        elif self._reserved < RESERVED_AT_MOST:
-            self._reserve(unit)
+        else:
+            self._wait(unit)
         return False
 
     def _fit(
@@ -141,20 +154,54 @@
         patience_ms = max(0, GUARANTEE_PATIENCE_MS - waited_ms)
         names = self._fit(unit, self._room.within(patience_ms))
         if names is None:
-            names = self._stop_others(unit)
+            names = self._stop_others(unit, self._candidates())
         if names is not None:
             self._room.take(unit, names)
 
-    def _stop_others(self, unit: views.Ready) -> tuple[str, ...] | None:
+    def _wait(self, unit: views.Ready) -> None:
+        """Reserves room, or gets it from work that can spare the time."""
+        if self._reserved >= RESERVED_AT_MOST:
+            return
+        fit = self._next_fit(unit)
+        late = fit is None or fit.ahead_ms > self._times.slack_ms(unit)
+        names = self._overtake(unit) if late else None
+        if names is not None:
+            self._room.take(unit, names)
+            self._reserved += 1
+        elif fit is not None:
+            self._room.reserve(unit, fit.names, fit.ahead_ms)
+            self._reserved += 1
+
+    def _overtake(self, unit: views.Ready) -> tuple[str, ...] | None:
+        """Stops what loses nothing by it for a unit that would be late."""
+        worthless = unit.rank[0] > 0
+        if worthless:
+            return None
+        run_ms = self._times.run_ms(unit)
+        yielding = [
+            victim
+            for victim in self._candidates()
+            if victim.yields_to(unit.queue.priority, run_ms)
+        ]
+        return self._stop_others(unit, yielding)
+
+    def _candidates(self) -> list[preempting.Victim]:
+        """Returns what may still be stopped in this round."""
         if self._victims is None:
             self._victims = preempting.victims(
                 self._held,
                 self._guaranteed,
                 self._wall_ms,
                 availability.Budget(self._held, self._at_work),
+                self._times,
             )
+        return self._victims
+
+    def _stop_others(
+        self, unit: views.Ready, candidates: list[preempting.Victim]
+    ) -> tuple[str, ...] | None:
         found = preempting.make_room(
-            unit, self._room, self._victims, self._held.evacuated
+            unit, self._room, candidates, self._held.evacuated
         )
         if found is None:
             return None
@@ -167,14 +214,13 @@
                     self._room.expect_end(name, victim.need)
         return names
 
-    def _reserve(self, unit: views.Ready) -> None:
-        """Keeps room for a unit from when it is expected to fit."""
+    def _next_fit(self, unit: views.Ready) -> _Fit | None:
+        """Returns when and where a unit is expected to fit."""
         for ahead_ms in self._room.ends():
             within = self._room.within(ahead_ms)
             names = placing.place(
                 unit, self._room, within, self._held.evacuated, near=True
             )
             if names is not None:
-                self._room.reserve(unit, names, ahead_ms)
-                self._reserved += 1
-                return
+                return _Fit(ahead_ms=ahead_ms, names=names)
+        return None
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -6,6 +6,7 @@
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.scheduling.batch import availability
+from bilberryroute.scheduling.batch import deadlines
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
@@ -25,11 +26,27 @@
       tasks: Its placed tasks with their workers' names.
       need: What each of its tasks holds.
       loss: Work that would be lost, in thousandths of a core-millisecond.
+      priority: Of its queue; 0 is the most urgent.
+      saves: Whether it saves its progress when it is stopped.
+      spare_ms: How much longer its job may take.
     """
 
     tasks: tuple[tuple[batching.TaskRun, str], ...]
     need: batch.Resources
     loss: int
+    priority: int
+    saves: bool
+    spare_ms: int
+
+    def yields_to(self, priority: int, run_ms: int) -> bool:
+        """Says whether it gives way to more urgent work and loses nothing.
+
+        Args:
+          priority: Of the work that waits.
+          run_ms: How long that is expected to run.
+        """
+        later = self.priority > priority
+        return later and self.saves and self.spare_ms >= run_ms + RESTART_MS
 
     def held_on(self, name: str) -> batch.Resources:
         """Returns what all its tasks on one worker hold."""
@@ -45,6 +62,7 @@
     guaranteed: set[str],
     wall_ms: int,
     budget: availability.Budget,
+    times: deadlines.Deadlines,
 ) -> list[Victim]:
     """Returns all units that could be stopped, cheapest first.
 
@@ -64,7 +82,7 @@
             key = (record.id, task_id.occurrence, task_id.step, index)
             each = batching.TaskRun(task=task_id, run=task.run)
             found.setdefault(key, []).append((each, task.worker.name))
-    units = [_victim(held, tasks, wall_ms) for tasks in found.values()]
+    units = [_victim(held, tasks, wall_ms, times) for tasks in found.values()]
     units.sort(key=lambda victim: victim.loss)
     return [unit for unit in units if _may_go(unit, budget)]
 
@@ -81,6 +99,7 @@
     held: batch.BatchState,
     tasks: list[tuple[batching.TaskRun, str]],
     wall_ms: int,
+    times: deadlines.Deadlines,
 ) -> Victim:
     first = tasks[0][0].task
     record = held.jobs[first.job_id]
@@ -91,10 +110,14 @@
     weight = (
         step.need.cpu_millis + MILLIS_PER_ACCELERATOR * step.need.accelerators
     )
+    queue = held.catalog.queue(record.queue)
     return Victim(
         tasks=tuple(tasks),
         need=room_lib.needed(step),
         loss=ran_ms * len(tasks) * weight,
+        priority=queue.priority if queue is not None else 0,
+        saves=step.checkpointing,
+        spare_ms=min(times.spare_ms(run.task) for run, _ in tasks),
     )
 
 
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -6,13 +6,12 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import catalog as catalog_model
+from bilberryroute.scheduling.batch import deadlines
 from bilberryroute.scheduling.batch import views
 
 # An occurrence that is due within this time counts as due: clocks of hosts
 # differ by some milliseconds, and a start may not be early.
 DUE_MARGIN_MS = 20
-# A job earns nothing any more after this multiple of its objective.
-LATE_FACTOR = 3
 
 
 def ready_units(
@@ -84,9 +83,9 @@
     """
     if unit.record.id in guaranteed:
         return (0, 0, unit.since_ms, 0, unit.indexes[0])
-    objective_ms = objective(unit, typical_ms)
+    objective_ms = deadlines.objective(unit, typical_ms)
     due_ms = unit.since_ms + objective_ms
-    worthless = wall_ms > unit.since_ms + LATE_FACTOR * objective_ms
+    worthless = wall_ms > unit.since_ms + deadlines.LATE_FACTOR * objective_ms
     return (
         int(worthless),
         1 + unit.queue.priority,
@@ -96,25 +95,6 @@
     )
 
 
-def objective(unit: views.Ready, typical_ms: int) -> int:
-    """Returns the time in which a job should end, in milliseconds.
-
-    A job whose estimate is far below what its queue's tasks have taken is
-    given the time that they took.
-    """
-    chain_ms = max(longest_chain(unit.record.content), typical_ms)
-    return int(unit.queue.slack_factor * chain_ms) + unit.queue.target_ms
-
-
-def longest_chain(content: batch.Content) -> int:
-    """Returns the estimates of the steps that follow one another, in ms."""
-    ends: list[int] = []
-    for step in content.steps:
-        begin = max((ends[each] for each in step.depends_on), default=0)
-        ends.append(begin + step.estimate_ms)
-    return max(ends)
-
-
 def _units_of(
     record: batch.BatchRecord, queue: catalog_model.Queue, wall_ms: int
 ) -> Iterator[views.Ready]:
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -199,6 +199,38 @@
     assert plan(log, batches.worker()).stops == ()
 
 
+def overtaken(log, *, saving=True, estimate_ms=60_000, queue="urgent", at=0):
+    """Returns which jobs are stopped for one that is beyond a guarantee."""
+    held_up = batches.step(1, 8, estimate_ms=estimate_ms, checkpointing=saving)
+    log.submit("low", batches.content(held_up), "nightly")
+    run(log, plan(log, batches.worker()))
+    log.now += at
+    wide = batches.step(9, 1, estimate_ms=5_000)
+    log.submit("wide", batches.content(wide), queue)
+    decided = plan(log, batches.worker())
+    return [stop.task.job_id for stop in decided.stops]
+
+
+def test_job_that_would_be_late_overtakes_what_loses_nothing(log):
+    assert overtaken(log) == ["low"]
+
+
+def test_job_overtakes_nothing_that_would_lose_work(log):
+    assert overtaken(log, saving=False) == []
+
+
+def test_job_overtakes_nothing_that_would_be_late_itself(log):
+    assert overtaken(log, at=119_000) == []
+
+
+def test_job_overtakes_nothing_as_urgent(log):
+    assert overtaken(log, queue="nightly") == []
+
+
+def test_job_waits_for_room_that_comes_in_time(log):
+    assert overtaken(log, estimate_ms=5_000) == []
+
+
 @pytest.mark.parametrize("estimate_ms, fits", [(500, True), (9_000, False)])
 def test_backfill_does_not_delay_a_reservation(log, estimate_ms, fits):
     log.submit("now", batches.content(batches.step(1, 4)), "nightly")
