Show queues and accounts of batch jobs in status

Cause: the issue asks for them in `status`; only `catalog show` had them. Change: the leader's status lists each queue with its priority, pending and open jobs, and each account with its guarantee, the accelerators that its runs hold and the number of its keys, never a key. The views of batch jobs are a module of their own.

--- a/bilberryroute/cli/system.py
+++ b/bilberryroute/cli/system.py
@@ -69,7 +69,11 @@
         ("revision", view.revision),
         ("jobs", counts or "none"),
     )
-    tables = (*_configuration_tables(configuration), *_tables(view))
+    tables = (
+        *_configuration_tables(configuration),
+        *_tables(view),
+        *_batch_tables(view),
+    )
     for header, rows in tables:
         if rows:
             out.line()
@@ -158,6 +162,23 @@
     )
 
 
+def _batch_tables(view: queries.StatusView) -> Iterator[Table]:
+    yield (
+        ("batch queue", "pool", "priority", "pending", "open"),
+        [
+            (q.name, q.pool, q.priority, q.pending, q.open)
+            for q in view.batch_queues
+        ],
+    )
+    yield (
+        ("batch account", "keys", "guaranteed", "accelerators held"),
+        [
+            (a.name, a.keys, a.guaranteed, a.accelerators)
+            for a in view.batch_accounts
+        ],
+    )
+
+
 def _yes(value: bool) -> str:
     return "yes" if value else "no"
 
--- a/bilberryroute/model/queries.py
+++ b/bilberryroute/model/queries.py
@@ -272,6 +272,39 @@
     jobs: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchQueueView:
+    """A queue of batch jobs.
+
+    Attributes:
+      priority: 0 goes first.
+      pending: Accepted jobs that have not begun.
+      open: Jobs that have not ended, the pending ones among them.
+    """
+
+    name: str
+    pool: str
+    priority: int
+    pending: int
+    open: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchAccountView:
+    """A client account of the catalog.
+
+    Attributes:
+      keys: How many keys are in force.
+      guaranteed: Accelerators that are its own for urgent jobs.
+      accelerators: Accelerators that its runs hold now.
+    """
+
+    name: str
+    keys: int
+    guaranteed: int
+    accelerators: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StatusView:
     """The whole system as the leader sees it.
@@ -297,6 +330,8 @@
     workers: tuple[WorkerView, ...] = ()
     jobs: tuple[PhaseCount, ...] = ()
     gangs: tuple[GangView, ...] = ()
+    batch_queues: tuple[BatchQueueView, ...] = ()
+    batch_accounts: tuple[BatchAccountView, ...] = ()
     shortfalls: tuple[str, ...] = ()
     violations: tuple[str, ...] = ()
 
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -5,11 +5,11 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute.consensus import records
-from bilberryroute.model import batch
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import jobs
 from bilberryroute.model import membership
 from bilberryroute.model import queries
+from bilberryroute.replica import batch_views
 from bilberryroute.replica import desired as desired_lib
 from bilberryroute.replica import jobs as job_controller
 from bilberryroute.replica import parts as parts_lib
@@ -93,7 +93,7 @@
 
     def _batches(self) -> queries.BatchList:
         records = self._machine.state.batch.jobs.values()
-        return queries.BatchList(jobs=tuple(map(_summary, records)))
+        return queries.BatchList(jobs=tuple(map(batch_views.summary, records)))
 
     def members(self) -> membership.Members:
         """Returns the group of replicas."""
@@ -183,6 +183,8 @@
                 for phase in jobs.JobPhase
             ),
             gangs=self._gangs(),
+            batch_queues=batch_views.queues(state.batch),
+            batch_accounts=batch_views.accounts(state.batch),
             shortfalls=tuple(map(str, scheduler.shortfalls()))
             if scheduler
             else (),
@@ -280,22 +282,3 @@
             if view is not None and key in view.tasks:
                 found.append(view.tasks[key].state)
         return found
-
-
-def _summary(record: batch.BatchRecord) -> queries.BatchSummary:
-    tasks = [
-        task
-        for steps in record.occurrences.values()
-        for step in steps
-        for task in step.tasks
-    ]
-    return queries.BatchSummary(
-        id=record.id,
-        queue=record.queue,
-        account=record.account,
-        result=record.result,
-        begun=record.begun,
-        done=sum(task.state == batch.TaskState.DONE for task in tasks),
-        active=sum(task.active for task in tasks),
-        failed=sum(task.failed for task in tasks),
-    )
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -163,6 +163,16 @@
         leader_id="r1",
         revision=0,
         now_ms=100_000,
+        batch_queues=(
+            queries.BatchQueueView(
+                name="urgent", pool="p1", priority=0, pending=4, open=7
+            ),
+        ),
+        batch_accounts=(
+            queries.BatchAccountView(
+                name="trust", keys=2, guaranteed=16, accelerators=5
+            ),
+        ),
         gangs=(
             queries.GangView(
                 job_id="j1",
@@ -176,6 +186,9 @@
             ),
         ),
     )
+    shown = (await run("status")).stdout.getvalue()
+    assert ["urgent", "p1", "0", "4", "7"] in map(str.split, shown.splitlines())
+    assert ["trust", "2", "16", "5"] in map(str.split, shown.splitlines())
     env = await run(
         "status", "--check", expected=status.ExitStatus.CHECK_FAILED
     )
