--- a/bilberryroute/replica/desired.py
+++ b/bilberryroute/replica/desired.py
@@ -72,7 +72,7 @@
             domains_in_service=self._common.domains_in_service,
             services=self._common.services,
             tasks=tuple(t for name in workers for t in _tasks(state, name)),
-            runs=_runs(state.batch, agent),
+            runs=runs_of(state.batch, agent),
             evacuated=tuple(state.batch.evacuated),
         )
 
@@ -127,7 +127,7 @@
     return found
 
 
-def _runs(held: batch.BatchState, agent: str) -> tuple[wire.DesiredRun, ...]:
+def runs_of(held: batch.BatchState, agent: str) -> tuple[wire.DesiredRun, ...]:
     """Returns the runs of batch jobs on one agent's workers."""
     return tuple(
         _desired_run(held.jobs[task_id.job_id], task_id)
