Explore runs of batch jobs, and let hypothesis shrink what breaks a rule

Cause: the seeded exploration covered the group of replicas only; that a task never runs twice was tested by single cases.

After each start: no second run, no start after done, beyond the attempts, before what the step depends on, or beyond the worker's room.

--- /dev/null
+++ b/tests/scheduling/test_run_exploration.py
@@ -0,0 +1,249 @@
+"""Explores runs of batch jobs; `hypothesis` shrinks what breaks a rule.
+
+`EXPLORE_RUNS=first:count` plays other seeds.
+"""
+
+import os
+import random
+from typing import NamedTuple
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from bilberryroute.agent import run_plan
+from bilberryroute.model import batch
+from bilberryroute.state import batch as batch_rules
+from tests.scheduling import run_model
+from tests.utils import batches
+
+_FIRST, _COUNT = map(int, os.environ.get("EXPLORE_RUNS", "0:400").split(":"))
+_MUTANT_SEEDS = 300
+_STEPS = 120
+
+CONTENTS = (
+    batches.content(batches.step(1, 4)),
+    batches.content(batches.step(3, 3)),
+    batches.content(batches.step(2, 8, gang=True)),
+    batches.content(batches.step(2, 2), batches.step(1, 2, depends_on=(0,))),
+)
+QUEUES = ("urgent", "planned", "nightly")
+MOST_JOBS = 6
+
+
+class Step(NamedTuple):
+    """One thing that happens, with what it happens to."""
+
+    name: str
+    worker: str
+    pick: int
+    flag: bool
+
+
+class Player:
+    """Plays steps; `run_model` raises where a rule is broken."""
+
+    def __init__(self):
+        self.system = run_model.System()
+        for agent in self.system.agents.values():
+            agent.take(agent.worker.listing(0))
+            self.system.hear(agent)
+        self.system.log.submit("j0", CONTENTS[1], "nightly")
+        self.system.log.submit("j1", CONTENTS[2], "planned")
+
+    def play(self, steps: list[Step]) -> None:
+        """Plays all steps, then ends all faults and all jobs."""
+        for step in steps:
+            getattr(self, step.name)(step, self.system.agents[step.worker])
+        self.system.settle()
+
+    def submit(self, step, agent):
+        jobs = self.system.held.jobs
+        if len(jobs) < MOST_JOBS:
+            self.system.log.submit(
+                f"j{len(jobs)}",
+                CONTENTS[step.pick % len(CONTENTS)],
+                QUEUES[step.pick % len(QUEUES)],
+            )
+
+    def cancel(self, step, agent):
+        record = self.system.held.jobs.get(f"j{step.pick}")
+        if record is not None:
+            self.system.log.cancel(record.id, record.queue)
+
+    def lead(self, step, agent):
+        self.system.lead()
+
+    def beat(self, step, agent):
+        """All goes well for a moment, so that schedules get somewhere."""
+        self.system.lead()
+        for each in self.system.agents.values():
+            self.system.serve(each)
+
+    def change_leader(self, step, agent):
+        self.system.change_leader()
+
+    def act(self, step, agent):
+        """Sends orders, by what is wanted now or was wanted before."""
+        if step.flag:
+            self.system.grant(agent)
+        agent.act()
+
+    def deliver(self, step, agent):
+        self._deliver(step, agent, answered=True)
+
+    def deliver_unanswered(self, step, agent):
+        self._deliver(step, agent, answered=False)
+
+    def _deliver(self, step, agent, *, answered):
+        if agent.orders:
+            order = agent.orders[step.pick % len(agent.orders)]
+            agent.deliver(order, again=step.flag, answered=answered)
+
+    def give_up(self, step, agent):
+        if agent.orders:
+            agent.give_up(agent.orders[step.pick % len(agent.orders)])
+
+    def report(self, step, agent):
+        """Reports without a new look, as after an answer."""
+        self.system.hear(agent)
+
+    def look(self, step, agent):
+        listing = agent.worker.listing(agent.committed)
+        if step.flag:  # It is overtaken by a newer one.
+            agent.take(agent.worker.listing(agent.committed))
+        agent.take(listing)
+        self.system.hear(agent)
+
+    def end(self, step, agent):
+        worker = agent.worker
+        if worker.running:
+            running = sorted(worker.running, key=str)
+            outcomes = batch.RunOutcome
+            worker.end(
+                running[step.pick % len(running)],
+                outcomes.FAILED if step.flag else outcomes.DONE,
+            )
+
+    def drain(self, step, agent):
+        agent.draining = step.flag
+
+
+# Each as often as schedules need it to get somewhere.
+WEIGHTS = {
+    "submit": 2,
+    "cancel": 1,
+    "lead": 4,
+    "beat": 2,
+    "change_leader": 1,
+    "act": 5,
+    "deliver": 6,
+    "deliver_unanswered": 2,
+    "give_up": 2,
+    "report": 3,
+    "look": 4,
+    "end": 2,
+    "drain": 1,
+}
+NAMES = [name for name, weight in WEIGHTS.items() for _ in range(weight)]
+WORKERS = ("w1", "w2")
+
+steps = st.builds(
+    Step,
+    name=st.sampled_from(NAMES),
+    worker=st.sampled_from(WORKERS),
+    pick=st.integers(min_value=0, max_value=7),
+    flag=st.booleans(),
+)
+
+
+def drawn(seed: int) -> list[Step]:
+    """Returns the schedule of a seed."""
+    rng = random.Random(seed)
+    return [
+        Step(
+            name=rng.choice(NAMES),
+            worker=rng.choice(WORKERS),
+            pick=rng.randrange(8),
+            flag=rng.random() < 0.5,
+        )
+        for _ in range(_STEPS)
+    ]
+
+
+def test_no_schedule_breaks_a_rule():
+    for seed in range(_FIRST, _FIRST + _COUNT):
+        try:
+            Player().play(drawn(seed))
+        except run_model.Violation as exc:
+            exc.add_note(f"seed {seed}")
+            raise
+
+
+@hypothesis.settings(
+    max_examples=150,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+@hypothesis.given(st.lists(steps, max_size=60))
+def test_no_short_schedule_breaks_a_rule(chosen):
+    Player().play(chosen)
+
+
+def _place_before_the_end_is_known(patch):
+    """The next run is placed while the last one is still being stopped."""
+    original = batch_rules._stop
+
+    def stop(held, command):
+        result = original(held, command)
+        for each in command.runs:
+            task = batch_rules._present(held, each.task, each.run)
+            if task is not None:
+                batch_rules._release(held, task, each.task)
+        return result
+
+    patch.setattr(batch_rules, "_stop", stop)
+
+
+def _believe_an_older_listing(patch):
+    """A run that is not listed is over, whenever the listing was made."""
+    original = run_plan.own_ends
+
+    def own_ends(view):
+        for state in view.progress.values():
+            state.clock_ms = 0
+        return original(view)
+
+    patch.setattr(run_plan, "own_ends", own_ends)
+
+
+def _believe_an_unanswered_start(patch):
+    """A start without an answer counts as one that did not happen."""
+    original = run_model.ModelAgent.give_up
+
+    def give_up(self, order):
+        awaited = order.awaited
+        original(self, order)
+        state = self.life.progress_of(order.key)
+        if awaited and state.phase == run_plan.Phase.PENDING:
+            state.phase = run_plan.Phase.BARRED
+            state.clock_ms = 0
+
+    patch.setattr(run_model.ModelAgent, "give_up", give_up)
+
+
+MUTANTS = (
+    _place_before_the_end_is_known,
+    _believe_an_older_listing,
+    _believe_an_unanswered_start,
+)
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda m: m.__name__)
+def test_exploration_fails_without(mutant, monkeypatch):
+    mutant(monkeypatch)
+    with pytest.raises(run_model.Violation):
+        for seed in range(_MUTANT_SEEDS):
+            Player().play(drawn(seed))
