--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -16,8 +16,8 @@
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
-# Urgency from which on a unit stops nobody; see `readiness`. Only what an
-# account is guaranteed is worth the work that others lose.
+# Urgency from which on a unit stops only what loses nothing; see `readiness`.
+# Only what an account is guaranteed is worth the work that others lose.
 FIRST_PATIENT_URGENCY = 1
 
 # A unit with a place of its own (its data's rack, one rack for a gang) waits
