Reword the storage and transport modules of consensus

Words only: carrier becomes senders (class Senders), and the docstrings, comments and local names of files, fragments, frames, greeting, memory_log, senders and writer use the usual terms. Two messages about malformed fragments change; no tool or test matches them.

--- a/bilberryroute/consensus/files.py
+++ b/bilberryroute/consensus/files.py
@@ -1,4 +1,4 @@
-"""File operations of the log's storage; tests inject failing ones."""
+"""File operations of the log storage; tests replace them to inject errors."""
 
 import fcntl
 import os
@@ -9,7 +9,7 @@
 
 
 class Files:
-    """Files of one folder, which `lock` makes if need be."""
+    """Files of one folder; `lock` creates the folder if it does not exist."""
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
@@ -23,15 +23,15 @@
         return (self.folder / name).read_bytes()
 
     def open_append(self, name: str) -> int:
-        """Opens a file at its end, made if need be; returns a descriptor."""
+        """Opens a file for appending, creating it if necessary."""
         flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
         return os.open(self.folder / name, flags, FILE_MODE)
 
     def lock(self, name: str) -> int:
-        """Takes the folder for this process; returns a descriptor.
+        """Locks the folder for this process; returns a descriptor.
 
         Raises:
-          BlockingIOError: If another process holds it.
+          BlockingIOError: If another process holds the lock.
         """
         self.folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
         descriptor = self.open_append(name)
@@ -49,11 +49,11 @@
             view = view[os.write(descriptor, view) :]
 
     def sync(self, descriptor: int) -> None:
-        """Makes a file's content durable."""
+        """Syncs a file's content to disk."""
         os.fsync(descriptor)
 
     def sync_folder(self) -> None:
-        """Makes the folder's names durable."""
+        """Syncs created, renamed and removed file names to disk."""
         descriptor = os.open(self.folder, os.O_RDONLY | os.O_CLOEXEC)
         try:
             os.fsync(descriptor)
@@ -61,7 +61,7 @@
             os.close(descriptor)
 
     def rename(self, old: str, new: str) -> None:
-        """Gives a file a new name."""
+        """Renames a file, replacing any file of the new name."""
         os.replace(self.folder / old, self.folder / new)
 
     def remove(self, name: str) -> None:
--- a/bilberryroute/consensus/fragments.py
+++ b/bilberryroute/consensus/fragments.py
@@ -1,4 +1,4 @@
-"""Payloads of any size over a carrier that bounds each message."""
+"""Splits payloads into messages of bounded size and reassembles them."""
 
 from collections.abc import Iterator
 
@@ -11,34 +11,36 @@
 
 
 def split(payload: bytes) -> Iterator[bytes]:
-    """Yields the messages that carry a payload."""
+    """Yields the messages for a payload."""
     last = max(0, (len(payload) - 1) // FRAGMENT_BYTES)
     for position in range(last + 1):
         start = position * FRAGMENT_BYTES
-        mark = _LAST if position == last else _MORE
-        yield mark + payload[start : start + FRAGMENT_BYTES]
+        marker = _LAST if position == last else _MORE
+        yield marker + payload[start : start + FRAGMENT_BYTES]
 
 
 class Assembler:
-    """Puts the messages of one stream together again."""
+    """Reassembles the payloads of one stream."""
 
     def __init__(self):
         self._parts = bytearray()
 
     def add(self, message: bytes) -> bytes | None:
-        """Returns a payload once its last message has come.
+        """Returns the payload if this was its last message, or None.
 
         Raises:
-          errors.MalformedInput: If the message has no mark, or the payload
-            grows beyond all bounds.
+          errors.MalformedInput: If the message lacks its marker byte, or the
+            payload exceeds `ASSEMBLED_BYTES`.
         """
-        mark, part = message[:1], message[1:]
-        if mark not in (_LAST, _MORE):
-            raise errors.MalformedInput("a message without a mark")
+        marker, part = message[:1], message[1:]
+        if marker not in (_LAST, _MORE):
+            raise errors.MalformedInput("fragment without a marker byte")
         if len(self._parts) + len(part) > ASSEMBLED_BYTES:
-            raise errors.MalformedInput("a payload without an end")
+            raise errors.MalformedInput(
+                f"payload exceeds {ASSEMBLED_BYTES} bytes"
+            )
         self._parts += part
-        if mark == _MORE:
+        if marker == _MORE:
             return None
         payload = bytes(self._parts)
         self._parts.clear()
--- a/bilberryroute/consensus/frames.py
+++ b/bilberryroute/consensus/frames.py
@@ -1,8 +1,8 @@
-"""Framed and checksummed records in a file.
+"""Checksummed frames in a file.
 
-A frame is the payload's length, the payload's checksum and a checksum of the
-two, then the payload. With the header checked on its own, a flipped bit in
-the length is not taken for a frame that was cut off.
+A frame consists of the payload's length, the payload's checksum, a checksum of
+these two fields, and the payload. The header has a checksum of its own so that
+a flipped bit in the length is not mistaken for a truncated frame.
 """
 
 import struct
@@ -19,9 +19,9 @@
     """Frames found in a file.
 
     Attributes:
-      payloads: Payloads of the whole frames, in order.
-      size: Bytes up to the end of the last whole frame.
-      damaged: Whether what follows is damage and not a write cut short.
+      payloads: Payloads of the complete frames, in order.
+      size: Length of all complete frames, in bytes.
+      damaged: Whether the rest is corrupt rather than a truncated write.
     """
 
     payloads: tuple[bytes, ...]
@@ -30,13 +30,13 @@
 
 
 def frame(payload: bytes) -> bytes:
-    """Returns a payload with its header."""
+    """Returns a frame with the given payload."""
     fields = _FIELDS.pack(len(payload), zlib.crc32(payload))
     return fields + _CHECK.pack(zlib.crc32(fields)) + payload
 
 
 def scan(content: bytes) -> Scan:
-    """Reads frames up to the end, the first cut-off one or the first damage."""
+    """Reads frames up to the first truncated or corrupt one."""
     payloads = []
     position = 0
     damaged = False
@@ -46,7 +46,7 @@
         fields = view[position : position + _FIELDS.size]
         check = view[position + _FIELDS.size : start]
         if _CHECK.unpack(check)[0] != zlib.crc32(fields):
-            damaged = any(view[position:])  # Zeros were never written.
+            damaged = any(view[position:])  # A crash may leave zeros.
             break
         length, checksum = _FIELDS.unpack(fields)
         payload = bytes(view[start : start + length])
--- a/bilberryroute/consensus/greeting.py
+++ b/bilberryroute/consensus/greeting.py
@@ -1,4 +1,4 @@
-"""Greetings between replicas: who listens at an address."""
+"""Greetings, with which replicas learn who listens at an address."""
 
 from dataclasses import dataclass
 
@@ -16,14 +16,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Hello:
-    """Who a replica is; sent and answered.
+    """Identity and addresses of a replica; the request and its reply.
 
     Attributes:
       id: Identity of the data folder.
-      group: Group it is bound to, or empty.
+      group: Id of the group that its data folder belongs to, or empty.
       grpc: Address of its gRPC server.
       datagram: Address of its datagram socket.
-      failure_domain: Where it runs.
+      failure_domain: Failure domain that it runs in.
     """
 
     id: str
@@ -37,16 +37,16 @@
 
 
 def decode(payload: bytes) -> Hello:
-    """Returns a greeting.
+    """Decodes a greeting.
 
     Raises:
-      errors.MalformedInput: If the payload is none.
+      errors.MalformedInput: If the payload is malformed.
     """
     return _decoder.decode(payload)
 
 
 async def greet(address: str, own: Hello) -> Hello | None:
-    """Returns who listens at an address, or None if nobody answers."""
+    """Greets an address; returns the reply, or None if there is none."""
     async with grpc.aio.insecure_channel(address) as channel:
         call = channel.unary_unary(f"/{SERVICE}/{METHOD}")
         timeout = clock_lib.seconds(TIMEOUT_MS)
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -10,7 +10,6 @@
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
-from bilberryroute.consensus import carrier
 from bilberryroute.consensus import changes
 from bilberryroute.consensus import config
 from bilberryroute.consensus import core as core_lib
@@ -22,6 +21,7 @@
 from bilberryroute.consensus import peers
 from bilberryroute.consensus import proposals
 from bilberryroute.consensus import records
+from bilberryroute.consensus import senders
 from bilberryroute.consensus import storage
 from bilberryroute.consensus import writer
 
@@ -65,10 +65,10 @@
             store = storage.LogStorage(folder, cfg.log.segment_bytes)
         self._proposals = proposals.Proposals()
         self._batch: list[tuple[bytes, asyncio.Future[proposals.Applied]]] = []
-        self._carrier = carrier.Carrier(
+        self._senders = senders.Senders(
             cfg.address.grpc, self._address_of, clock, rng
         )
-        self._writer = writer.Writer(store, self._carrier.send)
+        self._writer = writer.Writer(store, self._senders.send)
         self._timer_wakeup = asyncio.Event()
         self.role_cell = blackboard.Cell(
             RoleState(role=messages.Role.FOLLOWER, term=0, leader_id=None)
@@ -223,7 +223,7 @@
     async def on_stop(self) -> None:
         """Fails pending proposals and releases the data folder."""
         self._proposals.fail("the replica is stopping")
-        self._carrier.keep_only(set())
+        self._senders.retain(set())
         await self._writer.close()
 
     @Service.task
@@ -298,7 +298,7 @@
                     entry.index, entry.term, entry.payload
                 )
             else:
-                self._carrier.keep_only({m.id for m in self.members()})
+                self._senders.retain({m.id for m in self.members()})
             self.applied_cell.set(entry.index)
             self._proposals.resolve(entry, result)
 
@@ -376,7 +376,7 @@
     def _on_envelope(self, received: peers.ReceivedEnvelope) -> None:
         if self._core is None:
             return
-        self._carrier.learn(received.envelope.sender, received.address)
+        self._senders.learn(received.envelope.sender, received.address)
         self._handle(self._core.step(received.envelope, self._clock.now()))
 
     async def _on_hello(self, hello: greeting.Hello) -> greeting.Hello:
--- a/bilberryroute/consensus/memory_log.py
+++ b/bilberryroute/consensus/memory_log.py
@@ -1,4 +1,4 @@
-"""The log in memory: entries since the snapshot, and the memberships in it."""
+"""In-memory log: entries since the snapshot, and the memberships in them."""
 
 from collections.abc import Iterable
 
@@ -8,7 +8,7 @@
 
 
 class MemoryLog:
-    """Entries after `base_index`, which a snapshot covers.
+    """Entries after `base_index`; the snapshot covers the earlier ones.
 
     Attributes:
       snapshot: The last snapshot; may be ahead of `base_index`.
@@ -24,16 +24,16 @@
         self._set_base()
         self._memberships = [(snapshot.index, snapshot.membership)]
         for entry in self._entries:
-            self._note_membership(entry)
+            self._record_membership(entry)
 
     @property
     def first_index(self) -> int:
-        """Index of the first entry held."""
+        """Index of the first entry in memory."""
         return self._base_index + 1
 
     @property
     def last_index(self) -> int:
-        """Index of the last entry, held or in the snapshot."""
+        """Index of the last entry, in memory or in the snapshot."""
         return self._base_index + len(self._entries)
 
     @property
@@ -52,7 +52,7 @@
         return self._memberships[-1][0]
 
     def term_at(self, index: int) -> int | None:
-        """Returns the term of an entry, or None if it is not held."""
+        """Returns the term of an entry, or None if it is not known."""
         if index == self._base_index:
             return self._base_term
         if index == self.snapshot.index:
@@ -62,29 +62,29 @@
         return self._entries[index - self._base_index - 1].term
 
     def membership_at(self, index: int) -> records.Membership:
-        """Returns the membership that held at an entry."""
+        """Returns the membership in effect at an entry."""
         return next(m for i, m in reversed(self._memberships) if i <= index)
 
     def memberships_from(self, index: int) -> list[records.Membership]:
-        """Returns the membership that held at an entry and all later ones."""
+        """Returns the membership in effect at an entry and all later ones."""
         later = [m for i, m in self._memberships if i > index]
         return [self.membership_at(index), *later]
 
     def between(self, first: int, last: int) -> tuple[records.Entry, ...]:
-        """Returns the entries from `first` to `last`, both included."""
+        """Returns the entries from `first` to `last`, inclusive."""
         start = max(0, first - self._base_index - 1)
         return tuple(self._entries[start : last - self._base_index])
 
     def append(self, entries: Iterable[records.Entry]) -> None:
-        """Adds entries, in place of all from the first one's index on."""
+        """Appends entries; they replace all from the first one's index on."""
         for entry in entries:
             if entry.index <= self.last_index:
                 self._truncate(entry.index)
             self._entries.append(entry)
-            self._note_membership(entry)
+            self._record_membership(entry)
 
     def compact(self, snapshot: records.Snapshot, keep_from: int) -> None:
-        """Takes a snapshot of own state; keeps entries from `keep_from` on."""
+        """Sets a snapshot of the own state; keeps entries from `keep_from` on."""
         self._entries = list(self.between(keep_from, self.last_index))
         self.snapshot = snapshot
         self._set_base()
@@ -111,7 +111,7 @@
         while self._memberships[-1][0] >= index:
             self._memberships.pop()
 
-    def _note_membership(self, entry: records.Entry) -> None:
+    def _record_membership(self, entry: records.Entry) -> None:
         if entry.kind is not records.EntryKind.MEMBERSHIP:
             return
         if entry.index > self._memberships[-1][0]:
--- a/bilberryroute/consensus/carrier.py
+++ b/bilberryroute/consensus/senders.py
@@ -1,4 +1,4 @@
-"""The senders to all other members, made when first needed."""
+"""Message senders to the other members, created on first use."""
 
 import asyncio
 import random
@@ -9,8 +9,8 @@
 from bilberryroute.consensus import peers
 
 
-class Carrier:
-    """Sends envelopes to data folders by their identity."""
+class Senders:
+    """Sends envelopes to data folders by identity."""
 
     def __init__(
         self,
@@ -34,22 +34,22 @@
             peer.send(envelope)
 
     def learn(self, member_id: str, address: str) -> None:
-        """Notes where a sender says that it listens, if that is news."""
+        """Records the address that a message names for its sender."""
         if self._learned.get(member_id) == address:
             return
         self._learned[member_id] = address
         peer = self._peers.get(member_id)
         if peer and peer.address != self._address_of(member_id, address):
-            self._end(member_id)
+            self._stop(member_id)
 
-    def keep_only(self, member_ids: set[str]) -> None:
-        """Ends the senders to all others."""
+    def retain(self, member_ids: set[str]) -> None:
+        """Stops the senders to all other members."""
         for gone in self._peers.keys() - member_ids:
-            self._end(gone)
+            self._stop(gone)
         for gone in self._learned.keys() - member_ids:
             del self._learned[gone]
 
-    def _end(self, member_id: str) -> None:
+    def _stop(self, member_id: str) -> None:
         if self._peers.pop(member_id, None) is not None:
             self._tasks.pop(member_id).cancel()
 
--- a/bilberryroute/consensus/writer.py
+++ b/bilberryroute/consensus/writer.py
@@ -1,4 +1,4 @@
-"""Writes the log on a thread of its own, and holds back what must wait."""
+"""Writes the log in a background thread; delays messages until it is durable."""
 
 import asyncio
 import concurrent.futures
@@ -11,7 +11,7 @@
 
 
 class Writer:
-    """Group commit: one sync in flight, and the next batch fills meanwhile."""
+    """Group commit: writes queue up into a batch while a sync is in flight."""
 
     def __init__(
         self,
@@ -24,58 +24,58 @@
             max_workers=1, thread_name_prefix="log"
         )
         self._writes: list[messages.Write] = []
-        self._wanted = asyncio.Event()
-        self._held: deque[messages.Send] = deque()
+        self._write_queued = asyncio.Event()
+        self._delayed: deque[messages.Send] = deque()
         self._synced = 0
 
     async def open(self, replica: str) -> storage_lib.Recovered:
-        """Takes the folder and recovers the log.
+        """Locks the data folder and recovers the log.
 
         Raises:
-          errors.StorageError: If it cannot be used.
+          errors.StorageError: If the folder cannot be used.
         """
         return await self._in_thread(self._storage.open, replica)
 
     async def close(self) -> None:
-        """Gives the folder back."""
+        """Closes the log and unlocks the data folder."""
         await self._in_thread(self._storage.close)
         self._executor.shutdown(wait=False)
 
     def put(self, write: messages.Write) -> None:
         """Queues a write."""
         self._writes.append(write)
-        self._wanted.set()
+        self._write_queued.set()
 
     def send(self, output: messages.Send) -> None:
-        """Sends a message once the write that it waits for is durable."""
+        """Sends a message once the write that it depends on is durable."""
         if output.after > self._synced:
-            self._held.append(output)
+            self._delayed.append(output)
         else:
             self._send(output.envelope)
 
     async def sync(self) -> int:
-        """Writes what is queued; returns the last durable sequence.
+        """Writes all queued writes; returns the last durable sequence number.
 
         Raises:
-          errors.StorageError: If the write failed, or one did before.
+          errors.StorageError: If this write or an earlier one failed.
         """
-        await self._wanted.wait()
-        self._wanted.clear()
+        await self._write_queued.wait()
+        self._write_queued.clear()
         batch = self._writes
         self._writes = []
         try:
             await self._in_thread(self._storage.write, batch)
         except Exception:
-            self._held.clear()
+            self._delayed.clear()
             raise
         self._synced = batch[-1].sequence
-        self._release()
+        self._send_delayed()
         return self._synced
 
-    def _release(self) -> None:
-        held = self._held
-        self._held = deque()
-        for output in held:
+    def _send_delayed(self) -> None:
+        delayed = self._delayed
+        self._delayed = deque()
+        for output in delayed:
             self.send(output)
 
     async def _in_thread(self, call: Callable[..., Any], *args: object) -> Any:
