Name the leader's address when a replica refuses to lead

Cause: NotLeader carried only the leader's id.

Change: replies of control calls name the leader's gRPC address; the client keeps it until the watch replaces it. Agents already learn the addresses from redirects.

Ruled out: keeping what was learned on the entry hosts' disks; they have none.

Test: tests/entry/test_control.py, the new test failed before (no replica leads at present after 8 s) and passes. Measured: tests of entry, replica and consensus pass.

--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -96,6 +96,12 @@
         """Replica id of the leader, or None if unknown."""
         return self.role_cell.get().leader_id
 
+    @property
+    def leader_address(self) -> str:
+        """Address of the leader's gRPC server, or empty if unknown."""
+        leader = self._core.leader if self._core else ""
+        return (leader and self._senders.address(leader)) or ""
+
     @property
     def commit_index(self) -> int:
         """Index of the last entry known to be committed."""
--- a/bilberryroute/consensus/senders.py
+++ b/bilberryroute/consensus/senders.py
@@ -33,6 +33,10 @@
         if peer is not None:
             peer.send(envelope)
 
+    def address(self, member_id: str) -> str | None:
+        """Returns the gRPC address of a member, or None if it is unknown."""
+        return self._address_of(member_id, self._learned.get(member_id))
+
     def learn(self, member_id: str, address: str) -> None:
         """Records the address that a message names for its sender."""
         if self._learned.get(member_id) == address:
@@ -55,8 +59,7 @@
 
     def _peer(self, member_id: str) -> peers.Peer | None:
         if member_id not in self._peers:
-            learned = self._learned.get(member_id)
-            address = self._address_of(member_id, learned)
+            address = self.address(member_id)
             if address is None:
                 return None
             peer = peers.Peer(
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -132,6 +132,7 @@
             try:
                 return await self._call_once(method, payload, timeout_ms)
             except errors.NotLeader as exc:
+                self._learn_leader(exc)
                 self._switch_leader(exc.leader_id)
             except errors.CommitUnknown:
                 may_be_committed = True
@@ -190,6 +191,11 @@
     def _is_suspected(self, address: str) -> bool:
         return self._suspected_until.get(address, 0) > self._clock.now()
 
+    def _learn_leader(self, exc: errors.NotLeader) -> None:
+        """Records the address of a leader that the settings may not name."""
+        if exc.leader_id and exc.leader_address:
+            self._learned_addresses[exc.leader_id] = exc.leader_address
+
     def _switch_leader(self, leader_id: str | None) -> None:
         """Switches to the given leader, or to the next replica if there is none."""
         self._board.leader_id.set(leader_id or "")
@@ -297,7 +303,7 @@
 
 def _error_from_reply(reply: control.ErrorReply) -> errors.BilberryrouteError:
     if reply.kind == errors.NotLeader.kind:
-        return errors.NotLeader(reply.leader_id or None)
+        return errors.NotLeader(reply.leader_id or None, reply.leader_address)
     kind = errors.by_kind(reply.kind)
     return kind(
         reply.message, remedy=reply.remedy, retry_after_ms=reply.retry_after_ms
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -248,14 +248,16 @@
 
     Attributes:
       leader_id: The replica that leads, as far as known, or None.
+      leader_address: Address of its gRPC server, `ip:port`, or empty.
     """
 
     kind = "not_leader"
     remedy = "Ask the leading replica."
 
-    def __init__(self, leader_id: str | None = None):
+    def __init__(self, leader_id: str | None = None, leader_address: str = ""):
         super().__init__(f"this replica does not lead; leader: {leader_id}")
         self.leader_id = leader_id
+        self.leader_address = leader_address
 
 
 class CommitUnknown(BilberryrouteError):
--- a/bilberryroute/model/control.py
+++ b/bilberryroute/model/control.py
@@ -10,6 +10,8 @@
     Attributes:
       kind: Kind of the error, see `errors`.
       leader_id: The leading replica, as far as the sender knows, or empty.
+      leader_address: Address of its gRPC server, or empty. Lets a process that
+        has just started reach a leader that its settings don't name.
       retry_after_ms: When a new try makes sense, in milliseconds, or None.
     """
 
@@ -18,6 +20,7 @@
     remedy: str
     leader_id: str = ""
     retry_after_ms: int | None = None
+    leader_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -122,7 +122,9 @@
 
     def _check_leading(self) -> None:
         if not self._leadership.active():
-            raise errors.NotLeader(self._group.leader_id)
+            raise errors.NotLeader(
+                self._group.leader_id, self._group.leader_address
+            )
 
     def _error(self, exc: errors.BilberryrouteError) -> bytes:
         reply = control.ErrorReply(
@@ -131,6 +133,7 @@
             remedy=exc.remedy,
             leader_id=self._group.leader_id or "",
             retry_after_ms=exc.retry_after_ms,
+            leader_address=self._group.leader_address,
         )
         return codec.encode(control.Reply(error=reply))
 
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -25,6 +25,7 @@
 
     Attributes:
       leader_id: Leader that it reports; empty if it leads itself.
+      leader_address: Address that it reports for that leader.
       silent: Whether it never answers proposals.
       proposals_received: Number of proposals received.
       event: Event sent to a watch, if any.
@@ -32,6 +33,7 @@
 
     def __init__(self, leader_id: str = "", silent: bool = False):
         self.leader_id = leader_id
+        self.leader_address = ""
         self.silent = silent
         self.proposals_received = 0
         self.event: wire.WatchEvent | None = None
@@ -72,6 +74,7 @@
             remedy="",
             leader_id=self.leader_id,
             retry_after_ms=None,
+            leader_address=self.leader_address,
         )
         return codec.encode(control.Reply(error=error))
 
@@ -120,6 +123,17 @@
     assert replicas[0].proposals_received == 1
 
 
+def _settings_with_seed(seed: FakeReplica) -> settings.Settings:
+    return settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.ProcessRole.ENTRY,),
+        replicas=(
+            settings.ReplicaAddress(id="r1", grpc=seed.address, datagram=""),
+        ),
+    )
+
+
 async def test_leader_that_joined_later_is_found_through_the_watch():
     old, new = FakeReplica(leader_id="r4"), FakeReplica()
     for replica in (old, new):
@@ -131,14 +145,7 @@
         endpoints=None,
         replicas=(wire.ReplicaGrpcAddress(id="r4", grpc=new.address),),
     )
-    cfg = settings.Settings(
-        host="e1",
-        failure_domain="apapa",
-        roles=(settings.ProcessRole.ENTRY,),
-        replicas=(
-            settings.ReplicaAddress(id="r1", grpc=old.address, datagram=""),
-        ),
-    )
+    cfg = _settings_with_seed(old)
     env = environment.fake_environment(clock=CLOCK)
     board = board_lib.new_board()
     client = control_lib.ControlClient(cfg, board, CLOCK, env.rng)
@@ -148,3 +155,24 @@
         await replica.stop()
     assert result == commands.Changed(revision=7)
     assert new.proposals_received == 1
+
+
+async def test_leader_that_the_settings_do_not_name_is_found_without_a_watch():
+    """No watch can be opened before the leader is known."""
+    seed, leader = FakeReplica(leader_id="r4"), FakeReplica()
+    for replica in (seed, leader):
+        await replica.start()
+    seed.leader_address = leader.address
+    env = environment.fake_environment(clock=CLOCK)
+    board = board_lib.new_board()
+    client = control_lib.ControlClient(
+        _settings_with_seed(seed), board, CLOCK, env.rng
+    )
+    try:
+        result = await client.propose(COMMAND)
+    finally:
+        await client.on_stop()
+        for replica in (seed, leader):
+            await replica.stop()
+    assert result == commands.Changed(revision=7)
+    assert leader.proposals_received == 1
