--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -111,6 +111,12 @@
         """
         return self._leading is not None and self._leading.hears(member_id, now)
 
+    def has_leader_contact(self, now: int) -> bool:
+        """Returns whether it leads a majority, or heard a leader recently."""
+        if self._leading is not None:
+            return self._leading.has_quorum_contact(now)
+        return self._election.hears_leader(now)
+
     def tick(self, now: int) -> list[messages.Output]:
         """Handles expired election and heartbeat timers."""
         if self.role is not messages.Role.HALTED:
@@ -272,7 +278,7 @@
     def _on_vote_request(
         self, sender: str, req: messages.VoteRequest, now: int
     ) -> None:
-        if self._has_leader_contact(now) and not req.handed_over:
+        if self.has_leader_contact(now) and not req.handed_over:
             return
         if not req.pre and req.term > self.term:
             self._become_follower(req.term, "", now)
@@ -307,11 +313,6 @@
             self._send(successor, messages.StandNow(term=self.term))
             self._become_follower(self.term, "", now)
 
-    def _has_leader_contact(self, now: int) -> bool:
-        if self._leading is not None:
-            return self._leading.has_quorum_contact(now)
-        return self._election.hears_leader(now)
-
     def _accept_leader(self, term: int, leader: str, now: int) -> bool:
         """Follows the sender unless its term is stale; returns whether it does."""
         if term < self.term:
--- a/bilberryroute/consensus/founding.py
+++ b/bilberryroute/consensus/founding.py
@@ -3,13 +3,16 @@
 Only one replica, chosen by the settings, founds the group, and only if every
 other one replies that its folder belongs to no group. So a replica that lost
 its data never founds a second group while any other replica still belongs to
-the first; it rejoins under a new identity, as a learner.
+the first; it rejoins under a new identity, as a learner. A replica that was
+removed while it was silent rejoins as a learner as well, with its data.
 """
 
 import asyncio
 from collections.abc import Sequence
 from dataclasses import replace
 
+import msgspec
+
 from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.consensus import changes
@@ -28,6 +31,22 @@
     return list(await asyncio.gather(*greetings))
 
 
+async def greet_with_leader(
+    own: greeting.Hello, addresses: Sequence[str]
+) -> list[greeting.Hello | None]:
+    """Greets replicas, and the leader if they name one not greeted yet.
+
+    A leader admits the sender if it can; see `welcome`.
+
+    Returns:
+      Replies to the greetings of `addresses`, in their order.
+    """
+    answers = await greet_all(own, addresses)
+    leaders = {a.leader for a in answers if a is not None and a.leader}
+    await greet_all(own, sorted(leaders.difference(addresses, {own.grpc})))
+    return answers
+
+
 async def first_membership(
     own: greeting.Hello, cfg: config.GroupConfig
 ) -> records.Membership | None:
@@ -39,12 +58,25 @@
     """
     others = [m for m in cfg.members if m.id != cfg.replica_id]
     addresses = [cfg.route(m.id, m.grpc) for m in others]
-    answers = await greet_all(own, addresses)
+    answers = await greet_with_leader(own, addresses)
     if not cfg.policy.may_found:
         return None
     return founders(own, cfg.members, answers)
 
 
+async def ask_to_rejoin(
+    own: greeting.Hello,
+    cfg: config.GroupConfig,
+    membership: records.Membership,
+) -> None:
+    """Greets all known replicas, so that a leader can admit this one again."""
+    known = {m.id: m.grpc for m in cfg.members}
+    known |= {m.replica_id: m.address.grpc for m in membership.members}
+    known.pop(cfg.replica_id, None)
+    addresses = [cfg.route(name, address) for name, address in known.items()]
+    await greet_with_leader(own, addresses)
+
+
 def founders(
     own: greeting.Hello,
     members: Sequence[settings.ReplicaAddress],
@@ -63,10 +95,10 @@
     others = [m for m in members if m.id != own_name]
     if not all(map(_may_be_founder, others, answers)):
         return None
-    ids = {own_name: own.id}
-    ids |= {m.id: a.id for m, a in zip(others, answers, strict=True)}
+    hellos = {own_name: own}
+    hellos |= {m.id: a for m, a in zip(others, answers, strict=True)}
     return records.Membership(
-        members=tuple(records.Member(id=ids[m.id], address=m) for m in members)
+        members=tuple(_founding_member(m, hellos[m.id]) for m in members)
     )
 
 
@@ -74,20 +106,25 @@
     membership: records.Membership,
     hello: greeting.Hello,
     *,
+    group: str,
     allow_unknown: bool = False,
 ) -> changes.Change | None:
-    """Returns the change with which a leader admits a replica without data.
+    """Returns the change with which a leader admits a replica.
 
-    A learner with the same replica id is removed first; otherwise the replica
-    is added as a learner. Returns None if there is nothing to change.
+    It may have no data, or data of this group. A learner with the same replica
+    id is removed first; otherwise the replica is added as a learner. Returns
+    None if there is nothing to change.
 
     Args:
       membership: The latest membership of the group.
       hello: Greeting of the replica.
-      allow_unknown: Whether to admit a replica whose replica id is no member's
-        as well; otherwise an operator has to add it.
+      group: Id of the group.
+      allow_unknown: Whether to admit replicas that are no member's replacement,
+        and removed ones; otherwise an operator has to add them.
     """
-    if hello.group or membership.find(hello.id) is not None:
+    if membership.find(hello.id) is not None:
+        return None
+    if hello.group and not (allow_unknown and hello.group == group):
         return None
     name = records.replica_id(hello.id)
     known = [m for m in membership.members if m.replica_id == name]
@@ -120,7 +157,7 @@
 
 
 def hello(
-    own: settings.ReplicaAddress, identity: str, group: str
+    own: settings.ReplicaAddress, identity: str, group: str, leader: str = ""
 ) -> greeting.Hello:
     """Returns the greeting of a replica."""
     return greeting.Hello(
@@ -129,6 +166,7 @@
         grpc=own.grpc,
         datagram=own.datagram,
         failure_domain=own.failure_domain,
+        leader=leader,
     )
 
 
@@ -142,6 +180,15 @@
     )
 
 
+def _founding_member(
+    member: settings.ReplicaAddress, hello: greeting.Hello
+) -> records.Member:
+    """Returns a founder; it knows its failure domain best."""
+    domain = hello.failure_domain or member.failure_domain
+    address = msgspec.structs.replace(member, failure_domain=domain)
+    return records.Member(id=hello.id, address=address)
+
+
 def _may_be_founder(
     member: settings.ReplicaAddress, answer: greeting.Hello | None
 ) -> bool:
--- a/bilberryroute/consensus/greeting.py
+++ b/bilberryroute/consensus/greeting.py
@@ -24,6 +24,7 @@
       grpc: Address of its gRPC server.
       datagram: Address of its datagram socket.
       failure_domain: Failure domain that it runs in.
+      leader: Address of the leader's gRPC server, or empty if unknown.
     """
 
     id: str
@@ -31,6 +32,7 @@
     grpc: str
     datagram: str
     failure_domain: str = ""
+    leader: str = ""
 
 
 _decoder = codec.Decoder(Hello)
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -27,6 +27,7 @@
 
 PROPOSE_TIMEOUT_MS = 3_000
 RETAINED_LOG_DIVISOR = 4
+REJOIN_INTERVAL_MS = clock_lib.Millis(1_000)
 # How long a leader that steps down waits for a successor. Allows for some
 # round trips between failure domains and a disk that syncs slowly.
 HAND_OVER_TIMEOUT_MS = clock_lib.Millis(500)
@@ -244,6 +245,22 @@
                 return
             await self.sleep(clock_lib.seconds(founding.RETRY_MS))
 
+    @Service.task
+    async def _rejoin_group(self) -> None:
+        """Asks to be admitted again while no leader sends anything.
+
+        A voter that was silent may have been removed. No member answers its
+        requests for votes then, so it can't tell this from a long election.
+        """
+        while not self.should_stop and self._cfg.policy.repairs_itself:
+            await self.sleep(clock_lib.seconds(REJOIN_INTERVAL_MS))
+            if self._group and not self._core.has_leader_contact(
+                self._clock.now()
+            ):
+                await founding.ask_to_rejoin(
+                    self._hello(), self._cfg, self._core.membership
+                )
+
     @Service.task
     async def _run_timer(self) -> None:
         while not self.should_stop:
@@ -396,6 +413,7 @@
         change = founding.welcome(
             self._core.membership,
             hello,
+            group=self._group,
             allow_unknown=self._cfg.policy.repairs_itself,
         )
         if change is None:
@@ -413,4 +431,6 @@
         return self._core.journal.hard_state.group
 
     def _hello(self) -> greeting.Hello:
-        return founding.hello(self._cfg.address, self._core.id, self._group)
+        return founding.hello(
+            self._cfg.address, self._core.id, self._group, self.leader_address
+        )
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -72,7 +72,7 @@
 
 def _vote_while_leader_heard(patch):
     """Votes are granted while a leader may rely on its lease."""
-    patch.setattr(core_lib.Core, "_has_leader_contact", lambda self, now: False)
+    patch.setattr(core_lib.Core, "has_leader_contact", lambda self, now: False)
 
 
 def _vote_right_after_restart(patch):
@@ -252,7 +252,7 @@
     hears = core_lib.Core._on_vote_request
 
     def deaf(self, sender, req, now):
-        if not self._has_leader_contact(now):
+        if not self.has_leader_contact(now):
             hears(self, sender, req, now)
 
     monkeypatch.setattr(core_lib.Core, "_on_vote_request", deaf)
--- a/tests/consensus/test_founding.py
+++ b/tests/consensus/test_founding.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import pytest
 
 from bilberryroute import settings
@@ -61,14 +63,13 @@
 
 def test_known_replica_without_its_disk_comes_back_as_learner():
     membership = _membership(("r1#a", True), ("r2#b", True))
-    assert founding.welcome(membership, _hello("r2#new")) == changes.AddLearner(
-        address=_ADDRESSES[1], id="r2#new"
-    )
+    change = founding.welcome(membership, _hello("r2#new"), group="g")
+    assert change == changes.AddLearner(address=_ADDRESSES[1], id="r2#new")
 
 
 def test_learner_of_an_older_disk_goes_first():
     membership = _membership(("r1#a", True), ("r2#b", True), ("r2#c", False))
-    change = founding.welcome(membership, _hello("r2#new"))
+    change = founding.welcome(membership, _hello("r2#new"), group="g")
     assert change == changes.Remove(id="r2#c")
 
 
@@ -77,4 +78,28 @@
 )
 def test_nobody_else_is_taken_in(hello):
     membership = _membership(("r1#a", True), ("r2#b", True))
-    assert founding.welcome(membership, hello) is None
+    assert founding.welcome(membership, hello, group="g") is None
+
+
+def test_removed_replica_comes_back_with_its_data_if_the_group_repairs_itself():
+    membership = _membership(("r1#a", True), ("r2#b", True))
+    hello = _hello("r3#c", group="g")
+    change = founding.welcome(membership, hello, group="g", allow_unknown=True)
+    assert change == changes.AddLearner(address=_ADDRESSES[2], id="r3#c")
+
+
+def test_replica_of_another_group_is_never_admitted():
+    membership = _membership(("r1#a", True), ("r2#b", True))
+    hello = _hello("r3#c", group="other")
+    assert (
+        founding.welcome(membership, hello, group="g", allow_unknown=True)
+        is None
+    )
+
+
+def test_founders_record_the_failure_domain_that_each_replica_names():
+    own = dataclasses.replace(_hello("r1#a"), failure_domain="apapa")
+    other = dataclasses.replace(_hello("r2#b"), failure_domain="lekki")
+    membership = founding.founders(own, _ADDRESSES[:2], [other])
+    domains = [m.address.failure_domain for m in membership.members]
+    assert domains == ["apapa", "lekki"]
