Read what arrived before acting on timers that a stall let expire

Cause, traced: a process that doesn't run for longer than the election timeout (600 ms) wakes with its timers expired and what arrived meanwhile still unread. Followers then ask for votes and the leader steps down for want of contact.

Change: a timer that fires a heartbeat interval late or more is deferred once: a follower waits one to two heartbeat intervals for what is still unread, a leader sends its heartbeat and judges contact at the next one. The lease is as before, so a leader that was really replaced meanwhile can't act.

Ruled out: a longer election timeout, which delays every real takeover.

--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -44,6 +44,7 @@
         self.role = messages.Role.FOLLOWER
         self.leader = ""
         self._timing = timing
+        self._stalled = False
         self._outbox = outbox_lib.Outbox()
         self.journal = journal_lib.Journal(log, hard_state, self._outbox.emit)
         self._following = following_lib.Following(self.journal)
@@ -120,7 +121,7 @@
     def tick(self, now: int) -> list[messages.Output]:
         """Handles expired election and heartbeat timers."""
         if self.role is not messages.Role.HALTED:
-            self._tick(now)
+            self._tick(now, stalled=self._was_stalled(now))
         return self._outbox.drain()
 
     def step(
@@ -247,9 +248,23 @@
         self._enter(messages.Role.LEADER, self.id)
         self._append(records.EntryKind.NOOP, b"", now)
 
-    def _tick(self, now: int) -> None:
+    def _was_stalled(self, now: int) -> bool:
+        """Returns whether this process missed its timer and must read first.
+
+        After a stall, messages that arrived meanwhile are still unread, so the
+        silence of the others proves nothing. True at most once in a row.
+        """
+        late_ms = now - self.deadline_ms
+        self._stalled = (
+            not self._stalled and late_ms >= self._timing.raft_heartbeat_ms
+        )
+        return self._stalled
+
+    def _tick(self, now: int, *, stalled: bool) -> None:
         if self._leading is not None:
-            self._tick_leader(now)
+            self._tick_leader(now, stalled=stalled)
+        elif stalled:
+            self._election.schedule_pre_vote_retry(now)
         elif now >= self._election.deadline_ms:
             if self._election.may_campaign():
                 self._become_pre_candidate(now)
@@ -338,11 +353,9 @@
             reply = self._following.receive_chunk(chunk)
             self._send(sender, reply, after=self.journal.written)
 
-    def _tick_leader(self, now: int) -> None:
-        leads = self._leading.has_quorum_contact(now) and self._leading.stays(
-            now
-        )
-        if not leads:
+    def _tick_leader(self, now: int, *, stalled: bool) -> None:
+        heard = stalled or self._leading.has_quorum_contact(now)
+        if not heard or not self._leading.stays(now):
             self._become_follower(self.term, "", now)
         elif self._leading.heartbeat_due(now):
             self._replicate(now, heartbeat=True)
