Keep a replica up while its disk is full, and go on when it has room

Change: errors of the disk itself (no space, quota, read-only, I/O) are DiskFailing. A replica with such a disk stays up outside its group, refuses proposals with that error, says so in its log and in the gauge halted, and opens its data folder again once a second, also when the disk failed at the start. Damage in the log, a locked folder and a failed state machine still end the process.

Ruled out: going on with the state in memory; after a failed sync nobody knows what the file holds.

--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -28,6 +28,7 @@
 PROPOSE_TIMEOUT_MS = 3_000
 RETAINED_LOG_DIVISOR = 4
 REJOIN_INTERVAL_MS = clock_lib.Millis(1_000)
+REOPEN_INTERVAL_MS = clock_lib.Millis(1_000)
 # How long a leader that steps down waits for a successor. Allows for some
 # round trips between failure domains and a disk that syncs slowly.
 HAND_OVER_TIMEOUT_MS = clock_lib.Millis(500)
@@ -44,7 +45,8 @@
     Attributes:
       role_cell: `RoleState`; updated when role, term or known leader change.
       applied_cell: Index of the last applied entry.
-      failure: The error that halted this replica, or None.
+      failure: The error that halted this replica, or None. A replica whose
+        disk failed goes on once its data folder can be opened again.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         )
         self.applied_cell = blackboard.Cell(0)
         self.failure: errors.BilberryrouteError | None = None
+        self._initial_state = applier.snapshot()
 
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the handler for other replicas; call before the server starts."""
@@ -84,8 +87,8 @@
 
     @property
     def id(self) -> str:
-        """Identity of the data folder."""
-        return self._core.id
+        """Identity of the data folder, or empty until it was opened."""
+        return self._core.id if self._core else ""
 
     @property
     def term(self) -> int:
@@ -213,8 +216,21 @@
             self.log.info("handed over", extra={"leader": self.leader_id})
 
     async def on_start(self) -> None:
-        """Recovers the log; raises `errors.StorageError` on failure."""
-        recovered = await self._writer.open(self._cfg.replica_id)
+        """Recovers the log.
+
+        Raises:
+          errors.StorageError: If the data folder cannot be used, except for a
+            disk that may recover.
+        """
+        try:
+            recovered = await self._writer.open(self._cfg.replica_id)
+        except errors.DiskFailing as exc:
+            self._fail(exc)
+        else:
+            self._recover(recovered)
+
+    def _recover(self, recovered: storage.Recovered) -> None:
+        """Starts from the content of the data folder."""
         log = memory_log.MemoryLog(recovered.snapshot, recovered.entries)
         if log.snapshot.index:
             self._restore(log.snapshot)
@@ -233,9 +249,35 @@
         self._senders.retain(set())
         await self._writer.close()
 
+    @Service.task
+    async def _reopen_after_failure(self) -> None:
+        """Opens the data folder again after its disk failed."""
+        while not self.should_stop:
+            await self.sleep(clock_lib.seconds(REOPEN_INTERVAL_MS))
+            if isinstance(self.failure, errors.DiskFailing):
+                await self._reopen()
+
+    async def _reopen(self) -> None:
+        try:
+            recovered = await self._writer.open(self._cfg.replica_id)
+        except errors.DiskFailing as exc:
+            self.log.debug("the disk still fails: %s", exc)
+            return
+        # Entries after the snapshot are applied again once they are known to
+        # be committed.
+        self._applier.restore(self._initial_state)
+        self.applied_cell.set(0)
+        self._recover(recovered)
+        self.failure = None
+        self._timer_wakeup.set()
+        self.log.info("the data folder works again; the replica goes on")
+
     @Service.task
     async def _join_group(self) -> None:
         while not self.should_stop and not self._group:
+            if self._core is None:
+                await self.sleep(clock_lib.seconds(founding.RETRY_MS))
+                continue
             membership = await founding.first_membership(
                 self._hello(), self._cfg
             )
@@ -254,7 +296,8 @@
         """
         while not self.should_stop and self._cfg.policy.repairs_itself:
             await self.sleep(clock_lib.seconds(REJOIN_INTERVAL_MS))
-            if self._group and not self._core.has_leader_contact(
+            halted = self.failure is not None or not self._group
+            if not halted and not self._core.has_leader_contact(
                 self._clock.now()
             ):
                 await founding.ask_to_rejoin(
@@ -264,10 +307,12 @@
     @Service.task
     async def _run_timer(self) -> None:
         while not self.should_stop:
-            now = self._clock.now()
-            self._handle(self._core.tick(now))
-            wait_ms = max(1, self._core.deadline_ms - self._clock.now())
             self._timer_wakeup.clear()
+            if self.failure is not None:
+                await self._timer_wakeup.wait()
+                continue
+            self._handle(self._core.tick(self._clock.now()))
+            wait_ms = max(1, self._core.deadline_ms - self._clock.now())
             try:
                 await asyncio.wait_for(
                     self._timer_wakeup.wait(), clock_lib.seconds(wait_ms)
@@ -283,7 +328,7 @@
             except errors.StorageError as exc:
                 if not self.should_stop:
                     self._fail(exc)
-                return
+                continue
             self._handle(self._core.synced(synced, self._clock.now()))
 
     def _handle(self, outputs: list[messages.Output]) -> None:
@@ -383,7 +428,7 @@
     def _fail(self, exc: errors.BilberryrouteError) -> None:
         self.failure = exc
         self.log.error("the replica stops acknowledging: %s", exc)
-        for output in self._core.halt():
+        for output in self._core.halt() if self._core else ():
             self._perform(output)
 
     def _require_running(self) -> None:
@@ -428,7 +473,7 @@
 
     @property
     def _group(self) -> str:
-        return self._core.journal.hard_state.group
+        return self._core.journal.hard_state.group if self._core else ""
 
     def _hello(self) -> greeting.Hello:
         return founding.hello(
--- a/bilberryroute/consensus/storage.py
+++ b/bilberryroute/consensus/storage.py
@@ -4,6 +4,7 @@
 the content of the file is then unknown.
 """
 
+import errno
 import secrets
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -21,6 +22,8 @@
 _SNAPSHOT = "snapshot-"
 _TEMPORARY = ".new"
 _TOKEN_BYTES = 6
+# Errors of a disk that may accept writes again later.
+_DISK_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EROFS, errno.EIO})
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +84,7 @@
 
         Raises:
           errors.LogDamaged: If anything but the tail is damaged.
+          errors.DiskFailing: If the disk refuses writes; try again later.
           errors.StorageError: If the folder cannot be used.
         """
         try:
@@ -93,7 +97,7 @@
             raise
         except OSError as exc:
             self.close()
-            raise errors.StorageError(f"cannot open the log: {exc}") from exc
+            raise _storage_error("cannot open the log", exc) from exc
 
     def write(self, writes: Sequence[messages.Write]) -> None:
         """Makes writes durable with one sync.
@@ -105,12 +109,12 @@
         if self._segment is None:
             raise errors.StorageError("the log is closed")
         if self._failure is not None:
-            raise errors.StorageError(f"log failed before: {self._failure}")
+            raise _storage_error("log failed before", self._failure)
         try:
             self._write(writes)
         except OSError as exc:
             self._failure = exc
-            raise errors.StorageError(f"cannot write the log: {exc}") from exc
+            raise _storage_error("cannot write the log", exc) from exc
 
     def close(self) -> None:
         """Closes the segment and unlocks the folder."""
@@ -119,6 +123,7 @@
                 self._files.close(descriptor)
         self._segment = None
         self._lock = None
+        self._failure = None
 
     def _write(self, writes: Sequence[messages.Write]) -> None:
         buffer = bytearray()
@@ -289,6 +294,13 @@
         return [_decode(payload, name) for payload in scanned.payloads]
 
 
+def _storage_error(context: str, exc: OSError) -> errors.StorageError:
+    """Returns the error to raise for a failed file operation."""
+    failing = exc.errno in _DISK_ERRNOS
+    kind = errors.DiskFailing if failing else errors.StorageError
+    return kind(f"{context}: {exc}")
+
+
 def _segment_name(number: int) -> str:
     return f"{_SEGMENT}{number:012d}"
 
--- a/bilberryroute/consensus/writer.py
+++ b/bilberryroute/consensus/writer.py
@@ -31,10 +31,15 @@
     async def open(self, replica: str) -> storage_lib.Recovered:
         """Locks the data folder and recovers the log.
 
+        May be called again after a failure; sequence numbers then start anew.
+
         Raises:
           errors.StorageError: If the folder cannot be used.
         """
-        return await self._in_thread(self._storage.open, replica)
+        await self._in_thread(self._storage.close)
+        recovered = await self._in_thread(self._storage.open, replica)
+        self._synced = 0
+        return recovered
 
     async def close(self) -> None:
         """Closes the log and unlocks the data folder."""
@@ -66,12 +71,18 @@
         try:
             await self._in_thread(self._storage.write, batch)
         except Exception:
-            self._delayed.clear()
+            self._discard()
             raise
         self._synced = batch[-1].sequence
         self._send_delayed()
         return self._synced
 
+    def _discard(self) -> None:
+        """Drops what was queued behind a failed write."""
+        self._delayed.clear()
+        self._writes = []
+        self._write_queued.clear()
+
     def _send_delayed(self) -> None:
         delayed = self._delayed
         self._delayed = deque()
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -276,6 +276,17 @@
     remedy = "Free space in the data folder, or replace the host's disk."
 
 
+class DiskFailing(StorageError):
+    """The disk of the data folder is full, read-only or returns I/O errors.
+
+    The data read so far is sound, so the folder can be opened again once the
+    disk accepts writes.
+    """
+
+    kind = "disk_failing"
+    remedy = "Free space on the data folder's disk, or replace the disk."
+
+
 class LogDamaged(StorageError):
     """A record before the end of the log fails its checksum."""
 
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -52,6 +52,8 @@
       log_index: Indexes of the replicated log, by `point` (`committed`,
         `applied`).
       leading: 1 while this replica leads under its lease.
+      halted: 1 while this replica takes no part in its group, as its disk or
+        state machine failed.
       term: Highest term seen.
       revision: Configuration revision in force in this process.
       draining: 1 once the process was asked to leave.
@@ -78,6 +80,7 @@
         self.lease_left_ms = self._gauge("lease_left_ms", "Lease left.")
         self.log_index = self._gauge("log_index", "Replicated log.")
         self.leading = self._gauge("leading", "1 while this replica leads.")
+        self.halted = self._gauge("halted", "1 while the disk fails.")
         self.term = self._gauge("term", "Highest term seen.")
         self.revision = self._gauge("revision", "Revision in force.")
         self.draining = self._gauge("draining", "1 while leaving.")
--- a/bilberryroute/replica/service.py
+++ b/bilberryroute/replica/service.py
@@ -6,6 +6,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import context
+from bilberryroute import errors
 from bilberryroute import logs
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
@@ -24,9 +25,6 @@
 
 GRPC_STOP_SECONDS = 1.0
 FAILURE_CHECK_MS = clock_lib.Millis(200)
-# A full or failing disk takes seconds to recover; restarting sooner only
-# costs processor time.
-FAILURE_PAUSE_MS = clock_lib.Millis(2_000)
 
 _SERVER_OPTIONS = (
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
@@ -95,16 +93,15 @@
 
     @mode.Service.task
     async def _exit_after_failure(self) -> None:
-        """Ends the process some time after its data folder failed.
+        """Ends the process after a failure that only a restart can mend.
 
-        The restarted process reads the folder again; meanwhile the other
-        replicas serve.
+        A replica whose disk failed stays up, and goes on once the disk works.
         """
         while self._cfg.group.repairs_itself and not self.should_stop:
             await self.sleep(clock_lib.seconds(FAILURE_CHECK_MS))
-            if self.parts.group.failure is not None:
-                await self.sleep(clock_lib.seconds(FAILURE_PAUSE_MS))
-                raise self.parts.group.failure
+            failure = self.parts.group.failure
+            if failure and not isinstance(failure, errors.DiskFailing):
+                raise failure
 
     async def on_stop(self) -> None:
         """Stops the gRPC server."""
@@ -117,6 +114,7 @@
         metrics.log_index.set({"point": "committed"}, group.commit_index)
         metrics.log_index.set({"point": "applied"}, group.applied_index)
         metrics.leading.set({}, int(group.is_leader()))
+        metrics.halted.set({}, int(group.failure is not None))
         phases = [r.phase for r in self.parts.machine.state.jobs.values()]
         queued = phases.count(jobs.JobPhase.QUEUED)
         metrics.queue_length.set({"queue": "jobs"}, queued)
