Reword the platform adapter's settings and HTTP modules

Words only: doors becomes applications, Doors ApiAddresses, Place PlatformSettings, the three Door classes APIs, a desk a client; docstrings and comments in the usual terms. No wire name, setting, log key or message that leaves the process changes.

--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -106,7 +106,7 @@
 
 def _place(
     daemon: Daemon, env: context.Environment
-) -> platform_settings.Place | None:
+) -> platform_settings.PlatformSettings | None:
     """Reads what the users' platform tells this process, if it runs there."""
     if not daemon.platform:
         return None
@@ -117,7 +117,7 @@
 async def _serve(
     cfg: settings.Settings,
     env: context.Environment,
-    place: platform_settings.Place | None,
+    place: platform_settings.PlatformSettings | None,
     queued: logs.BoundedQueueHandler | None = None,
 ) -> status.ExitStatus:
     # Imported late: only here is it known which roles are needed.
--- a/bilberryroute/platform/announcements.py
+++ b/bilberryroute/platform/announcements.py
@@ -1,4 +1,4 @@
-"""HTTP that a worker speaks to the agent beside it."""
+"""HTTP API of an agent for the worker on the same host."""
 
 import mode
 from aiohttp import web
@@ -7,43 +7,43 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute.agent import batch as agent_batch
 from bilberryroute.agent import service as agent_service
-from bilberryroute.platform import doors
+from bilberryroute.platform import applications
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.platform import workers
 from bilberryroute.transport import http as http_lib
 
-# Announcements are bounded by the platform.
+# The platform's limit for one announcement.
 ANNOUNCEMENT_BYTES = 4 * 1_024 * 1_024
 
 
 def services(
-    place: platform_settings.Place,
+    place: platform_settings.PlatformSettings,
     role: agent_service.AgentRole,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
-    """Returns the server of an agent."""
-    app = WorkerDoor(role.batch).application(metrics)
+    """Returns the HTTP server of an agent."""
+    app = WorkerApi(role.batch).application(metrics)
     limits = place.settings.limits
-    return [http_lib.HttpServer(app, place.doors.control, limits)]
+    return [http_lib.HttpServer(app, place.addresses.control, limits)]
 
 
-class WorkerDoor:
-    """Serves the worker beside an agent."""
+class WorkerApi:
+    """Serves the worker on an agent's host."""
 
     def __init__(self, agent: agent_batch.BatchAgent):
         self._agent = agent
 
     def application(self, metrics: metrics_lib.Metrics) -> web.Application:
         """Returns the application."""
-        app = doors.new_application(metrics, ANNOUNCEMENT_BYTES)
+        app = applications.new_application(metrics, ANNOUNCEMENT_BYTES)
         app.router.add_put("/bilberryroute/instances/{id}", self._announce)
         app.router.add_delete("/bilberryroute/instances/{id}", self._withdraw)
         return app
 
     async def _announce(self, req: web.Request) -> web.Response:
         body = await api.read_body(req, ANNOUNCEMENT_BYTES)
-        said = workers.decode_announcement(req.match_info["id"], body)
-        self._agent.announce(said)
+        announcement = workers.decode_announcement(req.match_info["id"], body)
+        self._agent.announce(announcement)
         return web.json_response({})
 
     async def _withdraw(self, req: web.Request) -> web.Response:
--- a/bilberryroute/platform/doors.py
+++ b/bilberryroute/platform/applications.py
@@ -1,4 +1,4 @@
-"""What the HTTP servers towards the platform share."""
+"""The aiohttp application that the adapter's HTTP servers share."""
 
 import http
 import logging
@@ -16,9 +16,9 @@
 async def _unknown_outcomes(
     req: web.Request, handler: api.Handler
 ) -> web.StreamResponse:
-    """Answers 504 where a change may or may not have been made.
+    """Answers 504 if a change may or may not have been made.
 
-    A 503 would tell the caller that its job never runs.
+    The platform reads a 503 as proof that nothing was changed.
     """
     try:
         return await handler(req)
@@ -32,7 +32,7 @@
 def new_application(
     metrics: metrics_lib.Metrics, max_bytes: int
 ) -> web.Application:
-    """Returns an application whose errors leave as the platform reads them."""
+    """Returns an application that reports errors as the platform expects."""
     return web.Application(
         middlewares=[api.error_middleware(metrics), _unknown_outcomes],
         client_max_size=max_bytes,
--- a/bilberryroute/platform/callers.py
+++ b/bilberryroute/platform/callers.py
@@ -1,4 +1,4 @@
-"""Callers' HTTP: batch jobs, and the probe of the balancer before them."""
+"""HTTP API for callers' batch jobs, and the load balancer's readiness probe."""
 
 from collections.abc import Callable
 
@@ -13,38 +13,38 @@
 from bilberryroute.entry import service as entry_service
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import queries
-from bilberryroute.platform import doors
+from bilberryroute.platform import applications
 from bilberryroute.platform import jobs
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
 
-# How long a caller waits, unless it says so in its header.
+# How long a caller waits if it sends no deadline.
 DEFAULT_DEADLINE_MS = 3_000
 DEADLINE_HEADER = "X-Deadline-Ms"
-# A caller learns that no leader took its job while it still has time to try
-# another entry: an election takes about a second.
-PATIENCE_SHARE = 0.5
+# Share of the deadline after which a call without a leader fails, so that the
+# caller still has time to try another entry. An election takes about a second.
+LEADER_WAIT_SHARE = 0.5
 
 
 def services(
-    place: platform_settings.Place,
+    place: platform_settings.PlatformSettings,
     role: entry_service.EntryRole,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
-    """Returns the servers of an entry."""
+    """Returns the HTTP servers of an entry."""
     limits = place.settings.limits
-    door = CallersDoor(role.batch, limits, role.board.draining.get)
+    callers_api = CallersApi(role.batch, limits, role.board.draining.get)
     probe = readiness(role.ready_for_batch)
     return [
         http_lib.HttpServer(
-            door.application(metrics), place.doors.callers, limits
+            callers_api.application(metrics), place.addresses.callers, limits
         ),
-        http_lib.HttpServer(probe, place.doors.readiness, limits),
+        http_lib.HttpServer(probe, place.addresses.readiness, limits),
     ]
 
 
 def readiness(ready: Callable[[], bool]) -> web.Application:
-    """Returns what the balancer probes."""
+    """Returns the application that the load balancer probes."""
 
     async def answer(req: web.Request) -> web.Response:
         del req
@@ -55,40 +55,40 @@
     return app
 
 
-class CallersDoor:
+class CallersApi:
     """Serves callers' batch jobs."""
 
     def __init__(
         self,
-        desk: entry_batch.BatchClient,
+        client: entry_batch.BatchClient,
         limits: settings.Limits,
         draining: Callable[[], bool],
     ):
-        self._desk = desk
+        self._client = client
         self._limits = limits
         self._draining = draining
 
     def application(self, metrics: metrics_lib.Metrics) -> web.Application:
-        """Returns the application; every path may be a queue's."""
-        app = doors.new_application(metrics, self._limits.body_bytes)
+        """Returns the application; any path may belong to a queue."""
+        app = applications.new_application(metrics, self._limits.body_bytes)
         app.router.add_route("*", "/{path:.*}", self._answer)
         return app
 
     async def _answer(self, req: web.Request) -> web.StreamResponse:
         address = _address(req)
-        within_ms = _patience_ms(req)
+        within_ms = _leader_wait_ms(req)
         match req.method:
             case "POST":
                 content = jobs.decode(
                     await api.read_body(req, self._limits.body_bytes)
                 )
-                await self._desk.submit(address, content, within_ms)
+                await self._client.submit(address, content, within_ms)
                 resp = web.json_response({})
             case "GET":
-                found = await self._desk.look_up(address, within_ms)
+                found = await self._client.look_up(address, within_ms)
                 resp = web.json_response(_state(found))
             case "DELETE":
-                await self._desk.cancel(address, within_ms)
+                await self._client.cancel(address, within_ms)
                 resp = web.json_response({})
             case _:
                 raise api.MethodNotAllowed(f"{req.method} is not allowed here")
@@ -106,10 +106,10 @@
     )
 
 
-def _patience_ms(req: web.Request) -> clock_lib.Millis:
+def _leader_wait_ms(req: web.Request) -> clock_lib.Millis:
     text = req.headers.get(DEADLINE_HEADER, "")
     deadline = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
-    return clock_lib.Millis(int(deadline * PATIENCE_SHARE))
+    return clock_lib.Millis(int(deadline * LEADER_WAIT_SHARE))
 
 
 def _state(
--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -1,4 +1,4 @@
-"""Operators' HTTP: configuration and evacuations, at every replica."""
+"""HTTP API for operators at every replica: configuration and evacuations."""
 
 import mode
 from aiohttp import web
@@ -11,43 +11,45 @@
 from bilberryroute.entry import batch as entry_batch
 from bilberryroute.entry import board as entry_board
 from bilberryroute.entry import control as control_client
+from bilberryroute.platform import applications
 from bilberryroute.platform import catalog
-from bilberryroute.platform import doors
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
 
-# Operators turn to another host after a second without an answer.
-PATIENCE_MS = clock_lib.Millis(900)
+# Operators try another host after a second without an answer.
+LEADER_WAIT_MS = clock_lib.Millis(900)
 
 
 def services(
-    place: platform_settings.Place,
+    place: platform_settings.PlatformSettings,
     env: context.Environment,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
-    """Returns the server of a replica, and the client that it uses."""
+    """Returns the HTTP server of a replica and the client of the leader."""
     cfg = place.settings
     control = control_client.ControlClient(
         cfg, entry_board.new_board(), env.clock, env.rng
     )
-    desk = entry_batch.BatchClient(control, cfg.timing, env.clock, metrics)
-    door = OperatorsDoor(desk, cfg.limits)
+    client = entry_batch.BatchClient(control, cfg.timing, env.clock, metrics)
+    operators_api = OperatorsApi(client, cfg.limits)
     server = http_lib.HttpServer(
-        door.application(metrics), place.doors.control, cfg.limits
+        operators_api.application(metrics), place.addresses.control, cfg.limits
     )
     return [control, server]
 
 
-class OperatorsDoor:
-    """Serves operators: configuration and evacuations."""
+class OperatorsApi:
+    """Serves operators' configurations and evacuations."""
 
-    def __init__(self, desk: entry_batch.BatchClient, limits: settings.Limits):
-        self._desk = desk
+    def __init__(
+        self, client: entry_batch.BatchClient, limits: settings.Limits
+    ):
+        self._client = client
         self._limits = limits
 
     def application(self, metrics: metrics_lib.Metrics) -> web.Application:
         """Returns the application."""
-        app = doors.new_application(metrics, self._limits.ticket_bytes)
+        app = applications.new_application(metrics, self._limits.ticket_bytes)
         router = app.router
         router.add_put("/bilberryroute/config", self._put_config)
         router.add_get("/bilberryroute/config", self._get_config)
@@ -58,22 +60,22 @@
     async def _put_config(self, req: web.Request) -> web.Response:
         body = await api.read_body(req, self._limits.ticket_bytes)
         wanted = catalog.decode(body)
-        await self._desk.apply_catalog(wanted, PATIENCE_MS)
+        await self._client.apply_catalog(wanted, LEADER_WAIT_MS)
         return web.json_response({})
 
     async def _get_config(self, req: web.Request) -> web.Response:
         del req
-        found = await self._desk.catalog(PATIENCE_MS)
+        found = await self._client.catalog(LEADER_WAIT_MS)
         return web.Response(
             body=found.document, content_type="application/json"
         )
 
     async def _evacuate(self, req: web.Request) -> web.Response:
         zone = req.match_info["zone"]
-        await self._desk.set_evacuated(zone, True, PATIENCE_MS)
+        await self._client.set_evacuated(zone, True, LEADER_WAIT_MS)
         return web.json_response({})
 
     async def _take_back(self, req: web.Request) -> web.Response:
         zone = req.match_info["zone"]
-        await self._desk.set_evacuated(zone, False, PATIENCE_MS)
+        await self._client.set_evacuated(zone, False, LEADER_WAIT_MS)
         return web.json_response({})
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -1,4 +1,4 @@
-"""The platform's settings file, translated into the project's settings."""
+"""Translates the platform's settings file into the project's settings."""
 
 import dataclasses
 import pathlib
@@ -9,31 +9,31 @@
 from bilberryroute import errors
 from bilberryroute import settings
 
-# Variable that holds the path of the settings file.
+# Environment variable with the path of the settings file.
 VARIABLE = "BILBERRYROUTE_SETTINGS"
 
-# Internal ports of each role, counted from the first free one; two processes
-# may share a machine.
+# Offsets of internal ports from the first free one. The roles on one host use
+# different ones.
 _GRPC_PORT = 1
 _REPLICA_DATAGRAM_PORT = 2
 _AGENT_DATAGRAM_PORT = 7
 
-# Where each role shows its metrics; `deploy/system.toml` names the same.
+# Ports of the metrics endpoints; must match `deploy/system.toml`.
 METRICS_PORTS = {
     settings.ProcessRole.REPLICA: 9464,
     settings.ProcessRole.ENTRY: 9465,
     settings.ProcessRole.AGENT: 9466,
 }
 
-# The balancer takes a process out after two missed probes, a second apart.
+# The load balancer removes a process after two failed probes, 1 s apart.
 BALANCER_LAG_MS = 2_300
 
 
 class _Listen(msgspec.Struct, frozen=True, rename="camel"):
-    """Addresses that a role serves, `ip:port`; empty where not served.
+    """Addresses `ip:port` that a role serves; empty if not served.
 
     Attributes:
-      control_plane: For operators, or on a worker's machine for that worker.
+      control_plane: For operators; on a worker's host, for that worker.
     """
 
     frontend_addr: str = ""
@@ -42,25 +42,27 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True):
-    """Bounds that the platform's rules name; in milliseconds or seconds.
+    """Time bounds of the platform.
 
     Attributes:
-      holdMaxMs: Longest lease of what runs on a worker.
-      status_s: How long the state of an ended job is asked for.
+      holdMaxMs: Maximum lease of runs on a worker, in milliseconds.
+      status_s: How long an ended job can be looked up, in seconds.
     """
 
-    holdMaxMs: int = 6_000  # noqa: N815 (the platform mixes its cases here)
+    holdMaxMs: int = 6_000  # noqa: N815 (mixed case on the platform's side)
     status_s: float = 120
 
 
 class _File(msgspec.Struct, frozen=True, rename="camel"):
-    """The file, as far as it is used; other fields are ignored.
+    """Fields of the file that are used; others are ignored.
 
     Attributes:
-      seed_nodes: Operators' addresses of up to three hosts that keep the log;
-        they may be out of date.
+      zone: Failure domain.
+      internal_ports: First and last port that is free for this project.
+      seed_nodes: Operators' addresses of up to three hosts with replicas; may
+        be out of date.
       bootstrap: Whether the whole system starts for the first time.
-      app: On a worker's machine, where the worker takes orders.
+      app: On a worker's host, the address of the worker's API.
       recommendation: Address of the advisory service.
     """
 
@@ -79,13 +81,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Doors:
-    """Addresses at which the platform's own interfaces are served.
+class ApiAddresses:
+    """Addresses of the HTTP APIs for the platform; empty if not served.
 
     Attributes:
-      callers: Callers' jobs; empty if this process serves none.
-      readiness: The balancer's probe.
-      control: Operators, or the worker beside an agent.
+      callers: API for callers' jobs.
+      readiness: Probe of the load balancer.
+      control: API for operators, or at an agent for its worker.
     """
 
     callers: str
@@ -94,62 +96,64 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Place:
-    """What the platform tells one process.
+class PlatformSettings:
+    """Settings that the platform gives to one process.
 
     Attributes:
+      settings: The project's settings.
+      addresses: Addresses of the APIs for the platform.
       advisor: Address of the advisory service, or empty.
     """
 
     settings: settings.Settings
-    doors: Doors
+    addresses: ApiAddresses
     advisor: str = ""
 
 
-def load(path: str, role: settings.ProcessRole) -> Place:
-    """Reads the platform's file for a process of one role.
+def load(path: str, role: settings.ProcessRole) -> PlatformSettings:
+    """Loads the platform's settings file for a process of one role.
 
     Raises:
-      errors.SettingsError: If the file cannot be read or lacks a field.
+      errors.SettingsError: If the file cannot be read or a field is missing.
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        said = msgspec.convert(tomllib.loads(text), _File, strict=False)
+        node = msgspec.convert(tomllib.loads(text), _File, strict=False)
     except (OSError, ValueError) as exc:
         raise errors.SettingsError(
             f"the platform's settings {path} cannot be used: {exc}",
             remedy=f"Check the file that {VARIABLE} names.",
         ) from exc
-    return _translate(said, role)
+    return _translate(node, role)
 
 
-def _translate(said: _File, role: settings.ProcessRole) -> Place:
-    seeds = sorted({seed.rsplit(":", 1)[0] for seed in said.seed_nodes})
-    replicas = [_replica(ip, said.internal_ports[0]) for ip in seeds]
-    own = _replica(said.ip, said.internal_ports[0])
+def _translate(node: _File, role: settings.ProcessRole) -> PlatformSettings:
+    seeds = sorted({seed.rsplit(":", 1)[0] for seed in node.seed_nodes})
+    replicas = [_replica(ip, node.internal_ports[0]) for ip in seeds]
+    own = _replica(node.ip, node.internal_ports[0])
     is_replica = role == settings.ProcessRole.REPLICA
     if is_replica and own not in replicas:
         replicas.append(own)
     cfg = settings.Settings(
-        host=f"{said.node_name}-{role}",
-        failure_domain=said.zone,
-        region=said.region,
+        host=f"{node.node_name}-{role}",
+        failure_domain=node.zone,
+        region=node.region,
         roles=(role,),
         replica_id=own.id if is_replica else "",
-        data_folder=said.data_dir if is_replica else "",
-        listen=_listen(said, role),
+        data_folder=node.data_dir if is_replica else "",
+        listen=_listen(node, role),
         replicas=tuple(replicas),
         group=settings.Group(
-            may_found=said.bootstrap, repairs_itself=True, size=len(seeds)
+            may_found=node.bootstrap, repairs_itself=True, size=len(seeds)
         ),
         timing=settings.Timing(
-            run_lease_ms=said.bounds.holdMaxMs,
-            batch_kept_ms=int(1_000 * said.bounds.status_s),
+            run_lease_ms=node.bounds.holdMaxMs,
+            batch_kept_ms=int(1_000 * node.bounds.status_s),
             balancer_lag_ms=BALANCER_LAG_MS,
         ),
     )
-    listen = said.listen_addrs
-    doors = Doors(
+    listen = node.listen_addrs
+    addresses = ApiAddresses(
         callers=listen.frontend_addr
         if role == settings.ProcessRole.ENTRY
         else "",
@@ -160,7 +164,9 @@
         if role != settings.ProcessRole.ENTRY
         else "",
     )
-    return Place(settings=cfg, doors=doors, advisor=said.recommendation)
+    return PlatformSettings(
+        settings=cfg, addresses=addresses, advisor=node.recommendation
+    )
 
 
 def _replica(ip: str, first_port: int) -> settings.ReplicaAddress:
@@ -171,16 +177,16 @@
     )
 
 
-def _listen(said: _File, role: settings.ProcessRole) -> settings.Listen:
-    http = f"{said.ip}:{METRICS_PORTS[role]}"
-    first = said.internal_ports[0]
+def _listen(node: _File, role: settings.ProcessRole) -> settings.Listen:
+    http = f"{node.ip}:{METRICS_PORTS[role]}"
+    first = node.internal_ports[0]
     match role:
         case settings.ProcessRole.REPLICA:
-            own = _replica(said.ip, first)
+            own = _replica(node.ip, first)
             return settings.Listen(
                 http=http, grpc=own.grpc, datagram=own.datagram
             )
         case settings.ProcessRole.AGENT:
-            datagram = f"{said.ip}:{first + _AGENT_DATAGRAM_PORT}"
+            datagram = f"{node.ip}:{first + _AGENT_DATAGRAM_PORT}"
             return settings.Listen(http=http, datagram=datagram)
     return settings.Listen(http=http)
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -44,7 +44,7 @@
         self,
         cfg: settings.Settings,
         env: context.Environment,
-        place: platform_settings.Place | None = None,
+        place: platform_settings.PlatformSettings | None = None,
     ):
         super().__init__()
         self.metrics = metrics_lib.Metrics()
@@ -103,7 +103,7 @@
 def build(
     cfg: settings.Settings,
     env: context.Environment,
-    place: platform_settings.Place | None = None,
+    place: platform_settings.PlatformSettings | None = None,
 ) -> Process:
     """Returns the process that the settings describe, not yet started.
 
@@ -149,7 +149,7 @@
 
 
 def _platform_client(
-    place: platform_settings.Place | None,
+    place: platform_settings.PlatformSettings | None,
 ) -> mode.Service | None:
     """Returns what a role asks of the platform: its worker, or advice."""
     if place is None:
@@ -167,7 +167,7 @@
 
 
 def _platform_servers(
-    place: platform_settings.Place,
+    place: platform_settings.PlatformSettings,
     env: context.Environment,
     role: RoleService,
     metrics: metrics_lib.Metrics,
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -52,7 +52,7 @@
 
     def __init__(self, tmp_path):
         self._tmp_path = tmp_path
-        self._doors = {
+        self._addresses = {
             name: ports.free_address()
             for name in ("callers", "readiness", "control", "worker")
         }
@@ -72,7 +72,7 @@
         for role in ROLES:
             await self.start_role(role, stack)
         runner = fake_runner.FakeRunner(
-            "i1", self._doors["worker"], "apapa", "gang-alloc", self.table
+            "i1", self._addresses["worker"], "apapa", "gang-alloc", self.table
         )
         task = asyncio.create_task(runner.run())
         stack.callback(task.cancel)
@@ -86,7 +86,7 @@
         stack.push_async_callback(running.stop)
         self.processes[role] = running
 
-    def _place(self, role) -> platform_settings.Place:
+    def _place(self, role) -> platform_settings.PlatformSettings:
         is_replica = role == settings.ProcessRole.REPLICA
         listen = settings.Listen(http=ports.free_address())
         cfg = settings.Settings(
@@ -100,21 +100,23 @@
             timing=settings.Timing(balancer_lag_ms=0),
         )
         control = "worker" if role == settings.ProcessRole.AGENT else "control"
-        doors = platform_settings.Doors(
-            callers=self._doors["callers"],
-            readiness=self._doors["readiness"],
-            control=self._doors[control],
+        addresses = platform_settings.ApiAddresses(
+            callers=self._addresses["callers"],
+            readiness=self._addresses["readiness"],
+            control=self._addresses[control],
+        )
+        return platform_settings.PlatformSettings(
+            settings=cfg, addresses=addresses
         )
-        return platform_settings.Place(settings=cfg, doors=doors)
 
-    async def call(self, method, door, path, body=None, key=KEY, data=None):
-        """Returns status and body of one call to a door."""
+    async def call(self, method, api, path, body=None, key=KEY, data=None):
+        """Returns status and body of one call to an API."""
         headers = {"Host": HOST}
         if key:
             headers["Authorization"] = f"Bearer {key}"
         async with self.session.request(
             method,
-            f"http://{self._doors[door]}{path}",
+            f"http://{self._addresses[api]}{path}",
             json=body,
             data=data,
             headers=headers,
@@ -123,11 +125,11 @@
             is_json = resp.content_type.endswith("json")
             return resp.status, (await resp.json()) if is_json else text
 
-    async def until(self, method, door, path, expected, **more):
+    async def until(self, method, api, path, expected, **more):
         """Repeats a call until it answers as expected."""
         async with asyncio.timeout(DEADLINE_S):
             while True:
-                answer = await self.call(method, door, path, **more)
+                answer = await self.call(method, api, path, **more)
                 if answer == expected:
                     return
                 await asyncio.sleep(0.05)
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -241,7 +241,7 @@
     ]
     assert cfg.group.may_found and cfg.group.repairs_itself
     assert cfg.timing.run_lease_ms == 10_000
-    assert place.doors.control == "10.1.0.19:8526"
+    assert place.addresses.control == "10.1.0.19:8526"
 
 
 def test_roles_on_one_machine_share_no_port(settings_file):
