Size the group of replicas by the platform's fault tolerance

Cause: the wanted number of voters was the number of seeds, three, wherever more hosts keep a disk and two of them may be lost at once.

Change: 2 x tolerated machines + 1 voters.

Test: tests/platform/test_forms.py (3 before, 5 wanted).

--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -53,6 +53,16 @@
     status_s: float = 120
 
 
+class _FaultTolerance(msgspec.Struct, frozen=True):
+    """Losses that the system must survive.
+
+    Attributes:
+      machines: Hosts with a replica that may be lost at the same time.
+    """
+
+    machines: int = 1
+
+
 class _File(msgspec.Struct, frozen=True, rename="camel"):
     """Fields of the file that are used; others are ignored.
 
@@ -78,6 +88,7 @@
     recommendation: str = ""
     listen_addrs: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
+    fault_tolerance: _FaultTolerance = _FaultTolerance()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -144,7 +155,9 @@
         listen=_listen(node, role),
         replicas=tuple(replicas),
         group=settings.Group(
-            may_found=node.bootstrap, repairs_itself=True, size=len(seeds)
+            may_found=node.bootstrap,
+            repairs_itself=True,
+            size=2 * node.fault_tolerance.machines + 1,
         ),
         timing=settings.Timing(
             run_lease_ms=node.bounds.holdMaxMs,
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -217,6 +217,8 @@
 frontendAddr = "10.1.0.19:8521"
 readinessAddr = "10.1.0.19:8523"
 controlPlane = "10.1.0.19:8526"
+[faultTolerance]
+machines = 2
 [bounds]
 holdMaxMs = 10000
 status_s = 60
@@ -240,6 +242,7 @@
         "r-10.3.0.15",
     ]
     assert cfg.group.may_found and cfg.group.repairs_itself
+    assert cfg.group.size == 5  # A majority is left after the loss of 2.
     assert cfg.timing.run_lease_ms == 10_000
     assert place.addresses.control == "10.1.0.19:8526"
 
