Run a replica on every host with a disk, and referrals on the others

Where the second host has no disk, the replica role only refers others to the leader: it follows the leader like an entry, refuses control calls with its address, redirects agents' renewals, answers greetings, and serves operators by the same client. The watch names the datagram addresses of the replicas for that. The three first ones found the group as before; the others join as learners and are promoted up to the size that the fault tolerance asks for, spread over the failure domains.

Ruled out: all hosts with a disk as voters (an even number needs one more vote and splits into halves without a majority); a role of its own for hosts without a disk (a machine runs at most two roles, and the deploy file can't tell them apart).

Tests: tests/entry/test_referrals.py (new), tests/platform/test_forms.py.

--- a/bilberryroute/entry/board.py
+++ b/bilberryroute/entry/board.py
@@ -17,6 +17,7 @@
       term: Highest term seen.
       leader_id: Id of the presumed leader; empty if unknown.
       draining: True once the process was asked to shut down.
+      replicas: All replicas as the leader last reported them.
       leader_seen_ms: Monotonic time of the leader's last message; 0 if none.
     """
 
@@ -25,6 +26,7 @@
     term: blackboard.Cell[int]
     leader_id: blackboard.Cell[str]
     draining: blackboard.Cell[bool]
+    replicas: blackboard.Cell[tuple[wire.ReplicaContact, ...]]
     leader_seen_ms: blackboard.Cell[int]
 
 
@@ -36,5 +38,6 @@
         term=blackboard.Cell(0),
         leader_id=blackboard.Cell(""),
         draining=blackboard.Cell(False),
+        replicas=blackboard.Cell(()),
         leader_seen_ms=blackboard.Cell(0),
     )
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -275,6 +275,7 @@
         self._board.term.set(event.term)
         self._board.leader_seen_ms.set(self._clock.now())
         self._learned_addresses = {r.id: r.grpc for r in event.replicas}
+        self._board.replicas.set(event.replicas)
         if self._board.leader_id.get() != event.leader_id:
             self._board.leader_id.set(event.leader_id)
         new_configuration = event.configuration
--- /dev/null
+++ b/bilberryroute/entry/referrals.py
@@ -0,0 +1,185 @@
+"""Refers processes that ask a host without a replica to the leader.
+
+A host without a disk can't keep a replica, but may be listed among the hosts
+at which other processes look for one. It follows the leader like an entry and
+answers what a replica that does not lead would answer.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import grpc
+import mode
+from aiohttp import web
+
+from bilberryroute import context
+from bilberryroute import errors
+from bilberryroute import logs
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.consensus import greeting
+from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import control as control_lib
+from bilberryroute.model import control
+from bilberryroute.model import wire
+from bilberryroute.transport import codec
+from bilberryroute.transport import control as methods
+
+GRPC_STOP_SECONDS = 1.0
+_SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
+
+_renewal_decoder = codec.Decoder(wire.Renewal)
+
+
+class ReferralRole(mode.Service):
+    """Answers entries, agents and joining replicas with the leader's address.
+
+    Attributes:
+      board: What the control client knows of the leader.
+      control: Client of the leader, which the operators' API shares.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        env: context.Environment,
+        metrics: metrics_lib.Metrics,
+    ):
+        super().__init__()
+        self._cfg = cfg
+        self._metrics = metrics
+        self.board = board_lib.new_board()
+        self.control = control_lib.ControlClient(
+            cfg, self.board, env.clock, env.rng
+        )
+        self._server: grpc.aio.Server | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def on_start(self) -> None:
+        """Opens the replica's ports and follows the leader."""
+        self._server = grpc.aio.server(options=_SERVER_OPTIONS)
+        self._server.add_generic_rpc_handlers(self._handlers())
+        self._server.add_insecure_port(self._cfg.listen.grpc)
+        await self._server.start()
+        ip, port = self._cfg.listen.datagram.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _DatagramProtocol(self), local_addr=(ip, int(port))
+        )
+        await self.add_runtime_dependency(self.control)
+
+    async def on_stop(self) -> None:
+        """Closes the ports."""
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            await self._server.stop(GRPC_STOP_SECONDS)
+
+    def register(self, app: web.Application) -> None:
+        """Adds no routes: this role serves only health and metrics by HTTP."""
+
+    def ready(self) -> bool:
+        """Returns whether the leader is known."""
+        return bool(self.board.leader_id.get())
+
+    async def drain(self) -> None:
+        """Returns at once, as every call is answered immediately."""
+
+    def position(self) -> logs.Position:
+        """Returns the term and revision that this process has seen."""
+        return logs.Position(
+            term=self.board.term.get(),
+            revision=self.board.configuration.get().revision,
+        )
+
+    def redirect(self, payload: bytes) -> bytes | None:
+        """Returns a grant without a lease that names the leader, or None."""
+        try:
+            renewal = _renewal_decoder.decode(payload)
+        except errors.MalformedInput:
+            self._metrics.dropped("malformed_renewal")
+            return None
+        replicas = self.board.replicas.get()
+        grant = wire.Grant(
+            term=self.board.term.get(),
+            echo_ms=renewal.sent_ms,
+            lease_ms=0,
+            leader_id=self.board.leader_id.get(),
+            replicas={r.id: r.datagram for r in replicas if r.datagram},
+            desired=None,
+        )
+        return codec.encode(grant)
+
+    def _leader(self) -> errors.NotLeader:
+        """Returns the refusal that names the leader, as far as known."""
+        leader_id = self.board.leader_id.get()
+        addresses = {r.id: r.grpc for r in self.board.replicas.get()}
+        return errors.NotLeader(leader_id or None, addresses.get(leader_id, ""))
+
+    def _handlers(self) -> tuple[grpc.GenericRpcHandler, ...]:
+        unary = grpc.unary_unary_rpc_method_handler(self._refuse)
+        names = (methods.PROPOSE, methods.QUERY, methods.CHANGE_MEMBERS)
+        rpcs = dict.fromkeys(names, unary)
+        rpcs[methods.WATCH] = grpc.stream_stream_rpc_method_handler(self._watch)
+        hello = grpc.unary_unary_rpc_method_handler(self._hello)
+        return (
+            grpc.method_handlers_generic_handler(methods.SERVICE, rpcs),
+            grpc.method_handlers_generic_handler(
+                greeting.SERVICE, {greeting.METHOD: hello}
+            ),
+        )
+
+    async def _refuse(
+        self, payload: bytes, context: grpc.aio.ServicerContext
+    ) -> bytes:
+        del payload, context
+        exc = self._leader()
+        error = control.ErrorReply(
+            kind=exc.kind,
+            message=exc.message,
+            remedy=exc.remedy,
+            leader_id=exc.leader_id or "",
+            leader_address=exc.leader_address,
+        )
+        return codec.encode(control.Reply(error=error))
+
+    async def _watch(
+        self,
+        requests: AsyncIterator[bytes],
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[bytes]:
+        """Ends the stream at once: only the leader has news."""
+        del requests, context
+        for event in ():
+            yield event
+
+    async def _hello(
+        self, payload: bytes, context: grpc.aio.ServicerContext
+    ) -> bytes:
+        """Names the leader; the empty identity never counts as a founder."""
+        del payload, context
+        hello = greeting.Hello(
+            id="",
+            group="",
+            grpc=self._cfg.listen.grpc,
+            datagram=self._cfg.listen.datagram,
+            failure_domain=self._cfg.failure_domain,
+            leader=self._leader().leader_address,
+        )
+        return codec.encode(hello)
+
+
+class _DatagramProtocol(asyncio.DatagramProtocol):
+    """Answers the renewals of agents."""
+
+    def __init__(self, role: ReferralRole):
+        self._role = role
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        reply = self._role.redirect(data)
+        if reply is not None:
+            self._transport.sendto(reply, addr)
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -262,11 +262,17 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ReplicaGrpcAddress:
-    """Where entries reach one replica."""
+class ReplicaContact:
+    """Addresses of one replica.
+
+    Attributes:
+      grpc: For entries.
+      datagram: For agents.
+    """
 
     id: str
     grpc: str
+    datagram: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -284,4 +290,4 @@
     leader_id: str
     configuration: config.Configuration | None
     endpoints: tuple[EndpointView, ...] | None
-    replicas: tuple[ReplicaGrpcAddress, ...] = ()
+    replicas: tuple[ReplicaContact, ...] = ()
--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -11,6 +11,7 @@
 from bilberryroute.entry import batch as entry_batch
 from bilberryroute.entry import board as entry_board
 from bilberryroute.entry import control as control_client
+from bilberryroute.entry import referrals
 from bilberryroute.platform import applications
 from bilberryroute.platform import catalog
 from bilberryroute.platform import settings as platform_settings
@@ -22,20 +23,34 @@
 
 def services(
     place: platform_settings.PlatformSettings,
+    role: mode.Service,
     env: context.Environment,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
-    """Returns the HTTP server of a replica and the client of the leader."""
+    """Returns the HTTP server of a replica and the client of the leader.
+
+    A role that only refers to the leader brings the client with it.
+    """
     cfg = place.settings
-    control = control_client.ControlClient(
-        cfg, entry_board.new_board(), env.clock, env.rng
-    )
+    control, started = _control_client(cfg, role, env)
     client = entry_batch.BatchClient(control, cfg.timing, env.clock, metrics)
     operators_api = OperatorsApi(client, cfg.limits)
     server = http_lib.HttpServer(
         operators_api.application(metrics), place.addresses.control, cfg.limits
     )
-    return [control, server]
+    return [*started, server]
+
+
+def _control_client(
+    cfg: settings.Settings, role: mode.Service, env: context.Environment
+) -> tuple[control_client.ControlClient, list[mode.Service]]:
+    """Returns the client of the leader, and what has to be started for it."""
+    if isinstance(role, referrals.ReferralRole):
+        return role.control, []
+    control = control_client.ControlClient(
+        cfg, entry_board.new_board(), env.clock, env.rng
+    )
+    return control, [control]
 
 
 class OperatorsApi:
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -140,11 +140,14 @@
 
 def _translate(node: _File, role: settings.ProcessRole) -> PlatformSettings:
     seeds = sorted({seed.rsplit(":", 1)[0] for seed in node.seed_nodes})
-    replicas = [_replica(ip, node.internal_ports[0]) for ip in seeds]
-    own = _replica(node.ip, node.internal_ports[0])
     is_replica = role == settings.ProcessRole.REPLICA
-    if is_replica and own not in replicas:
+    own = _replica(node.ip, node.internal_ports[0], node.zone)
+    replicas = [
+        _replica(ip, node.internal_ports[0]) for ip in seeds if ip != node.ip
+    ]
+    if is_replica or node.ip in seeds:
         replicas.append(own)
+    replicas.sort(key=lambda replica: replica.id)
     cfg = settings.Settings(
         host=f"{node.node_name}-{role}",
         failure_domain=node.zone,
@@ -182,11 +185,14 @@
     )
 
 
-def _replica(ip: str, first_port: int) -> settings.ReplicaAddress:
+def _replica(
+    ip: str, first_port: int, failure_domain: str = ""
+) -> settings.ReplicaAddress:
     return settings.ReplicaAddress(
         id=f"r-{ip}",
         grpc=f"{ip}:{first_port + _GRPC_PORT}",
         datagram=f"{ip}:{first_port + _REPLICA_DATAGRAM_PORT}",
+        failure_domain=failure_domain,
     )
 
 
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -134,6 +134,10 @@
 ) -> RoleService:
     """Builds one role; imports it late, so that unused roles cost no memory."""
     match role:
+        case settings.ProcessRole.REPLICA if not cfg.data_folder:
+            from bilberryroute.entry import referrals
+
+            return referrals.ReferralRole(cfg, env, metrics)
         case settings.ProcessRole.REPLICA:
             from bilberryroute.replica import service as replica_service
 
@@ -177,7 +181,7 @@
         case settings.ProcessRole.REPLICA:
             from bilberryroute.platform import operators
 
-            return operators.services(place, env, metrics)
+            return operators.services(place, role, env, metrics)
         case settings.ProcessRole.AGENT:
             from bilberryroute.platform import announcements
 
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -170,7 +170,11 @@
             if endpoints_changed
             else None,
             replicas=tuple(
-                wire.ReplicaGrpcAddress(id=m.replica_id, grpc=m.address.grpc)
+                wire.ReplicaContact(
+                    id=m.replica_id,
+                    grpc=m.address.grpc,
+                    datagram=m.address.datagram,
+                )
                 for m in self._group.members()
             ),
         )
--- a/bilberryroute/settings.py
+++ b/bilberryroute/settings.py
@@ -106,7 +106,8 @@
       host: Name of this process in logs, leases and status.
       failure_domain: Failure domain that this process runs in.
       roles: What it does.
-      data_folder: Where a replica keeps its state.
+      data_folder: Where a replica keeps its state. Without one, the replica
+        role only refers other processes to the leader.
       replica_id: Which of `replicas` this process is, or empty.
     """
 
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -143,7 +143,7 @@
         leader_id="r4",
         configuration=None,
         endpoints=None,
-        replicas=(wire.ReplicaGrpcAddress(id="r4", grpc=new.address),),
+        replicas=(wire.ReplicaContact(id="r4", grpc=new.address),),
     )
     cfg = _settings_with_seed(old)
     env = environment.fake_environment(clock=CLOCK)
--- /dev/null
+++ b/tests/entry/test_referrals.py
@@ -0,0 +1,151 @@
+"""A host without a replica refers everyone who asks it to the leader."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.consensus import founding
+from bilberryroute.consensus import greeting
+from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import control as control_lib
+from bilberryroute.entry import referrals
+from bilberryroute.model import commands
+from bilberryroute.model import wire
+from bilberryroute.transport import codec
+from tests.entry import test_control
+from tests.utils import environment
+from tests.utils import ports
+
+CLOCK = clock_lib.SystemClock()
+LEADER_DATAGRAM = "10.0.0.4:7002"
+
+
+def _settings(
+    host: str, seed: str, listen: settings.Listen | None = None
+) -> settings.Settings:
+    return settings.Settings(
+        host=host,
+        failure_domain="apapa",
+        roles=(settings.ProcessRole.REPLICA,),
+        listen=listen or settings.Listen(),
+        replicas=(settings.ReplicaAddress(id="r1", grpc=seed, datagram=""),),
+    )
+
+
+@pytest.fixture
+async def leader():
+    replica = test_control.FakeReplica()
+    await replica.start()
+    replica.event = wire.WatchEvent(
+        term=2,
+        leader_id="r4",
+        configuration=None,
+        endpoints=None,
+        replicas=(
+            wire.ReplicaContact(
+                id="r4", grpc=replica.address, datagram=LEADER_DATAGRAM
+            ),
+        ),
+    )
+    yield replica
+    await replica.stop()
+
+
+@pytest.fixture
+async def referring(leader):
+    """A referring host that has heard of the leader."""
+    listen = settings.Listen(
+        grpc=ports.free_address(), datagram=ports.free_address()
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    role = referrals.ReferralRole(
+        _settings("h1", leader.address, listen), env, metrics_lib.Metrics()
+    )
+    async with role:
+        async with asyncio.timeout(5):
+            while not role.board.replicas.get():
+                await asyncio.sleep(0.01)
+        role.board.leader_id.set("r4")
+        yield listen
+
+
+async def test_client_finds_the_leader_through_it(leader, referring):
+    board = board_lib.new_board()
+    env = environment.fake_environment(clock=CLOCK)
+    client = control_lib.ControlClient(
+        _settings("e1", referring.grpc), board, CLOCK, env.rng
+    )
+    try:
+        result = await client.propose(test_control.COMMAND)
+    finally:
+        await client.on_stop()
+    assert result == commands.Changed(revision=7)
+    assert leader.proposals_received == 1
+
+
+async def test_joining_replica_learns_the_leader_and_founds_nothing(
+    leader, referring
+):
+    own = greeting.Hello(id="r9#a", group="", grpc="", datagram="")
+    answer = await greeting.greet(referring.grpc, own)
+    assert answer.leader == leader.address
+    members = (
+        settings.ReplicaAddress(id="r9", grpc="", datagram=""),
+        settings.ReplicaAddress(id="r99", grpc=referring.grpc, datagram=""),
+    )
+    assert founding.founders(own, members, [answer]) is None
+
+
+async def test_agent_is_redirected_without_a_lease(referring):
+    renewal = wire.Renewal(
+        agent="a1",
+        incarnation="i1",
+        failure_domain="apapa",
+        sent_ms=17,
+        term=0,
+        desired_version=0,
+        revision=0,
+        http="",
+        draining=False,
+        endpoints=(),
+        workers=(),
+        tasks=(),
+    )
+    grant = await _exchange(referring.datagram, codec.encode(renewal))
+    assert grant.lease_ms == 0
+    assert grant.echo_ms == 17
+    assert grant.leader_id == "r4"
+    assert grant.replicas == {"r4": LEADER_DATAGRAM}
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Keeps the first datagram."""
+
+    def __init__(self):
+        self.received = asyncio.get_running_loop().create_future()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        with contextlib.suppress(asyncio.InvalidStateError):
+            self.received.set_result(data)
+
+
+async def _exchange(address: str, payload: bytes) -> wire.Grant:
+    """Sends a datagram and returns the grant that answers it."""
+    ip, port = address.rsplit(":", 1)
+    (
+        transport,
+        receiver,
+    ) = await asyncio.get_running_loop().create_datagram_endpoint(
+        _Receiver, remote_addr=(ip, int(port))
+    )
+    try:
+        transport.sendto(b"malformed")
+        transport.sendto(payload)
+        async with asyncio.timeout(5):
+            return codec.Decoder(wire.Grant).decode(await receiver.received)
+    finally:
+        transport.close()
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -242,6 +242,7 @@
         "r-10.3.0.15",
     ]
     assert cfg.group.may_found and cfg.group.repairs_itself
+    assert [r.failure_domain for r in cfg.replicas] == ["apapa", "", ""]
     assert cfg.group.size == 5  # A majority is left after the loss of 2.
     assert cfg.timing.run_lease_ms == 10_000
     assert place.addresses.control == "10.1.0.19:8526"
