Place gangs by what each place costs, and stop no restarted run for lateness

Change: preemption takes the place that costs the least work, the longer run on several racks included. A unit waits for its rack while its forecast ends it earlier there. A gang wider than any known rack starts at once. A run that was started before is not stopped for another job that would be late. Units are ordered by whether their job can still be in time, be late or earn nothing, computed from what is left of it; one way to compute an objective is left.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -41,6 +41,15 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def multiple_of(self, need: "Resources") -> int:
+        """Returns how often `need` fits within these resources."""
+        pairs = (
+            (self.cpu_millis, need.cpu_millis),
+            (self.memory_mb, need.memory_mb),
+            (self.accelerators, need.accelerators),
+        )
+        return min((has // part for has, part in pairs if part), default=0)
+
     def holds(self, need: "Resources") -> bool:
         """Returns whether `need` fits within these resources."""
         return (
--- a/bilberryroute/scheduling/batch/deadlines.py
+++ b/bilberryroute/scheduling/batch/deadlines.py
@@ -4,6 +4,7 @@
 been measured, they replace the estimates.
 """
 
+import enum
 from collections.abc import Mapping
 
 from bilberryroute.model import batch
@@ -43,6 +44,14 @@
     return finish_times
 
 
+class Prospect(enum.IntEnum):
+    """What a job earns if its waiting unit starts now; lower is better."""
+
+    IN_TIME = 0
+    LATE = 1
+    WORTHLESS = 2
+
+
 class Deadlines:
     """Expected durations and slack of jobs in one planning round."""
 
@@ -79,6 +88,24 @@
         )
         return deadline_ms - self._wall_ms - (max(finish_times) - start)
 
+    def prospect(self, unit: views.ReadyUnit) -> Prospect:
+        """Returns what the unit's job earns if the unit starts now."""
+        slack_ms = self.waiting_slack_ms(unit)
+        if slack_ms >= 0:
+            return Prospect.IN_TIME
+        objective_ms = self._job_objective_ms(unit)
+        if slack_ms + (ZERO_VALUE_FACTOR - 1) * objective_ms >= 0:
+            return Prospect.LATE
+        return Prospect.WORTHLESS
+
+    def deadline_ms(self, unit: views.ReadyUnit) -> int:
+        """Returns the Unix time at which the unit's job is due."""
+        return unit.due_since_ms + self._job_objective_ms(unit)
+
+    def _job_objective_ms(self, unit: views.ReadyUnit) -> int:
+        finish_times = self._step_finish_times(unit.record)
+        return _objective_ms(unit.queue, max(finish_times))
+
     def running_slack_ms(self, task_id: batch.TaskId) -> int:
         """Returns how much a running task's job may be delayed.
 
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -1,11 +1,16 @@
 """Chooses workers for one unit within given free resources."""
 
+import collections
 from collections.abc import Mapping
 
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
+# How much longer a unit takes away from its data, or on several racks if its
+# gang prefers one.
+REMOTE_FACTOR = 3
+
 
 def place(
     unit: views.ReadyUnit,
@@ -64,6 +69,27 @@
     return [*rack_groups, *(sorted(racks.values(), key=len)), allowed]
 
 
+def is_wider_than_racks(
+    unit: views.ReadyUnit,
+    resources: room_lib.AvailableResources,
+    evacuated: list[str],
+) -> bool:
+    """Returns whether a gang fits into no rack, however idle the workers are.
+
+    Counts workers that accept nothing at present, as they may come back.
+    """
+    if not unit.step.gang:
+        return False
+    need = room_lib.task_demand(unit.step)
+    spread = unit.step.spread_limit or len(unit.indexes)
+    fitting: collections.Counter[str] = collections.Counter()
+    for worker in resources.workers.values():
+        if room_lib.meets_constraints(unit, worker, evacuated):
+            count = worker.capacity.multiple_of(need)
+            fitting[worker.rack] += min(spread, count)
+    return max(fitting.values(), default=0) < len(unit.indexes)
+
+
 def _best_fit(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -21,9 +21,8 @@
 # only for jobs within an account's guarantee.
 FIRST_UNGUARANTEED_PRIORITY = 1
 
-# Delay scheduling: a unit with a rack preference (its data's rack, or a single
-# rack for a gang) waits this share of its estimated duration, up to the
-# maximum, before it accepts workers on which it runs slower.
+# A unit that would fit near its data or rack only on workers that are absent
+# waits this share of its estimated duration for them, up to the maximum.
 LOCALITY_WAIT_SHARE = 0.5
 LOCALITY_WAIT_MAX_MS = 1_500
 
@@ -62,10 +61,10 @@
         state, workers, remaining_ms, wall_ms, permits
     )
     guaranteed = readiness.guaranteed_jobs(state)
-    ready = readiness.ready_units(state, guaranteed, wall_ms, typical_ms)
     job_deadlines = deadlines.Deadlines(
         state, typical_ms, remaining_ms, wall_ms
     )
+    ready = readiness.ready_units(state, guaranteed, wall_ms, job_deadlines)
     return _PlanningRound(
         state, resources, guaranteed, job_deadlines, wall_ms, available_runs
     ).run(ready)
@@ -103,6 +102,7 @@
         self._reservation_count = 0
         self._waiting_unit_count = 0
         self._waiting_jobs: dict[str, tuple[int, ...]] = {}
+        self._local_delays_ms: dict[views.StepKey, int | None] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
 
     def run(self, ready: list[views.ReadyUnit]) -> views.BatchPlan:
@@ -161,10 +161,33 @@
         )
 
     def _waits_for_locality(self, unit: views.ReadyUnit) -> bool:
-        max_wait_ms = min(
-            LOCALITY_WAIT_MAX_MS, LOCALITY_WAIT_SHARE * unit.step.estimate_ms
+        """Returns whether starting later near its data or rack is better.
+
+        Elsewhere a unit takes `REMOTE_FACTOR` times as long, so it waits if it
+        is expected to finish earlier that way. If no end of a run would let it
+        start there, it waits for workers that may come back, unless even they
+        would not suffice.
+        """
+        key = unit.step_key
+        if key not in self._local_delays_ms:
+            fit = self._earliest_fit(unit)
+            self._local_delays_ms[key] = fit and fit.delay_ms
+        delay_ms = self._local_delays_ms[key]
+        if delay_ms is None:
+            if self._is_wider_than_racks(unit):
+                return False
+            max_wait_ms = min(
+                LOCALITY_WAIT_MAX_MS,
+                LOCALITY_WAIT_SHARE * unit.step.estimate_ms,
+            )
+            return self._wall_ms - unit.due_since_ms < max_wait_ms
+        run_ms = self._job_deadlines.run_ms(unit)
+        return delay_ms < (placing.REMOTE_FACTOR - 1) * run_ms
+
+    def _is_wider_than_racks(self, unit: views.ReadyUnit) -> bool:
+        return placing.is_wider_than_racks(
+            unit, self._resources, self._state.evacuated
         )
-        return self._wall_ms - unit.due_since_ms < max_wait_ms
 
     def _reclaim(self, unit: views.ReadyUnit) -> None:
         """Claims resources that are about to be freed, or preempts for them."""
@@ -230,7 +253,11 @@
         candidates: list[preempting.PreemptibleUnit],
     ) -> tuple[str, ...] | None:
         selection = preempting.select_preemptions(
-            unit, self._resources, candidates, self._state.evacuated
+            unit,
+            self._resources,
+            candidates,
+            self._state.evacuated,
+            self._job_deadlines.run_ms(unit),
         )
         if selection is None:
             return None
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -29,6 +29,7 @@
         core-millisecond.
       priority: Priority of its queue; 0 is the most urgent.
       checkpoints: Whether it saves a checkpoint when it is stopped.
+      restarted: Whether any of its tasks was started before.
       slack_ms: How much its job may be delayed and still meet its objective,
         or, if that is missed already, still have value.
     """
@@ -38,6 +39,7 @@
     lost_work: int
     priority: int
     checkpoints: bool
+    restarted: bool
     slack_ms: int
 
     def can_yield_to(self, priority: int, run_ms: int) -> bool:
@@ -51,6 +53,7 @@
         return (
             less_urgent
             and self.checkpoints
+            and not self.restarted
             and self.slack_ms >= run_ms + RESTART_LOSS_MS
         )
 
@@ -118,16 +121,14 @@
     ran_ms = max(0, wall_ms - record.task(first).placed_ms)
     if step.checkpointing:
         ran_ms = min(ran_ms, RESTART_LOSS_MS)
-    weight = (
-        step.need.cpu_millis + MILLIS_PER_ACCELERATOR * step.need.accelerators
-    )
     queue = state.catalog.queue(record.queue)
     return PreemptibleUnit(
         tasks=tuple(tasks),
         need=room_lib.task_demand(step),
-        lost_work=ran_ms * len(tasks) * weight,
+        lost_work=ran_ms * len(tasks) * _weight(step),
         priority=queue.priority if queue is not None else 0,
         checkpoints=step.checkpointing,
+        restarted=any(run.run > 1 for run, _ in tasks),
         slack_ms=min(
             job_deadlines.running_slack_ms(run.task) for run, _ in tasks
         ),
@@ -139,29 +140,40 @@
     resources: room_lib.AvailableResources,
     candidates: list[PreemptibleUnit],
     evacuated: list[str],
+    run_ms: int,
 ) -> tuple[tuple[str, ...], list[PreemptibleUnit]] | None:
     """Returns a worker for each task of a unit and what to stop, or None.
 
-    Among the groups of workers, selects the one where preemption loses the
-    least work. Groups that don't satisfy the unit's rack preference are
-    considered only if no other group is possible.
+    Among the groups of workers, selects the one that costs the least work:
+    what preemption loses there and, where the unit's rack preference is not
+    satisfied, what the unit takes longer.
+
+    Args:
+      unit: Unit that waits.
+      resources: Workers and what runs on them.
+      candidates: Units that may be preempted, least lost work first.
+      evacuated: Failure domains where nothing may start.
+      run_ms: Expected duration of the unit, in milliseconds.
     """
-    for local_only in (True, False):
-        attempts = [
-            attempt
-            for group in placing.worker_groups(
-                unit, resources, evacuated, local_only=local_only
-            )
-            if (
-                attempt := _PreemptionAttempt(
-                    unit, resources, candidates, group
-                )
-            ).succeeded
-        ]
-        if attempts:
-            best = min(attempts, key=lambda attempt: attempt.lost_work)
-            return tuple(best.names), best.to_stop
-    return None
+    options = []
+    for local_only, factor in ((True, 0), (False, placing.REMOTE_FACTOR)):
+        remote_work = factor * run_ms * len(unit.indexes) * _weight(unit.step)
+        for group in placing.worker_groups(
+            unit, resources, evacuated, local_only=local_only
+        ):
+            attempt = _PreemptionAttempt(unit, resources, candidates, group)
+            if attempt.succeeded:
+                options.append((attempt.lost_work + remote_work, attempt))
+    if not options:
+        return None
+    _, best = min(options, key=lambda option: option[0])
+    return tuple(best.names), best.to_stop
+
+
+def _weight(step: batch.Step) -> int:
+    """Returns what a task takes, in thousandths of a core."""
+    accelerators = MILLIS_PER_ACCELERATOR * step.need.accelerators
+    return step.need.cpu_millis + accelerators
 
 
 class _PreemptionAttempt:
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 from collections.abc import Iterator
-from collections.abc import Mapping
 
 from bilberryroute.model import batch
 from bilberryroute.model import catalog as catalog_model
@@ -18,7 +17,7 @@
     state: batch.BatchState,
     guaranteed: set[str],
     wall_ms: int,
-    typical_ms: Mapping[str, int],
+    job_deadlines: deadlines.Deadlines,
 ) -> list[views.ReadyUnit]:
     """Returns all units that are ready to start, in order of rank.
 
@@ -26,7 +25,7 @@
       state: State of the batch jobs.
       guaranteed: Ids of the jobs within their accounts' guarantees.
       wall_ms: Unix time in milliseconds.
-      typical_ms: Typical measured duration of a task, by queue.
+      job_deadlines: Objectives and expected durations of the jobs.
     """
     ranked = []
     for record in state.jobs.values():
@@ -34,9 +33,7 @@
         if record.result is not None or queue is None:
             continue
         for unit in _ready_units_of(record, queue, wall_ms):
-            rank = _rank(
-                unit, guaranteed, wall_ms, typical_ms.get(queue.name, 0)
-            )
+            rank = _rank(unit, guaranteed, job_deadlines)
             ranked.append((rank, unit))
     ranked.sort(key=lambda pair: pair[0])
     return [dataclasses.replace(unit, rank=rank) for rank, unit in ranked]
@@ -77,7 +74,9 @@
 
 
 def _rank(
-    unit: views.ReadyUnit, guaranteed: set[str], wall_ms: int, typical_ms: int
+    unit: views.ReadyUnit,
+    guaranteed: set[str],
+    job_deadlines: deadlines.Deadlines,
 ) -> tuple[int, ...]:
     """Returns the sort key of a unit; lower keys are tried first.
 
@@ -87,15 +86,12 @@
     """
     if unit.record.id in guaranteed:
         return (0, 0, unit.due_since_ms, 0, unit.indexes[0])
-    objective_ms = deadlines.unit_objective_ms(unit, typical_ms)
-    deadline_ms = unit.due_since_ms + objective_ms
-    has_no_value = (
-        wall_ms > unit.due_since_ms + deadlines.ZERO_VALUE_FACTOR * objective_ms
-    )
+    prospect = job_deadlines.prospect(unit)
     return (
-        int(has_no_value),
+        int(prospect == deadlines.Prospect.WORTHLESS),
         1 + unit.queue.priority,
-        deadline_ms,
+        int(prospect),
+        job_deadlines.deadline_ms(unit),
         -unit.step.need.accelerators,
         unit.indexes[0],
     )
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -111,7 +111,7 @@
         advised = unit.queue.advised
         if advised and worker.ref.name not in self.permits(unit):
             return False
-        return _meets_constraints(unit, worker, evacuated)
+        return worker.open and meets_constraints(unit, worker, evacuated)
 
     def permits(self, unit: views.ReadyUnit) -> Mapping[str, str]:
         """Returns the permits of a unit's step, by worker."""
@@ -128,7 +128,8 @@
         fitting = [
             worker
             for worker in self.workers.values()
-            if _meets_constraints(unit, worker, evacuated)
+            if worker.open
+            and meets_constraints(unit, worker, evacuated)
             and worker.capacity.holds(need)
         ]
         fitting.sort(key=lambda w: not self.free[w.ref.name].holds(need))
@@ -207,13 +208,13 @@
         return free
 
 
-def _meets_constraints(
+def meets_constraints(
     unit: views.ReadyUnit, worker: views.WorkerSnapshot, evacuated: list[str]
 ) -> bool:
+    """Returns whether a worker that is open and idle may run a unit."""
     label = unit.step.required_label
     return (
-        worker.open
-        and worker.pool == unit.queue.pool
+        worker.pool == unit.queue.pool
         and worker.failure_domain not in evacuated
         and (not label or label in worker.labels)
     )
