--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -48,7 +48,8 @@
             (self.memory_mb, need.memory_mb),
             (self.accelerators, need.accelerators),
         )
-        return min((has // part for has, part in pairs if part), default=0)
+        fits = min((has // part for has, part in pairs if part), default=0)
+        return max(0, fits)  # What is free may be negative.
 
     def holds(self, need: "Resources") -> bool:
         """Returns whether `need` fits within these resources."""
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -39,6 +39,12 @@
     return None
 
 
+def has_preference(step: batch.Step) -> bool:
+    """Returns whether the tasks of a step run at full speed only in one rack."""
+    one_rack = step.gang and step.same_rack and step.count > 1
+    return bool(step.data_rack) or one_rack
+
+
 def worker_groups(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
@@ -56,10 +62,9 @@
     racks: dict[str, list[views.WorkerSnapshot]] = {}
     for worker in allowed:
         racks.setdefault(worker.rack, []).append(worker)
-    prefers_one_rack = step.gang and step.same_rack and step.count > 1
     if step.data_rack:
         rack_groups = [racks.get(step.data_rack, [])]
-    elif prefers_one_rack:
+    elif has_preference(step):
         # Smallest racks first, to keep large racks free for large gangs.
         rack_groups = sorted(racks.values(), key=len)
     else:
@@ -106,13 +111,19 @@
     remaining_spread = {
         name: resources.remaining_spread(unit, name) for name in free
     }
+    room = 0
+    for name, each in free.items():
+        spread = max(0, remaining_spread[name])
+        room += min(spread, each.multiple_of(need))
+        if room >= len(unit.indexes):
+            break
+    else:
+        return None
     names = []
     for _ in unit.indexes:
         fitting = [
             n for n in free if remaining_spread[n] > 0 and free[n].holds(need)
         ]
-        if not fitting:
-            return None
         best = min(
             fitting,
             key=lambda n: (
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -1,5 +1,6 @@
 """Plans one scheduling round of batch jobs, without I/O."""
 
+import bisect
 import dataclasses
 import types
 from collections.abc import Iterable
@@ -102,7 +103,7 @@
         self._reservation_count = 0
         self._waiting_unit_count = 0
         self._waiting_jobs: dict[str, tuple[int, ...]] = {}
-        self._local_delays_ms: dict[views.StepKey, int | None] = {}
+        self._fits: dict[views.StepKey, _FutureFit | None] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
 
     def run(self, ready: list[views.ReadyUnit]) -> views.BatchPlan:
@@ -154,8 +155,10 @@
         local = placing.place(
             unit, self._resources, available, evacuated, local_only=True
         )
-        if local is not None or self._waits_for_locality(unit):
+        if local is not None or not placing.has_preference(unit.step):
             return local
+        if self._waits_for_locality(unit):
+            return None
         return placing.place(
             unit, self._resources, available, evacuated, local_only=False
         )
@@ -168,12 +171,8 @@
         start there, it waits for workers that may come back, unless even they
         would not suffice.
         """
-        key = unit.step_key
-        if key not in self._local_delays_ms:
-            fit = self._earliest_fit(unit)
-            self._local_delays_ms[key] = fit and fit.delay_ms
-        delay_ms = self._local_delays_ms[key]
-        if delay_ms is None:
+        fit = self._earliest_fit(unit)
+        if fit is None:
             if self._is_wider_than_racks(unit):
                 return False
             max_wait_ms = min(
@@ -182,7 +181,7 @@
             )
             return self._wall_ms - unit.due_since_ms < max_wait_ms
         run_ms = self._job_deadlines.run_ms(unit)
-        return delay_ms < (placing.REMOTE_FACTOR - 1) * run_ms
+        return fit.delay_ms < (placing.REMOTE_FACTOR - 1) * run_ms
 
     def _is_wider_than_racks(self, unit: views.ReadyUnit) -> bool:
         return placing.is_wider_than_racks(
@@ -271,16 +270,35 @@
         return names
 
     def _earliest_fit(self, unit: views.ReadyUnit) -> _FutureFit | None:
-        """Returns the earliest expected fit of a unit, or None."""
-        for delay_ms in self._resources.expected_end_times():
-            available = self._resources.free_after(delay_ms)
-            names = placing.place(
-                unit,
-                self._resources,
-                available,
-                self._state.evacuated,
-                local_only=True,
-            )
-            if names is not None:
-                return _FutureFit(delay_ms=delay_ms, names=names)
-        return None
+        """Returns the earliest expected local fit of a unit, or None.
+
+        Computed once a round for each step: what is placed in between changes
+        it little.
+        """
+        key = unit.step_key
+        if key not in self._fits:
+            self._fits[key] = self._find_earliest_fit(unit)
+        return self._fits[key]
+
+    def _find_earliest_fit(self, unit: views.ReadyUnit) -> _FutureFit | None:
+        """Bisects the expected ends of runs, as more is free after each."""
+        delays_ms = self._resources.expected_end_times()
+        position = bisect.bisect_left(
+            delays_ms, True, key=lambda d: self._local_fit(unit, d) is not None
+        )
+        if position == len(delays_ms):
+            return None
+        delay_ms = delays_ms[position]
+        names = self._local_fit(unit, delay_ms)
+        return _FutureFit(delay_ms=delay_ms, names=names)
+
+    def _local_fit(
+        self, unit: views.ReadyUnit, delay_ms: int
+    ) -> tuple[str, ...] | None:
+        return placing.place(
+            unit,
+            self._resources,
+            self._resources.free_after(delay_ms),
+            self._state.evacuated,
+            local_only=True,
+        )
