Start guaranteed gangs in time although their rack is busy

Cause, found by reading: since units wait for their rack by forecast, a guaranteed gang could wait for up to twice its duration, and then claimed workers on several racks round after round without starting; it has to start within 2.7 s of its acceptance.

Change: a guaranteed unit waits for its rack only as long as for preemption (1.4 s).

Test: test_guaranteed_gang_starts_in_time_although_its_rack_is_busy, failed before.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -129,7 +129,7 @@
             self._permit_candidates[unit.step_key] = (
                 self._resources.permit_candidates(unit, self._state.evacuated)
             )
-        guaranteed = unit.rank[1] < FIRST_UNGUARANTEED_PRIORITY
+        guaranteed = _is_guaranteed(unit)
         available = (
             self._resources.free
             if guaranteed
@@ -169,17 +169,20 @@
         Elsewhere a unit takes `REMOTE_FACTOR` times as long, so it waits if it
         is expected to finish earlier that way. If no end of a run would let it
         start there, it waits for workers that may come back, unless even they
-        would not suffice.
+        would not suffice. A guaranteed unit waits no longer than for preemption.
         """
+        waited_ms = self._wall_ms - unit.due_since_ms
         fit = self._earliest_fit(unit)
         if fit is None:
-            if self._is_wider_than_racks(unit):
-                return False
             max_wait_ms = min(
                 LOCALITY_WAIT_MAX_MS,
                 LOCALITY_WAIT_SHARE * unit.step.estimate_ms,
             )
-            return self._wall_ms - unit.due_since_ms < max_wait_ms
+            return waited_ms < max_wait_ms and not self._is_wider_than_racks(
+                unit
+            )
+        if _is_guaranteed(unit):
+            return waited_ms + fit.delay_ms <= GUARANTEE_WAIT_MS
         run_ms = self._job_deadlines.run_ms(unit)
         return fit.delay_ms < (placing.REMOTE_FACTOR - 1) * run_ms
 
@@ -302,3 +305,7 @@
             self._state.evacuated,
             local_only=True,
         )
+
+
+def _is_guaranteed(unit: views.ReadyUnit) -> bool:
+    return unit.rank[1] < FIRST_UNGUARANTEED_PRIORITY
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -74,6 +74,21 @@
     assert (decided.units == ()) == waits
 
 
+def test_guaranteed_gang_starts_in_time_although_its_rack_is_busy(log):
+    """It has to start within 2.7 s, and its rack is free only after 6 s."""
+    log.submit("busy", batches.content(batches.step(1, 8)))
+    commit(log, plan(log, batches.worker("w3", "r2")))
+    log.now += 100_000  # Stopping it would lose too much work.
+    gang = batches.step(
+        2, 4, gang=True, same_rack=True, spread_limit=1, estimate_ms=5_000
+    )
+    log.submit("own", batches.content(gang), "urgent")
+    workers = (*APART, batches.worker("w3", "r2"))
+    left = {(batches.task("busy"), 1): 6_000}
+    decided = planner.plan(log.held, workers, left, log.now + 1_500)
+    assert [unit.job_id for unit in decided.units] == ["own"]
+
+
 def test_gang_wider_than_any_rack_starts_at_once(log):
     """Waiting would make it late, as it takes three times as long anyway."""
     log.submit("j1", batches.content(ONE_RACK))
