Introduce replicas to seeds that keep no replica

Those that started again knew nothing but these hosts, which knew only each other: no entry and no agent found the leader again, although the three replicas had elected one within 0.8 s.

Change: a replica greets the seeds that are no members once a second; a host that only refers keeps the replicas that greet it, for its own client, for agents and for joining replicas. A replica reads the seeds in the platform's settings file once a second, as the file may change without a signal.

--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+from collections.abc import Iterable
 
 import grpc.aio
 from mode import Service
@@ -29,6 +30,7 @@
 RETAINED_LOG_DIVISOR = 4
 REJOIN_INTERVAL_MS = clock_lib.Millis(1_000)
 REOPEN_INTERVAL_MS = clock_lib.Millis(1_000)
+INTRODUCTION_INTERVAL_MS = clock_lib.Millis(1_000)
 # How long a leader that steps down waits for a successor. Allows for some
 # round trips between failure domains and a disk that syncs slowly.
 HAND_OVER_TIMEOUT_MS = clock_lib.Millis(500)
@@ -79,6 +81,7 @@
         self.applied_cell = blackboard.Cell(0)
         self.failure: errors.BilberryrouteError | None = None
         self._initial_state = applier.snapshot()
+        self._seeds = frozenset(m.grpc for m in cfg.members)
 
     def register(self, server: grpc.aio.Server) -> None:
         """Adds the handler for other replicas; call before the server starts."""
@@ -136,6 +139,10 @@
             return self._core is not None
         return self._core.hears(member_id, self._clock.now())
 
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Sets the gRPC addresses at which new processes look for a replica."""
+        self._seeds = frozenset(addresses)
+
     async def read_barrier(self) -> None:
         """Waits until this leader has applied an entry of its own term.
 
@@ -287,6 +294,20 @@
                 return
             await self.sleep(clock_lib.seconds(founding.RETRY_MS))
 
+    @Service.task
+    async def _introduce_to_seeds(self) -> None:
+        """Greets the seeds that are no members.
+
+        Hosts without a replica may become seeds. Processes that have just
+        started know nothing else, so these hosts have to know the replicas.
+        """
+        while not self.should_stop and self._cfg.policy.repairs_itself:
+            await self.sleep(clock_lib.seconds(INTRODUCTION_INTERVAL_MS))
+            if self._group and self.failure is None:
+                known = {m.address.grpc for m in self.members()}
+                strangers = self._seeds - known - {self._cfg.address.grpc}
+                await founding.greet_all(self._hello(), sorted(strangers))
+
     @Service.task
     async def _rejoin_group(self) -> None:
         """Asks to be admitted again while no leader sends anything.
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -184,6 +184,10 @@
             r.id: r.grpc for r in self._cfg.replicas
         }
 
+    def learn_replica(self, replica_id: str, address: str) -> None:
+        """Records a replica that the settings may not name."""
+        self._learned_addresses[replica_id] = address
+
     def _suspect(self, address: str) -> None:
         """Avoids an unresponsive replica for `SUSPICION_MS`."""
         self._suspected_until[address] = self._clock.now() + SUSPICION_MS
@@ -194,7 +198,7 @@
     def _learn_leader(self, exc: errors.NotLeader) -> None:
         """Records the address of a leader that the settings may not name."""
         if exc.leader_id and exc.leader_address:
-            self._learned_addresses[exc.leader_id] = exc.leader_address
+            self.learn_replica(exc.leader_id, exc.leader_address)
 
     def _switch_leader(self, leader_id: str | None) -> None:
         """Switches to the given leader, or to the next replica if there is none."""
--- a/bilberryroute/entry/referrals.py
+++ b/bilberryroute/entry/referrals.py
@@ -18,6 +18,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import greeting
+from bilberryroute.consensus import records
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import control as control_lib
 from bilberryroute.model import control
@@ -116,6 +117,21 @@
         addresses = {r.id: r.grpc for r in self.board.replicas.get()}
         return errors.NotLeader(leader_id or None, addresses.get(leader_id, ""))
 
+    def _learn(self, hello: greeting.Hello) -> None:
+        """Records a replica that belongs to the group."""
+        if not hello.group:
+            return
+        contact = wire.ReplicaContact(
+            id=records.replica_id(hello.id),
+            grpc=hello.grpc,
+            datagram=hello.datagram,
+        )
+        self.control.learn_replica(contact.id, contact.grpc)
+        replicas = self.board.replicas.get()
+        if contact not in replicas:
+            others = tuple(r for r in replicas if r.id != contact.id)
+            self.board.replicas.set((*others, contact))
+
     def _handlers(self) -> tuple[grpc.GenericRpcHandler, ...]:
         unary = grpc.unary_unary_rpc_method_handler(self._refuse)
         names = (methods.PROPOSE, methods.QUERY, methods.CHANGE_MEMBERS)
@@ -157,7 +173,8 @@
         self, payload: bytes, context: grpc.aio.ServicerContext
     ) -> bytes:
         """Names the leader; the empty identity never counts as a founder."""
-        del payload, context
+        del context
+        self._learn(greeting.decode(payload))
         hello = greeting.Hello(
             id="",
             group="",
--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -14,7 +14,9 @@
 from bilberryroute.entry import referrals
 from bilberryroute.platform import applications
 from bilberryroute.platform import catalog
+from bilberryroute.platform import seeds
 from bilberryroute.platform import settings as platform_settings
+from bilberryroute.replica import service as replica_service
 from bilberryroute.transport import http as http_lib
 
 # Operators try another host after a second without an answer.
@@ -38,6 +40,9 @@
     server = http_lib.HttpServer(
         operators_api.application(metrics), place.addresses.control, cfg.limits
     )
+    if isinstance(role, replica_service.ReplicaRole) and place.path:
+        group = role.parts.group
+        started.append(seeds.SeedWatcher(place, group.set_seeds))
     return [*started, server]
 
 
--- /dev/null
+++ b/bilberryroute/platform/seeds.py
@@ -0,0 +1,55 @@
+"""Watches the platform's settings file for other seeds."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import mode
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import settings
+from bilberryroute.platform import settings as platform_settings
+
+READ_INTERVAL_MS = clock_lib.Millis(1_000)
+
+
+class SeedWatcher(mode.Service):
+    """Passes on the seeds whenever the file names others.
+
+    The platform may replace the file at any time, with or without a signal.
+    """
+
+    def __init__(
+        self,
+        place: platform_settings.PlatformSettings,
+        on_change: Callable[[Iterable[str]], None],
+    ):
+        super().__init__()
+        self._path = place.path
+        self._known = _addresses(place.settings)
+        self._on_change = on_change
+
+    @mode.Service.task
+    async def _watch(self) -> None:
+        while not self.should_stop:
+            await self.sleep(clock_lib.seconds(READ_INTERVAL_MS))
+            self.check()
+
+    def check(self) -> None:
+        """Reads the file once."""
+        try:
+            place = platform_settings.load(
+                self._path, settings.ProcessRole.REPLICA
+            )
+        except errors.SettingsError as exc:
+            self.log.warning("seeds are unchanged: %s", exc)
+            return
+        addresses = _addresses(place.settings)
+        if addresses != self._known:
+            self._known = addresses
+            self.log.info("seeds changed", extra={"seeds": sorted(addresses)})
+            self._on_change(addresses)
+
+
+def _addresses(cfg: settings.Settings) -> frozenset[str]:
+    return frozenset(replica.grpc for replica in cfg.replicas)
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -113,11 +113,13 @@
     Attributes:
       settings: The project's settings.
       addresses: Addresses of the APIs for the platform.
+      path: Path of the settings file.
       advisor: Address of the advisory service, or empty.
     """
 
     settings: settings.Settings
     addresses: ApiAddresses
+    path: str = ""
     advisor: str = ""
 
 
@@ -135,7 +137,7 @@
             f"the platform's settings {path} cannot be used: {exc}",
             remedy=f"Check the file that {VARIABLE} names.",
         ) from exc
-    return _translate(node, role)
+    return dataclasses.replace(_translate(node, role), path=path)
 
 
 def _translate(node: _File, role: settings.ProcessRole) -> PlatformSettings:
--- a/tests/entry/test_referrals.py
+++ b/tests/entry/test_referrals.py
@@ -16,6 +16,7 @@
 from bilberryroute.model import commands
 from bilberryroute.model import wire
 from bilberryroute.transport import codec
+from tests.consensus import test_rejoining
 from tests.entry import test_control
 from tests.utils import environment
 from tests.utils import ports
@@ -122,6 +123,30 @@
     assert grant.replicas == {"r4": LEADER_DATAGRAM}
 
 
+async def test_replica_introduces_itself_to_a_seed_that_is_none(tmp_path):
+    """After a restart of all, the seeds may all be hosts without a replica."""
+    listen = settings.Listen(
+        grpc=ports.free_address(), datagram=ports.free_address()
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    seed = referrals.ReferralRole(
+        _settings("h1", listen.grpc, listen), env, metrics_lib.Metrics()
+    )
+    replica = test_rejoining.Replica("r4", tmp_path)
+    async with seed:
+        await replica.start((replica.address,))
+        replica.group.set_seeds([listen.grpc, replica.address.grpc])
+        try:
+            async with asyncio.timeout(5):
+                while not seed.board.replicas.get():
+                    await asyncio.sleep(0.02)
+        finally:
+            await replica.stop()
+    known = wire.ReplicaContact(id="r4", grpc=replica.address.grpc)
+    assert seed.board.replicas.get() == (known,)
+    assert seed.control._addresses()["r4"] == replica.address.grpc
+
+
 class _Receiver(asyncio.DatagramProtocol):
     """Keeps the first datagram."""
 
