--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import sys
 
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import jobs
@@ -42,14 +43,18 @@
         )
 
     def multiple_of(self, need: "Resources") -> int:
-        """Returns how often `need` fits within these resources."""
+        """Returns how often `need` fits within these resources.
+
+        A need of nothing fits more often than any step has tasks.
+        """
         pairs = (
             (self.cpu_millis, need.cpu_millis),
             (self.memory_mb, need.memory_mb),
             (self.accelerators, need.accelerators),
         )
-        fits = min((has // part for has, part in pairs if part), default=0)
-        return max(0, fits)  # What is free may be negative.
+        fits = (has // part for has, part in pairs if part)
+        # What is free may be negative.
+        return max(0, min(fits, default=sys.maxsize))
 
     def holds(self, need: "Resources") -> bool:
         """Returns whether `need` fits within these resources."""
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -146,6 +146,13 @@
     assert [unit.occurrence for unit in due] == [0, 1]
 
 
+def test_fill_without_memory_or_accelerators_is_placed(log):
+    """It takes what others leave, so it counts as nothing."""
+    need = batch.Resources(cpu_millis=4_000)
+    log.submit("j1", batches.content(batches.step(2, need=need, fills=True)))
+    assert len(plan(log, batches.worker()).units) == 2
+
+
 def test_worker_capacity_is_never_exceeded(log):
     for number in range(20):
         log.submit(f"j{number}", batches.content(batches.step(2, 3)))
