Let guaranteed gangs wait for their rack until preemption; record results

Since a guaranteed gang whose rack was not free within 1.4 s went to several racks at once, where it takes three times as long, instead of waiting those 1.4 s for a run to end or a cheap preemption.

Change: it waits until then, and starts on several racks after that.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -182,7 +182,7 @@
                 unit
             )
         if _is_guaranteed(unit):
-            return waited_ms + fit.delay_ms <= GUARANTEE_WAIT_MS
+            return waited_ms < GUARANTEE_WAIT_MS
         run_ms = self._job_deadlines.run_ms(unit)
         return fit.delay_ms < (placing.REMOTE_FACTOR - 1) * run_ms
 
