Let only seeds found the group; drop two functions without a caller

Cause, found in the last read of the change: a replica on the platform appends its own address to the seeds', and the smallest id of that list founds. A replica that is no seed and whose id sorts first could found a second group beside that of the seeds in the first second. Two majorities can't arise, since both need the same seeds, but replicas would stay bound to the group that lost. Two replicas a failure domain make that more likely.

Change: a replica may found only if its address is among the seeds. unit_objective_ms and critical_path_ms lost their last caller when units were ranked by what their job can still earn; they go.

Test: test_replica_that_is_no_seed_knows_itself, failed before.

--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -160,7 +160,8 @@
         listen=_listen(node, role),
         replicas=tuple(replicas),
         group=settings.Group(
-            may_found=node.bootstrap,
+            # Others would found a second group beside that of the seeds.
+            may_found=node.bootstrap and node.ip in seeds,
             repairs_itself=True,
             size=2 * node.fault_tolerance.machines + 1,
         ),
--- a/bilberryroute/scheduling/batch/deadlines.py
+++ b/bilberryroute/scheduling/batch/deadlines.py
@@ -16,21 +16,6 @@
 ZERO_VALUE_FACTOR = 3
 
 
-def unit_objective_ms(unit: views.ReadyUnit, typical_ms: int) -> int:
-    """Returns the completion time objective of a job, in milliseconds.
-
-    The typical duration of the queue's tasks is a lower bound of the estimate
-    that the objective is computed from.
-    """
-    path_ms = max(critical_path_ms(unit.record.content), typical_ms)
-    return _objective_ms(unit.queue, path_ms)
-
-
-def critical_path_ms(content: batch.Content) -> int:
-    """Returns the estimated duration of the longest chain of steps."""
-    return max(_finish_times([s.estimate_ms for s in content.steps], content))
-
-
 def _objective_ms(queue: catalog_model.Queue, path_ms: int) -> int:
     return int(queue.slack_factor * path_ms) + queue.target_ms
 
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -266,6 +266,7 @@
         settings_file, settings.ProcessRole.REPLICA
     ).settings
     assert cfg.replica_id in [r.id for r in cfg.replicas]
+    assert not cfg.group.may_found  # The seeds alone found the group.
 
 
 def test_file_without_its_fields_names_the_remedy(tmp_path):
