Say in the log and metrics why a run was lost with its worker

Cause: several things end a run with its worker, and all were logged as `lost`: a crash of the worker, a loss of power of its host, a worker that was taken away, and silence until the lease had expired. The trace of a task that crashes its workers looked like that of one on failing hosts.

Change: an agent that goes on while its worker restarts without notice reports the runs that it had ordered there as `crashed`. The leader says `withdrawn` for a worker that announced its end and `restarted` for one that nobody saw; `lost` is left for silence. The counter bilberryroute_run_ends_total has the outcome. No decision depends on the new words yet.

Tests: test_run_on_a_crashed_worker_is_reported_as_crashed, test_run_on_a_worker_that_withdrew_has_not_crashed_it, test_run_lost_with_its_worker_says_why; the first and the last failed before.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -99,8 +99,25 @@
             "worker announced",
             extra={"worker": announcement.name, "born": announcement.born},
         )
+        previous = self._worker
+        crashed_runs = (
+            previous.runs_ended_by_crash()
+            if previous is not None
+            else frozenset()
+        )
+        if crashed_runs:
+            logger.info(
+                "worker has crashed",
+                extra={
+                    "worker": announcement.name,
+                    "born": previous.announced.born,
+                    "runs": len(crashed_runs),
+                },
+            )
         self._worker = life_lib.WorkerIncarnation(
-            announced=announcement, last_answer_ms=self._clock.now()
+            announced=announcement,
+            last_answer_ms=self._clock.now(),
+            crashed_runs=crashed_runs,
         )
         self._poll_soon.set()
 
@@ -342,6 +359,7 @@
             payloads=frozenset(board.payloads.get()),
             listing=worker.listing,
             progress=worker.progress,
+            crashed_runs=worker.crashed_runs,
         )
 
     async def _start(
@@ -364,6 +382,7 @@
             until_ms=until_ms,
             fence=lease.term,
         )
+        state.start_sent = True
         try:
             answer = await self._port.start_run(worker.announced.address, order)
         except errors.BilberryrouteError as exc:
@@ -435,7 +454,10 @@
             return ()
         if not worker.earlier_runs_barred:
             return ()
-        ends = worker.listing.ends + run_plan.inferred_ends(
-            self._plan_input(worker)
+        plan_input = self._plan_input(worker)
+        ends = (
+            *worker.listing.ends,
+            *run_plan.inferred_ends(plan_input),
+            *run_plan.crash_ends(plan_input),
         )
         return (worker.report(ends),)
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -43,6 +43,7 @@
       clock_ms: Worker's clock when it confirmed the start or the stop; only
         a later listing proves that the run is absent.
       call_in_flight: Whether a call on the run awaits its answer.
+      start_sent: Whether a start was sent, answered or not.
       outcome_if_absent: Outcome to report if the worker does not list the
         run.
     """
@@ -50,6 +51,7 @@
     phase: RunPhase = RunPhase.PENDING
     clock_ms: int = 0
     call_in_flight: bool = False
+    start_sent: bool = False
     outcome_if_absent: batch.RunOutcome = batch.RunOutcome.ABSENT
 
 
@@ -67,6 +69,7 @@
       payloads: IDs of the batch jobs whose payload the agent has.
       listing: The worker's newest listing.
       progress: Progress by run.
+      crashed_runs: Runs that ended by a crash of the incarnation before.
     """
 
     worker: batch.WorkerRef
@@ -77,6 +80,7 @@
     payloads: frozenset[str]
     listing: worker_port.Listing
     progress: dict[RunKey, RunProgress]
+    crashed_runs: frozenset[RunKey] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -182,6 +186,21 @@
     return tuple(ends)
 
 
+def crash_ends(plan_input: RunPlanInput) -> tuple[wire.EndReport, ...]:
+    """Returns ends for the desired runs that a crash of the worker ended."""
+    return tuple(
+        wire.EndReport(
+            number=0,
+            task=run.task,
+            run=run.run,
+            outcome=batch.RunOutcome.CRASHED,
+        )
+        for run in plan_input.desired
+        if run.worker != plan_input.worker
+        and (run.task, run.run) in plan_input.crashed_runs
+    )
+
+
 def apply_start_answer(
     state: RunProgress, answer: worker_port.StartAnswer
 ) -> None:
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -23,6 +23,7 @@
       over: Whether the incarnation has ended, and all its runs with it.
       earlier_runs_barred: Whether the runs meant for earlier incarnations
         are barred here.
+      crashed_runs: Runs of the incarnation before, if that has crashed.
     """
 
     announced: worker_port.BatchWorkerAnnouncement
@@ -36,6 +37,7 @@
     withdrawn: bool = False
     over: bool = False
     earlier_runs_barred: bool = False
+    crashed_runs: frozenset[run_plan.RunKey] = frozenset()
 
     def is_newer(
         self, announcement: worker_port.BatchWorkerAnnouncement
@@ -54,6 +56,26 @@
         """Returns the progress of a run; creates it if there is none."""
         return self.progress.setdefault(key, run_plan.RunProgress())
 
+    def runs_ended_by_crash(self) -> frozenset[run_plan.RunKey]:
+        """Returns the runs that end if a new incarnation takes over now.
+
+        Includes those whose start was not answered: it may have crashed the
+        worker. A worker that announced its end has not crashed.
+        """
+        if self.over or self.announced.draining:
+            return frozenset()
+        begun = {
+            key
+            for key, progress in self.progress.items()
+            if progress.phase == run_plan.RunPhase.STARTED
+            or progress.start_sent
+        }
+        ended: set[run_plan.RunKey] = set()
+        if self.listing is not None:
+            begun |= {(run.task, run.run) for run in self.listing.running}
+            ended = {(end.task, end.run) for end in self.listing.ends}
+        return frozenset(begun - ended) | self.crashed_runs
+
     def ref(self, agent: str) -> batch.WorkerRef:
         """Returns the leader's reference to this incarnation."""
         return batch.WorkerRef(
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -60,6 +60,7 @@
       log_lines_dropped: Log lines dropped as their reader lagged.
       accept_ms: Time of a call that submits a batch job, by `outcome`.
       first_start_ms: Time from acceptance to the first placement, by `queue`.
+      run_ends: Ends of runs that this leader committed, by `outcome`.
       commit_ms: Time from proposal to result, by `kind` of the command.
       round_ms: Time that the planner took for one round.
     """
@@ -75,6 +76,8 @@
         self.requests = self._counter("requests_total", "Requests ended.")
         self.commands = self._counter("commands_total", "Commands applied.")
 
+        self.run_ends = self._counter("run_ends_total", "Runs ended.")
+
         self.in_flight = self._gauge("in_flight", "Requests being run.")
         self.queue_length = self._gauge("queue_length", "Waiting.")
         self.lease_left_ms = self._gauge("lease_left_ms", "Lease left.")
--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -174,8 +174,12 @@
     """How one run of a task ended.
 
     The worker reports `DONE` to `ALONE`. The agent reports `REJECTED` and
-    `ABSENT`: the run never started and never will. The leader sets `LOST`:
-    the worker's incarnation ended, or its lease has expired.
+    `ABSENT`: the run never started and never will; and `CRASHED`: the worker
+    restarted without notice while its agent went on.
+
+    The leader sets the others. `WITHDRAWN`: the worker announced its end.
+    `RESTARTED`: the worker has restarted and no agent saw why, as after a loss
+    of power. `LOST`: the worker was silent until its lease had expired.
     """
 
     DONE = "done"
@@ -187,6 +191,9 @@
     REJECTED = "rejected"
     ABSENT = "absent"
     LOST = "lost"
+    CRASHED = "crashed"
+    WITHDRAWN = "withdrawn"
+    RESTARTED = "restarted"
 
 
 class TaskState(enum.StrEnum):
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -175,6 +175,8 @@
             command = batching.EndRuns(ends=tuple(ends), at_ms=0)
             if await self._proposer.try_propose(command) is None:
                 return
+            for end in ends:
+                self._metrics.run_ends.inc({"outcome": str(end.outcome)})
             batch_log.log_ended(ends, self._batch_state)
         agents = batch_ends.update_committed_ends(
             self._batch_state, self._board
--- a/bilberryroute/replica/batch_ends.py
+++ b/bilberryroute/replica/batch_ends.py
@@ -59,37 +59,43 @@
     for task_ids in batch_state.placed.values():
         for task_id in task_ids:
             task = batch_state.jobs[task_id.job_id].task(task_id)
-            if _has_certainly_ended(task.worker, board, now, fence_ms):
+            outcome = _certain_end(task.worker, board, now, fence_ms)
+            if outcome is not None:
                 ends.append(
                     batching.RunEnd(
                         task=task_id,
                         run=task.run,
-                        outcome=batch.RunOutcome.LOST,
+                        outcome=outcome,
                         saved=task.saved,
                     )
                 )
     return ends
 
 
-def _has_certainly_ended(
+def _certain_end(
     ref: batch.WorkerRef,
     board: board_lib.ReplicaBoard,
     now: clock_lib.Millis,
     fence_ms: int,
-) -> bool:
-    """Returns whether a worker is replaced, over or silent for `fence_ms`."""
+) -> batch.RunOutcome | None:
+    """Returns how an incarnation of a worker has ended its runs, or None.
+
+    A crash that the agent saw is among the ends that it reports.
+    """
     agent = board.agents.get().get(ref.agent)
     for report in agent.renewal.batch if agent is not None else ():
         # A host runs one worker at a time: a newer one replaces the older.
-        if report.born > ref.born or (report.over and report.born == ref.born):
-            return True
+        if report.born > ref.born:
+            return batch.RunOutcome.RESTARTED
+        if report.over and report.born == ref.born:
+            return batch.RunOutcome.WITHDRAWN
     last_seen = board.term.get().began
     worker = board.batch_workers.get().get(ref.name)
     if worker is not None:
         if worker.report.born > ref.born:
-            return True
+            return batch.RunOutcome.RESTARTED
         last_seen = max(last_seen, worker.last_seen_ms)
-    return now - last_seen > fence_ms
+    return batch.RunOutcome.LOST if now - last_seen > fence_ms else None
 
 
 def update_committed_ends(
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -330,3 +330,36 @@
     harness.port.down = True
     harness.clock.advance(batch_lib.SILENT_MS + 1)
     await harness.until(lambda: harness.board.batch.get() == ())
+
+
+async def outcomes(harness) -> list[str]:
+    """Returns the outcomes reported by the second incarnation."""
+    await harness.until(
+        lambda: harness.board.batch.get()
+        and harness.board.batch.get()[0].born == 2
+    )
+    return [end.outcome for end in harness.board.batch.get()[0].ends]
+
+
+async def restart_worker(harness):
+    harness.port.running.clear()
+    harness.port.born = 2
+    harness.port.clock_ms = 0
+    harness.announce(born=2)
+
+
+async def test_run_on_a_crashed_worker_is_reported_as_crashed(harness):
+    harness.announce()
+    harness.desire(desired())
+    await harness.until(lambda: harness.port.calls)
+    await restart_worker(harness)
+    assert await outcomes(harness) == ["crashed"]
+
+
+async def test_run_on_a_worker_that_withdrew_has_not_crashed_it(harness):
+    harness.announce()
+    harness.desire(desired())
+    await harness.until(lambda: harness.port.calls)
+    harness.agent.withdraw("w1")
+    await restart_worker(harness)
+    assert await outcomes(harness) == []
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -131,6 +131,18 @@
     assert len(lost(parts)) == 1
 
 
+@pytest.mark.parametrize(
+    "changes, outcome",
+    [
+        ({"born": 2}, batch.RunOutcome.RESTARTED),
+        ({"born": 1, "over": True}, batch.RunOutcome.WITHDRAWN),
+    ],
+)
+def test_run_lost_with_its_worker_says_why(parts, log, changes, outcome):
+    report_now(parts, report(**changes))
+    assert [end.outcome for end in lost(parts)] == [outcome]
+
+
 def test_run_of_the_current_incarnation_continues(parts, log):
     report_now(parts, report(born=1))
     assert lost(parts) == []
