Send no start to a worker that may have restarted

Cause, found while tracing tasks that crash their workers: a start that crashes the worker gets no answer. The agent repeated it until it heard of the new incarnation. That one has the same name and address, so it accepted the start of a run that was meant for its predecessor: one more crash, which no list of runs shows.

Change: after a call without an answer nothing is started until the worker has answered a poll, which says which incarnation it is; the poll is sent at once.

Tests: test_start_that_may_have_crashed_the_worker_is_not_repeated and test_start_that_crashes_the_worker_unanswered_is_reported; both fail without the change. test_unanswered_start_is_repeated_with_its_run_number still holds. Measured: tests/agent 148 passed.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -212,6 +212,7 @@
             self._handle_refused_connection(worker, exc)
             await self._pause(RETRY_MS)
         except errors.BilberryrouteError as exc:
+            worker.unanswered = True
             self._metrics.retried("worker_silent")
             logger.debug("worker does not answer: %s", exc)
             await self._pause(RETRY_MS)
@@ -242,6 +243,7 @@
         if known is not None and listing.clock_ms <= known.clock_ms:
             return  # Older than the newest listing.
         worker.listing = listing
+        worker.unanswered = False
         worker.listing_received_ms = worker.last_answer_ms
         self._wake.set()
 
@@ -265,6 +267,7 @@
         self, worker: life_lib.WorkerIncarnation, exc: worker_port.WorkerDown
     ) -> None:
         now = self._clock.now()
+        worker.unanswered = True
         if worker.down_since_ms is None:
             worker.down_since_ms = now
             logger.info("worker refuses connections: %s", exc)
@@ -347,6 +350,12 @@
             or announcement.failure_domain in desired.evacuated
         )
         leased = board.lease.get().left(self._clock.now()) > 0
+        may_start = (
+            leased
+            and not closed
+            and not board.draining.get()
+            and not worker.unanswered
+        )
         return run_plan.RunPlanInput(
             worker=worker.ref(self._cfg.host),
             desired=desired.runs,
@@ -354,7 +363,7 @@
                 announcement.name, announcement.born
             )
             in board.covered.get(),
-            may_start=leased and not closed and not board.draining.get(),
+            may_start=may_start,
             closed=closed,
             payloads=frozenset(board.payloads.get()),
             listing=worker.listing,
@@ -386,8 +395,10 @@
         try:
             answer = await self._port.start_run(worker.announced.address, order)
         except errors.BilberryrouteError as exc:
+            worker.unanswered = True
             self._metrics.retried("start_unanswered")
             logger.info("start unanswered: %s", exc, extra=fields)
+            self._poll_soon.set()
             await self._pause(RETRY_MS)
         else:
             run_plan.apply_start_answer(state, answer)
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -19,6 +19,8 @@
       listing_received_ms: Agent's clock when the newest listing arrived.
       last_answer_ms: Agent's clock at the last answer of any kind.
       down_since_ms: When connections were first refused; None if accepted.
+      unanswered: Whether a call was not answered since the newest listing: the
+        worker may have restarted.
       withdrawn: Whether the worker has announced that it ends.
       over: Whether the incarnation has ended, and all its runs with it.
       earlier_runs_barred: Whether the runs meant for earlier incarnations
@@ -34,6 +36,7 @@
     listing_received_ms: int = 0
     last_answer_ms: int = 0
     down_since_ms: int | None = None
+    unanswered: bool = False
     withdrawn: bool = False
     over: bool = False
     earlier_runs_barred: bool = False
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -356,6 +356,15 @@
     assert await outcomes(harness) == ["crashed"]
 
 
+async def test_start_that_crashes_the_worker_unanswered_is_reported(harness):
+    harness.port.unanswered = {"start"}
+    harness.announce()
+    harness.desire(desired())
+    await harness.until(lambda: harness.agent._worker.unanswered)
+    await restart_worker(harness)
+    assert await outcomes(harness) == ["crashed"]
+
+
 async def test_run_on_a_worker_that_withdrew_has_not_crashed_it(harness):
     harness.announce()
     harness.desire(desired())
@@ -363,3 +372,18 @@
     harness.agent.withdraw("w1")
     await restart_worker(harness)
     assert await outcomes(harness) == []
+
+
+async def test_start_that_may_have_crashed_the_worker_is_not_repeated(harness):
+    """The restarted worker accepts it, as it has the same name."""
+    harness.port.unanswered = {"start"}
+    harness.announce()
+    harness.desire(desired())
+    await harness.until(lambda: harness.agent._worker.unanswered)
+    harness.port.down = True
+    harness.port.unanswered = set()
+    await asyncio.sleep(0.3)
+    await restart_worker(harness)
+    harness.port.down = False
+    assert await outcomes(harness) == ["crashed"]
+    assert ("start", TASK, 1) not in harness.port.calls
