Count crashes of workers under tasks, and give up what causes them

Cause: only runs that end `failed` count against a job's attempts; nothing bounds the restarts after a crash.

A unit that crashes a worker twice while nothing else ran there has its job ended as failed; crashes beside others prove nothing and never end a job. A crash of a unit that was alone also explains the earlier ones that it was part of, which clears its neighbours. Loss of power, withdrawal and silence don't count, nor does the crash under a run of over ten minutes.

Ruled out: to count crashes whoever else was there.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -205,6 +205,27 @@
     DONE = "done"
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crash:
+    """A crash of a worker that ended a run.
+
+    Attributes:
+      worker: Incarnation that crashed.
+      run: Number of the run.
+      ran_ms: Time from the placement of the run to its end, in milliseconds.
+      alone: Whether no other unit ran on the worker, so that this one has
+        caused the crash.
+      explained: Whether another unit has since proved to crash workers and may
+        have caused this crash too.
+    """
+
+    worker: WorkerRef
+    run: int
+    ran_ms: int
+    alone: bool = False
+    explained: bool = False
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class TaskRecord:
     """A task and its current run.
@@ -216,7 +237,8 @@
       saved: Newest checkpoint, or empty.
       resumed: Checkpoint that the present run begins with, or empty.
       permit: Permit of an advisory service for the present run, or empty.
-      placed_ms: Unix time of the placement, in milliseconds.
+      placed_ms: Unix time of the last placement, in milliseconds.
+      crashes: Crashes of workers that ended its runs.
     """
 
     state: TaskState = TaskState.WAITING
@@ -227,6 +249,7 @@
     resumed: str = ""
     permit: str = ""
     placed_ms: int = 0
+    crashes: list[Crash] = dataclasses.field(default_factory=list)
 
     @property
     def active(self) -> bool:
@@ -256,6 +279,11 @@
         """Says whether every task is done."""
         return self.done or all(t.state == TaskState.DONE for t in self.tasks)
 
+    def crashes(self, index: int, *, gang: bool) -> list[Crash]:
+        """Returns the crashes under a task, or under any member of a gang."""
+        tasks = self.tasks if gang else self.tasks[index : index + 1]
+        return [crash for task in tasks for crash in task.crashes]
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class BatchRecord:
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -9,7 +9,9 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
+from bilberryroute.model import crashes as crash_model
 from bilberryroute.model import jobs
+from bilberryroute.state import crashes as crash_rules
 from bilberryroute.state import records
 
 _CHANGED = commands.Changed(revision=0)
@@ -317,9 +319,17 @@
     batch_state: batch.BatchState, command: batching.EndRuns
 ) -> commands.Result:
     changed = False
+    alone = crash_rules.workers_with_one_unit(batch_state, command.ends)
     for end in command.ends:
         task = _active_task(batch_state, end.task, end.run)
         if task is not None:
+            if end.outcome == batch.RunOutcome.CRASHED:
+                crash_rules.record_crash(
+                    task,
+                    task.worker,
+                    command.at_ms,
+                    alone=task.worker in alone,
+                )
             _end_run(
                 batch_state,
                 batch_state.jobs[end.task.job_id],
@@ -328,6 +338,7 @@
                 command.at_ms,
             )
             changed = True
+    crash_rules.explain_crashes(batch_state, command.ends)
     return _CHANGED if changed else commands.Unchanged(reason="already ended")
 
 
@@ -399,6 +410,16 @@
         reason = f"step {task_id.step} failed {failures} times"
         _end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
+    crashes = crash_rules.crashes_alone(
+        crash_model.unit_crashes(record, task_id)
+    )
+    if (
+        crashes >= crash_rules.MAX_CRASHES_ALONE
+        and task.state != batch.TaskState.DONE
+    ):
+        reason = f"step {task_id.step} crashed its worker {crashes} times"
+        _end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
+        return
     if task.state == batch.TaskState.DONE and all(
         s.finished() and not any(t.active for t in s.tasks) for s in steps
     ):
--- /dev/null
+++ b/bilberryroute/state/crashes.py
@@ -0,0 +1,109 @@
+"""Records crashes of workers under the tasks that ran there."""
+
+import dataclasses
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import crashes as crash_model
+
+# Runs of a unit that crashed a worker on which it was alone, after which its
+# job is given up. A second one rules out a crash by chance.
+MAX_CRASHES_ALONE = 2
+# A run that went on for longer is not suspected of a crash.
+BLAMED_RUN_MS = 10 * 60 * 1_000
+
+
+def crashes_alone(crashes: Iterable[batch.Crash]) -> int:
+    """Returns the number of runs of a unit that crashed a worker alone."""
+    return crash_model.crash_count(crash for crash in crashes if crash.alone)
+
+
+def workers_with_one_unit(
+    batch_state: batch.BatchState, ends: Iterable[batching.RunEnd]
+) -> set[batch.WorkerRef]:
+    """Returns the crashed workers on which one unit ran.
+
+    Args:
+      batch_state: State before the ends are recorded.
+      ends: Ends that were reported together.
+    """
+    units: dict[batch.WorkerRef, set[crash_model.UnitKey]] = {}
+    for end in ends:
+        record = batch_state.jobs.get(end.task.job_id)
+        task = record.task(end.task) if record is not None else None
+        crashed = end.outcome == batch.RunOutcome.CRASHED
+        if crashed and task is not None and task.active and task.run == end.run:
+            key = crash_model.unit_key(record, end.task)
+            units.setdefault(task.worker, set()).add(key)
+    return {worker for worker, keys in units.items() if len(keys) == 1}
+
+
+def record_crash(
+    task: batch.TaskRecord, worker: batch.WorkerRef, at_ms: int, *, alone: bool
+) -> None:
+    """Records that a worker crashed under the present run of a task."""
+    ran_ms = max(0, at_ms - task.placed_ms)
+    if ran_ms <= BLAMED_RUN_MS:
+        task.crashes.append(
+            batch.Crash(worker=worker, run=task.run, ran_ms=ran_ms, alone=alone)
+        )
+
+
+def explain_crashes(
+    batch_state: batch.BatchState, ends: Iterable[batching.RunEnd]
+) -> None:
+    """Marks the crashes that are explained by what these ends prove.
+
+    A unit that crashed a worker alone has probably caused the earlier crashes
+    that it was part of.
+
+    Args:
+      batch_state: State after the ends were recorded.
+      ends: Ends that were reported together.
+    """
+    for end in ends:
+        if end.outcome != batch.RunOutcome.CRASHED:
+            continue
+        record = batch_state.jobs.get(end.task.job_id)
+        if record is None or record.task(end.task) is None:
+            continue
+        crashes = crash_model.unit_crashes(record, end.task)
+        if any(crash.alone and crash.run == end.run for crash in crashes):
+            workers = {crash.worker for crash in crashes}
+            cause = crash_model.unit_key(record, end.task)
+            _explain(batch_state, workers, cause)
+
+
+def _explain(
+    batch_state: batch.BatchState,
+    workers: set[batch.WorkerRef],
+    cause: crash_model.UnitKey,
+) -> None:
+    """Marks all crashes of these workers, but for the cause's own."""
+    for key, task in _tasks_with_crashes(batch_state):
+        if key != cause:
+            task.crashes = [
+                dataclasses.replace(crash, explained=True)
+                if crash.worker in workers
+                else crash
+                for crash in task.crashes
+            ]
+
+
+def _tasks_with_crashes(
+    batch_state: batch.BatchState,
+) -> Iterator[tuple[crash_model.UnitKey, batch.TaskRecord]]:
+    for record in batch_state.jobs.values():
+        for occurrence, steps in record.occurrences.items():
+            for step, step_record in enumerate(steps):
+                for index, task in enumerate(step_record.tasks):
+                    if task.crashes:
+                        task_id = batch.TaskId(
+                            job_id=record.id,
+                            occurrence=occurrence,
+                            step=step,
+                            index=index,
+                        )
+                        yield crash_model.unit_key(record, task_id), task
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -143,6 +143,26 @@
     assert [end.outcome for end in lost(parts)] == [outcome]
 
 
+def test_crash_that_the_agent_saw_is_committed_first(parts, log):
+    """The leader also infers the end from the new incarnation."""
+    crashed = wire.EndReport(
+        number=0,
+        task=batches.task(),
+        run=1,
+        outcome=batch.RunOutcome.CRASHED,
+    )
+    report_now(parts, report(born=2, ends=(crashed,)))
+    batch_state = parts.machine.state.batch
+    ((_, end, _),) = batch_ends.reported_ends(batch_state, parts.board)
+    assert end.outcome == batch.RunOutcome.CRASHED
+    ends = (
+        batching.RunEnd(task=end.task, run=end.run, outcome=end.outcome),
+        *lost(parts),
+    )
+    log.apply(batching.EndRuns(ends=ends, at_ms=1))
+    assert batch_state.jobs["j1"].task(batches.task()).crashes
+
+
 def test_run_of_the_current_incarnation_continues(parts, log):
     report_now(parts, report(born=1))
     assert lost(parts) == []
