--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -28,6 +28,7 @@
 
     Attributes:
       calls: Calls carried out, each as its name, task and run.
+      attempts: Names of all calls on runs, answered or not.
       lease_orders: Long polls answered, oldest first.
       unanswered: Names of the calls that get no answer.
       down: Whether connections are refused.
@@ -35,6 +36,7 @@
 
     def __init__(self):
         self.calls: list[tuple] = []
+        self.attempts: list[str] = []
         self.lease_orders: list[worker_port.ExtendLeaseOrder] = []
         self.born = 1
         self.clock_ms = 100
@@ -84,6 +86,7 @@
         return self.clock_ms
 
     def _answer(self, name, task, run):
+        self.attempts.append(name)
         if name in self.unanswered:
             raise errors.Unavailable("no answer")
         self.calls.append((name, task, run))
@@ -360,7 +363,7 @@
     harness.port.unanswered = {"start"}
     harness.announce()
     harness.desire(desired())
-    await harness.until(lambda: harness.agent._worker.unanswered)
+    await harness.until(lambda: harness.port.attempts)
     await restart_worker(harness)
     assert await outcomes(harness) == ["crashed"]
 
@@ -379,7 +382,7 @@
     harness.port.unanswered = {"start"}
     harness.announce()
     harness.desire(desired())
-    await harness.until(lambda: harness.agent._worker.unanswered)
+    await harness.until(lambda: harness.port.attempts)
     harness.port.down = True
     harness.port.unanswered = set()
     await asyncio.sleep(0.3)
