Run tasks that may crash their workers apart from other work

What callers saw: the neighbours of a task that crashes its workers lost their work with each of its restarts, also within a guarantee.

Cause: after a crash all runs of the worker were placed again wherever they fitted best, together or beside others.

Change: a unit under which a worker crashed is suspect. It goes to a worker that nothing else uses, a gang to few of them, and nothing joins it there until it has outlived the run that ended by the crash; after a second crash it stays alone to its end. Suspects whose runs began last before the crash go first, and workers that crashed themselves of late are chosen last, as a crash there proves little. A worker is reserved for a suspect that waits; one within its account's guarantee reclaims a whole worker, but never from guaranteed work.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -242,6 +242,7 @@
             capacity=report.capacity,
             open=not (report.draining or report.over or leaving),
             suspect=self._health.is_suspect(report.name),
+            crashed=self._health.has_crashed(report.name),
         )
 
     def _log_plan(
--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -12,6 +12,9 @@
 # How long after its last failure a worker is chosen last.
 SUSPECT_MS = 10 * clock_lib.SECOND
 
+# How long after a crash a worker is chosen last for suspect units.
+CRASH_MEMORY_MS = clock_lib.MINUTE
+
 _FAILURES = (batch.RunOutcome.FAILED, batch.RunOutcome.REJECTED)
 
 
@@ -29,16 +32,26 @@
     def __init__(self, clock: clock_lib.Clock):
         self._clock = clock
         self._streaks: dict[str, _FailureStreak] = {}
+        self._crashed_ms: dict[str, int] = {}
 
     def record_end(self, worker: str, end: wire.EndReport) -> None:
         """Updates a worker's failures from the end of a run."""
         if end.outcome == batch.RunOutcome.DONE:
             self._streaks.pop(worker, None)
+        elif end.outcome == batch.RunOutcome.CRASHED:
+            self._crashed_ms[worker] = self._clock.now()
         elif end.outcome in _FAILURES:
             streak = self._streaks.setdefault(worker, _FailureStreak())
             streak.jobs.add(end.task.job_id)
             streak.last_ms = self._clock.now()
 
+    def has_crashed(self, worker: str) -> bool:
+        """Returns whether a worker has crashed recently."""
+        crashed_ms = self._crashed_ms.get(worker)
+        if crashed_ms is None:
+            return False
+        return self._clock.now() - crashed_ms < CRASH_MEMORY_MS
+
     def is_suspect(self, worker: str) -> bool:
         """Returns whether a worker should be chosen last."""
         streak = self._streaks.get(worker)
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -103,11 +103,16 @@
 ) -> tuple[str, ...] | None:
     """Places all tasks by best fit, or returns None if any doesn't fit.
 
-    Suspect workers are chosen only if no other worker fits.
+    Suspect workers are chosen only if no other worker fits. Suspect units are
+    placed only on workers that nothing else uses.
     """
+    if unit.suspect:
+        group = [w for w in group if available[w.ref.name] == w.capacity]
     need = room_lib.task_demand(unit.step)
     free = {worker.ref.name: available[worker.ref.name] for worker in group}
-    suspect = {w.ref.name for w in group if w.suspect}
+    last_choices = {
+        w.ref.name for w in group if w.suspect or (unit.suspect and w.crashed)
+    }
     remaining_spread = {
         name: resources.remaining_spread(unit, name) for name in free
     }
@@ -127,7 +132,7 @@
         best = min(
             fitting,
             key=lambda n: (
-                n in suspect,
+                n in last_choices,
                 free[n].accelerators - need.accelerators,
                 free[n].cpu_millis - need.cpu_millis,
                 n,
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -212,7 +212,8 @@
             fit is None
             or fit.delay_ms > self._job_deadlines.waiting_slack_ms(unit)
         )
-        names = self._preempt_for_late(unit) if would_be_late else None
+        preempts = would_be_late and not unit.suspect
+        names = self._preempt_for_late(unit) if preempts else None
         if names is not None:
             self._resources.allocate(unit, names)
             self._reservation_count += 1
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -193,6 +193,8 @@
         group: list[views.WorkerSnapshot],
     ):
         self._need = room_lib.task_demand(unit.step)
+        self._takes_whole_workers = unit.suspect
+        self._capacity = {w.ref.name: w.capacity for w in group}
         free_now = resources.free_after(0)
         self._free = {w.ref.name: free_now[w.ref.name] for w in group}
         self._remaining_spread = {
@@ -231,21 +233,28 @@
         self.names.append(name)
         return True
 
+    def _needed_on(self, name: str) -> batch.Resources:
+        """Returns what must be free on a worker for one more task."""
+        if self._takes_whole_workers and name not in self.names:
+            return self._capacity[name]
+        return self._need
+
     def _cheapest_stops(self, name: str) -> list[PreemptibleUnit] | None:
         """Returns what to stop on a worker to fit one more task, or None."""
         free = self._free[name]
+        needed = self._needed_on(name)
         stops: list[PreemptibleUnit] = []
         for candidate in self._candidates_by_worker.get(name, ()):
-            if free.holds(self._need):
+            if free.holds(needed):
                 break
             if candidate not in self.to_stop:
                 free = free.plus(candidate.resources_on(name))
                 stops.append(candidate)
-        if not free.holds(self._need):
+        if not free.holds(needed):
             return None
         for candidate in reversed(list(stops)):
             remaining = free.minus(candidate.resources_on(name))
-            if remaining.holds(self._need):
+            if remaining.holds(needed):
                 free = remaining
                 stops.remove(candidate)
         return stops
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -5,6 +5,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import catalog as catalog_model
+from bilberryroute.model import crashes as crash_model
 from bilberryroute.scheduling.batch import deadlines
 from bilberryroute.scheduling.batch import views
 
@@ -36,7 +37,28 @@
             rank = _rank(unit, guaranteed, job_deadlines)
             ranked.append((rank, unit))
     ranked.sort(key=lambda pair: pair[0])
-    return [dataclasses.replace(unit, rank=rank) for rank, unit in ranked]
+    return _newest_suspects_first(
+        [dataclasses.replace(unit, rank=rank) for rank, unit in ranked]
+    )
+
+
+def _newest_suspects_first(
+    ready: list[views.ReadyUnit],
+) -> list[views.ReadyUnit]:
+    """Lets the suspects that started last before a crash run first.
+
+    Few workers are idle for suspects, and those that ran for longer are less
+    likely to have caused the crash. All other units keep their places.
+    """
+    suspects = [unit for unit in ready if unit.suspect]
+    suspects.sort(key=_last_placed_ms, reverse=True)
+    ordered = iter(suspects)
+    return [next(ordered) if unit.suspect else unit for unit in ready]
+
+
+def _last_placed_ms(unit: views.ReadyUnit) -> int:
+    step_record = unit.record.occurrences[unit.occurrence][unit.step_number]
+    return max(step_record.tasks[index].placed_ms for index in unit.indexes)
 
 
 def guaranteed_jobs(state: batch.BatchState) -> set[str]:
@@ -114,7 +136,9 @@
                 step_records[each].finished() for each in step.depends_on
             ):
                 continue
-            for indexes, run in _waiting_units(step, step_records[step_number]):
+            step_record = step_records[step_number]
+            for indexes, run in _waiting_units(step, step_record):
+                crashes = step_record.crashes(indexes[0], gang=step.gang)
                 yield views.ReadyUnit(
                     record=record,
                     queue=queue,
@@ -124,6 +148,7 @@
                     indexes=indexes,
                     run=run,
                     due_since_ms=due_ms,
+                    suspect=crash_model.is_suspect(crashes),
                 )
 
 
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from bilberryroute.model import batch
+from bilberryroute.model import crashes as crash_model
 from bilberryroute.scheduling.batch import views
 
 RunKey = tuple[batch.TaskId, int]
@@ -41,6 +42,8 @@
       workers: Workers by name.
       free: Resources that are neither in use nor allocated in this round, by
         worker.
+      isolated: Names of workers that run suspect units; nothing else may start
+        there.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self._permits = permits
         self.workers = {worker.ref.name: worker for worker in workers}
         self.free: dict[str, batch.Resources] = {}
+        self.isolated: set[str] = set()
         self._allocations: dict[str, list[_Allocation]] = {}
         self._reservations: dict[str, list[_UnitReservation]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
@@ -96,6 +100,8 @@
             free = free.minus(allocation.need)
             allocations.append(allocation)
             task_counts[task_id.job_id, task_id.occurrence, task_id.step] += 1
+            if _is_unproven_suspect(record, task_id, wall_ms):
+                self.isolated.add(name)
         allocations.sort(key=lambda allocation: allocation.remaining_ms)
         self.free[name] = free
         self._allocations[name] = allocations
@@ -108,6 +114,8 @@
         evacuated: list[str],
     ) -> bool:
         """Returns whether a unit may run on a worker, free resources aside."""
+        if worker.ref.name in self.isolated:
+            return False
         advised = unit.queue.advised
         if advised and worker.ref.name not in self.permits(unit):
             return False
@@ -180,14 +188,24 @@
         for name in names:
             self.free[name] = self.free[name].minus(need)
             self._task_counts[name][unit.step_key] += 1
+            if unit.suspect:
+                self.isolated.add(name)
 
     def reserve(
         self, unit: views.ReadyUnit, names: Iterable[str], from_ms: int
     ) -> None:
-        """Reserves the demand of one task on each worker from a time on."""
-        each = _UnitReservation(need=task_demand(unit.step), from_ms=from_ms)
-        for name in names:
-            self._reservations.setdefault(name, []).append(each)
+        """Reserves the demand of one task on each worker from a time on.
+
+        For a suspect unit, reserves the whole worker.
+        """
+        if unit.suspect:
+            needs = [(name, self.workers[name].capacity) for name in set(names)]
+        else:
+            needs = [(name, task_demand(unit.step)) for name in names]
+        for name, need in needs:
+            self._reservations.setdefault(name, []).append(
+                _UnitReservation(need=need, from_ms=from_ms)
+            )
 
     def mark_stopping(self, name: str, need: batch.Resources) -> None:
         """Treats one run with this need on a worker as about to end."""
@@ -220,6 +238,17 @@
     )
 
 
+def _is_unproven_suspect(
+    record: batch.BatchRecord, task_id: batch.TaskId, wall_ms: int
+) -> bool:
+    """Returns whether a placed run may still crash its worker."""
+    crashes = crash_model.unit_crashes(record, task_id)
+    if not crash_model.is_suspect(crashes):
+        return False
+    ran_ms = wall_ms - record.task(task_id).placed_ms
+    return not crash_model.is_harmless_after(crashes, ran_ms)
+
+
 def _expected_remaining_ms(
     task: batch.TaskRecord,
     step: batch.Step,
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -19,6 +19,8 @@
       labels: Labels of the worker; a step may require one.
       open: Whether the worker and its agent accept new runs.
       suspect: Whether runs failed there recently; such workers are chosen last.
+      crashed: Whether the worker crashed recently. Suspect units go there last:
+        a second crash would not prove that they are its cause.
     """
 
     ref: batch.WorkerRef
@@ -29,6 +31,7 @@
     capacity: batch.Resources
     open: bool = True
     suspect: bool = False
+    crashed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,6 +44,8 @@
       rank: Sort key; lower keys are tried first. The second element is 0 for
         jobs within their accounts' guarantees.
       due_since_ms: Unix time at which the occurrence became due.
+      suspect: Whether it may crash its workers, so that it runs apart from
+        other work.
     """
 
     record: batch.BatchRecord
@@ -52,6 +57,7 @@
     run: int
     rank: tuple[int, ...] = ()
     due_since_ms: int = 0
+    suspect: bool = False
 
     @property
     def step_key(self) -> StepKey:
--- /dev/null
+++ b/tests/scheduling/test_suspects.py
@@ -0,0 +1,161 @@
+"""Placement of units that may crash their workers."""
+
+import pytest
+
+from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
+from bilberryroute.scheduling.batch import planner
+from tests.utils import batches
+
+WORKERS = (batches.worker("w1"), batches.worker("w2"))
+
+
+@pytest.fixture
+def log():
+    return batches.Log()
+
+
+def plan(log, *workers, left=None):
+    return planner.plan(log.held, workers or WORKERS, left or {}, log.now)
+
+
+def placed_on(decided) -> dict[str, set[str]]:
+    """Returns the workers of each job that is placed."""
+    return {
+        unit.job_id: {member.worker.name for member in unit.members}
+        for unit in decided.units
+    }
+
+
+def crash(log, *job_ids, run=1, ran_ms=1_000):
+    """Lets jobs run on a worker that then crashes."""
+    for job_id in job_ids:
+        log.place(batches.unit(job_id, batches.ref("w9", run), run=run))
+    log.now += ran_ms
+    ends = tuple(
+        batching.RunEnd(
+            task=batches.task(job_id),
+            run=run,
+            outcome=batch.RunOutcome.CRASHED,
+        )
+        for job_id in job_ids
+    )
+    log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
+
+
+def submit_suspects(log, *job_ids, **more):
+    for job_id in job_ids:
+        log.submit(job_id, batches.content(batches.step(**more)))
+    crash(log, *job_ids)
+
+
+def test_suspects_of_one_crash_run_on_different_workers(log):
+    submit_suspects(log, "j1", "j2")
+    placed = placed_on(plan(log))
+    assert placed["j1"] != placed["j2"]
+
+
+def test_suspect_takes_no_second_worker_with_other_work_down(log):
+    log.submit("other", batches.content())
+    log.place(batches.unit("other", batches.ref("w1")))
+    submit_suspects(log, "j1")
+    assert placed_on(plan(log)) == {"j1": {"w2"}}
+
+
+def test_suspect_waits_while_no_worker_is_idle(log):
+    for number, name in enumerate(("w1", "w2")):
+        log.submit(f"busy{number}", batches.content())
+        log.place(batches.unit(f"busy{number}", batches.ref(name)))
+    submit_suspects(log, "j1")
+    assert plan(log).units == ()
+
+
+def test_nothing_joins_a_suspect_on_its_worker(log):
+    submit_suspects(log, "j1")
+    log.place(batches.unit("j1", batches.ref("w1"), run=2))
+    log.submit("later", batches.content(), "urgent")
+    assert plan(log, batches.worker("w1")).units == ()
+    assert placed_on(plan(log)) == {"later": {"w2"}}
+
+
+def test_suspect_that_outlives_its_crashed_run_shares_its_worker(log):
+    submit_suspects(log, "j1")
+    log.place(batches.unit("j1", batches.ref("w1"), run=2))
+    log.submit("later", batches.content())
+    log.now += 1_001
+    assert placed_on(plan(log, batches.worker("w1"))) == {"later": {"w1"}}
+
+
+def test_idle_worker_is_kept_for_a_suspect_that_waits(log):
+    """Small jobs would otherwise keep every worker busy for good."""
+    log.submit("busy", batches.content())
+    log.place(batches.unit("busy", batches.ref("w1")))
+    submit_suspects(log, "j1")
+    log.submit("small", batches.content(batches.step(estimate_ms=60_000)))
+    left = {(batches.task("busy"), 1): 2_000}
+    assert plan(log, batches.worker("w1"), left=left).units == ()
+
+
+def occupy(log, worker, queue, *job_ids):
+    for job_id in job_ids:
+        log.submit(job_id, batches.content(batches.step(1, 2)), queue)
+        log.place(batches.unit(job_id, batches.ref(worker)))
+
+
+def test_guaranteed_suspect_reclaims_a_whole_worker(log):
+    log.submit("own", batches.content(), "urgent")
+    crash(log, "own")
+    occupy(log, "w1", "nightly", "low1", "low2")
+    occupy(log, "w2", "nightly", "low3", "low4", "low5")
+    log.now += 10_000
+    stops = {stop.task.job_id for stop in plan(log).stops}
+    assert stops == {"low1", "low2"}
+
+
+def test_suspect_stops_no_guaranteed_work(log):
+    log.submit("own", batches.content(), "urgent")
+    crash(log, "own")
+    occupy(log, "w1", "nightly", "low")
+    occupy(log, "w1", "urgent", "other")
+    log.now += 10_000
+    assert plan(log, batches.worker("w1")).stops == ()
+
+
+def test_suspect_beyond_its_guarantee_stops_nobody(log):
+    saving = batches.step(1, 8, estimate_ms=60_000, checkpointing=True)
+    log.submit("low", batches.content(saving), "nightly")
+    log.place(batches.unit("low", batches.ref("w1")))
+    submit_suspects(log, "j1")
+    assert plan(log, batches.worker("w1")).stops == ()
+
+
+def test_run_that_began_last_before_the_crash_is_tried_first(log):
+    log.submit("old", batches.content(), "urgent")
+    log.submit("new", batches.content(), "nightly")
+    log.place(batches.unit("old", batches.ref("w9")))
+    log.now += 5_000
+    log.place(batches.unit("new", batches.ref("w9")))
+    ends = tuple(
+        batching.RunEnd(
+            task=batches.task(each), run=1, outcome=batch.RunOutcome.CRASHED
+        )
+        for each in ("old", "new")
+    )
+    log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
+    assert placed_on(plan(log, batches.worker("w1"))) == {"new": {"w1"}}
+
+
+def test_suspect_avoids_workers_that_crashed_recently(log):
+    submit_suspects(log, "j1")
+    workers = (batches.worker("w1", crashed=True), batches.worker("w2"))
+    assert placed_on(plan(log, *workers)) == {"j1": {"w2"}}
+
+
+def test_suspect_gang_uses_few_workers(log):
+    log.submit("g", batches.content(batches.step(2, 4, gang=True)))
+    refs = (batches.ref("w9"), batches.ref("w8"))
+    log.place(batches.unit("g", *refs))
+    for index, outcome in enumerate(("crashed", "broken")):
+        log.end(batches.task("g", index), outcome=batch.RunOutcome(outcome))
+    (names,) = placed_on(plan(log)).values()
+    assert len(names) == 1
