Choose workers last that crash under several jobs

Cause: a worker that goes down and up by itself got new work each time it came back, as a crash did not count against it; each crash then made sound tasks suspect. Found in reading the change, not played.

Test: test_worker_that_ends_the_runs_of_several_jobs_is_suspect[crashed], failed before. Measured: tests of state, replica and the planner 180 passed.

--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -15,7 +15,11 @@
 # How long after a crash a worker is chosen last for suspect units.
 CRASH_MEMORY_MS = clock_lib.MINUTE
 
-_FAILURES = (batch.RunOutcome.FAILED, batch.RunOutcome.REJECTED)
+_FAILURES = (
+    batch.RunOutcome.FAILED,
+    batch.RunOutcome.REJECTED,
+    batch.RunOutcome.CRASHED,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,9 +42,9 @@
         """Updates a worker's failures from the end of a run."""
         if end.outcome == batch.RunOutcome.DONE:
             self._streaks.pop(worker, None)
-        elif end.outcome == batch.RunOutcome.CRASHED:
-            self._crashed_ms[worker] = self._clock.now()
         elif end.outcome in _FAILURES:
+            if end.outcome == batch.RunOutcome.CRASHED:
+                self._crashed_ms[worker] = self._clock.now()
             streak = self._streaks.setdefault(worker, _FailureStreak())
             streak.jobs.add(end.task.job_id)
             streak.last_ms = self._clock.now()
