Let suspects occupy a quarter of the workers at most

Cause: after a crash with ten suspects each took an idle worker to itself, and nothing else could start on those, not even guaranteed work. With eleven workers that leaves one. Found in reading the change.

Change: suspects beyond a guarantee wait while a quarter of the workers is isolated. The one that began last goes first, and a crash of it clears the others, so few are needed at once. A gang wider than that still starts when no worker is isolated.

Tests: test_suspects_leave_most_workers_to_others, failed before (two workers were taken of four); test_gang_wider_than_the_share_of_suspects_still_runs.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -130,6 +130,9 @@
                 self._resources.permit_candidates(unit, self._state.evacuated)
             )
         guaranteed = _is_guaranteed(unit)
+        may_wait = unit.suspect and not guaranteed
+        if may_wait and self._resources.isolates_enough():
+            return False
         available = (
             self._resources.free
             if guaranteed
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -13,6 +13,9 @@
 
 # Lower bound of the remaining time assumed for a run without a forecast.
 MIN_REMAINING_MS = 1_000
+# Share of the workers that suspect units may occupy beyond guarantees. Nothing
+# else starts there, not even guaranteed work.
+MAX_ISOLATED_SHARE = 0.25
 # Remaining time of a long-running task, which ends only when it is stopped.
 NEVER_ENDS_MS = 1 << 40
 
@@ -121,6 +124,11 @@
             return False
         return worker.open and meets_constraints(unit, worker, evacuated)
 
+    def isolates_enough(self) -> bool:
+        """Returns whether no more suspect units should get a worker now."""
+        limit = max(1, int(MAX_ISOLATED_SHARE * len(self.workers)))
+        return len(self.isolated) >= limit
+
     def permits(self, unit: views.ReadyUnit) -> Mapping[str, str]:
         """Returns the permits of a unit's step, by worker."""
         return self._permits.get(unit.step_key, {})
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -7,6 +7,8 @@
 from bilberryroute.scheduling.batch import planner
 from tests.utils import batches
 
+FOUR = tuple(batches.worker(f"w{number}") for number in range(1, 5))
+EIGHT = tuple(batches.worker(f"w{number}") for number in range(5, 13))
 WORKERS = (batches.worker("w1"), batches.worker("w2"))
 
 
@@ -51,10 +53,25 @@
 
 def test_suspects_of_one_crash_run_on_different_workers(log):
     submit_suspects(log, "j1", "j2")
-    placed = placed_on(plan(log))
+    placed = placed_on(plan(log, *FOUR, *EIGHT))
     assert placed["j1"] != placed["j2"]
 
 
+def test_suspects_leave_most_workers_to_others(log):
+    """Nothing else may start beside them, also within a guarantee."""
+    submit_suspects(log, "j1", "j2", "j3")
+    assert len(placed_on(plan(log, *FOUR))) == 1
+    assert len(placed_on(plan(log, *FOUR, *EIGHT))) == 3
+
+
+def test_gang_wider_than_the_share_of_suspects_still_runs(log):
+    log.submit("g", batches.content(batches.step(3, 8, gang=True)))
+    log.place(batches.unit("g", *(batches.ref(f"x{n}") for n in range(3))))
+    for index, outcome in enumerate(("crashed", "broken", "broken")):
+        log.end(batches.task("g", index), outcome=batch.RunOutcome(outcome))
+    assert len(placed_on(plan(log, *FOUR))["g"]) == 3
+
+
 def test_suspect_takes_no_second_worker_with_other_work_down(log):
     log.submit("other", batches.content())
     log.place(batches.unit("other", batches.ref("w1")))
