Free the worker of a long-running suspect after ten minutes

Cause: after two crashes a suspect ran apart to its end, which a long-running task never reaches, so it would have held a whole worker for good.

Change: it runs apart for as long as a crash would be blamed on it.

Test: test_long_running_suspect_does_not_hold_a_worker_for_good, failed before. Measured: tests/scheduling/test_suspects.py passes.

--- a/bilberryroute/model/crashes.py
+++ b/bilberryroute/model/crashes.py
@@ -10,6 +10,10 @@
 
 from bilberryroute.model import batch
 
+# A run that goes on for longer neither is blamed for a crash of its worker nor
+# runs apart any more.
+BLAMED_RUN_MS = 10 * 60 * 1_000
+
 UnitKey = tuple[str, int, int, int]
 
 
@@ -48,9 +52,9 @@
     """Returns whether a suspect that has run for a time may share its worker.
 
     That is so once it has outlived its only run that ended by a crash. After a
-    second crash it runs apart to its end.
+    second crash it runs apart for as long as it may be blamed.
     """
     crashes = list(crashes)
     if crash_count(crashes) > 1:
-        return False
+        return ran_ms > BLAMED_RUN_MS
     return all(ran_ms > crash.ran_ms for crash in crashes)
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -11,8 +11,6 @@
 # Runs of a unit that crashed a worker on which it was alone, after which its
 # job is given up. A second one rules out a crash by chance.
 MAX_CRASHES_ALONE = 2
-# A run that went on for longer is not suspected of a crash.
-BLAMED_RUN_MS = 10 * 60 * 1_000
 
 
 def crashes_alone(crashes: Iterable[batch.Crash]) -> int:
@@ -45,7 +43,7 @@
 ) -> None:
     """Records that a worker crashed under the present run of a task."""
     ran_ms = max(0, at_ms - task.placed_ms)
-    if ran_ms <= BLAMED_RUN_MS:
+    if ran_ms <= crash_model.BLAMED_RUN_MS:
         task.crashes.append(
             batch.Crash(worker=worker, run=task.run, ran_ms=ran_ms, alone=alone)
         )
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -4,6 +4,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import crashes as crash_model
 from bilberryroute.scheduling.batch import planner
 from tests.utils import batches
 
@@ -176,3 +177,16 @@
         log.end(batches.task("g", index), outcome=batch.RunOutcome(outcome))
     (names,) = placed_on(plan(log)).values()
     assert len(names) == 1
+
+
+def test_long_running_suspect_does_not_hold_a_worker_for_good(log):
+    log.submit("s", batches.content(batches.step(long_running=True)))
+    for run in (1, 2):
+        log.submit(f"other{run}", batches.content())
+        crash(log, "s", f"other{run}", run=run)
+    log.place(batches.unit("s", batches.ref("w1"), run=3))
+    log.submit("later", batches.content())
+    log.now += crash_model.BLAMED_RUN_MS
+    assert "later" not in placed_on(plan(log, batches.worker("w1")))
+    log.now += 1
+    assert "later" in placed_on(plan(log, batches.worker("w1")))
--- a/tests/state/test_crashes.py
+++ b/tests/state/test_crashes.py
@@ -75,7 +75,7 @@
 
 def test_run_of_hours_is_not_blamed_for_the_crash_of_its_worker(log):
     log.place(batches.unit())
-    log.now += crash_rules.BLAMED_RUN_MS + 1
+    log.now += crash_model.BLAMED_RUN_MS + 1
     crash(log, batches.task())
     assert not is_suspect(log)
 
