Place nothing on a worker that its host has replaced

What callers saw: tasks that waited went through run after run without a start.

Cause: workers are kept by name, and each counted as present until three renewals after its last report, whatever its agent reported since.

Change: a worker is present only if the newest renewal of its agent has this incarnation.

Tests: test_nothing_is_placed_on_a_worker_that_its_host_has_replaced, failed before; test_nothing_is_placed_on_a_worker_left_out_of_the_newest_report.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -19,6 +19,7 @@
 from bilberryroute.replica import batch_ends
 from bilberryroute.replica import batch_health
 from bilberryroute.replica import batch_log
+from bilberryroute.replica import batch_presence
 from bilberryroute.replica import batch_upkeep
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import forecasts as forecasts_lib
@@ -41,9 +42,6 @@
 # Interval at which new checkpoints are committed, all in one command: about
 # the interval at which workers make them (every 1 or 2 s of work).
 CHECKPOINT_COMMIT_MS = clock_lib.Millis(1_000)
-# A worker is considered present for this many renewal intervals after its
-# last report.
-PRESENT_RENEWALS = 3
 
 
 class BatchController(mode.Service):
@@ -206,7 +204,7 @@
         began = self._clock.now()
         plan = planner.plan(
             self._batch_state,
-            self._present_workers(),
+            self._worker_snapshots(),
             left_ms,
             self._clock.wall(),
             self._run_times.by_queue,
@@ -216,14 +214,11 @@
         self._metrics.round_ms.add({}, self._clock.now() - began)
         return plan
 
-    def _present_workers(self) -> list[views.WorkerSnapshot]:
-        present_ms = PRESENT_RENEWALS * self._timing.renewal_ms
-        now = self._clock.now()
-        return [
-            self._worker_snapshot(worker)
-            for worker in self._reports.values()
-            if now - worker.last_seen_ms <= present_ms
-        ]
+    def _worker_snapshots(self) -> list[views.WorkerSnapshot]:
+        present = batch_presence.present_workers(
+            self._board, self._timing, self._clock.now()
+        )
+        return [self._worker_snapshot(worker) for worker in present]
 
     def _worker_snapshot(
         self, worker: board_lib.BatchWorker
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -10,6 +10,7 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import wire
 from bilberryroute.replica import batch_ends
+from bilberryroute.replica import batch_presence
 from bilberryroute.replica import batch_upkeep
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import leases as lease_lib
@@ -168,6 +169,37 @@
     assert lost(parts) == []
 
 
+def present(parts) -> list[str]:
+    workers = batch_presence.present_workers(
+        parts.board, parts.cfg.timing, parts.clock.now()
+    )
+    return [worker.report.name for worker in workers]
+
+
+def test_nothing_is_placed_on_a_worker_that_its_host_has_replaced(parts, log):
+    report_now(parts, report(name="w1"))
+    assert present(parts) == ["w1"]
+    report_now(parts, report(name="w1-again", born=2))
+    assert present(parts) == ["w1-again"]
+
+
+def test_nothing_is_placed_on_a_worker_left_out_of_the_newest_report(
+    parts, log
+):
+    report_now(parts, report())
+    report_now(parts)
+    assert present(parts) == []
+
+
+def test_worker_is_present_for_some_renewals(parts, env, log):
+    report_now(parts, report())
+    present_ms = batch_presence.PRESENT_RENEWALS * parts.cfg.timing.renewal_ms
+    env.clock.advance(present_ms)
+    assert present(parts) == ["w1"]
+    env.clock.advance(1)
+    assert present(parts) == []
+
+
 def end_of(number: int, index: int) -> wire.EndReport:
     return wire.EndReport(
         number=number,
