Report no worker that refuses connections

Cause: an agent went on reporting its worker for 2 s after the last answer. Refused connections say at once that nothing can start there.

Change: a worker that refuses connections and has not withdrawn is left out of the agent's report until it accepts them again. Its runs are still only ended by a newer incarnation or by the end of their lease.

Test: test_worker_that_refuses_connections_is_not_reported, failed before. Measured: tests of agent, replica and the platform walk pass.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -460,8 +460,7 @@
     def _report(
         self, worker: life_lib.WorkerIncarnation
     ) -> tuple[wire.WorkerReport, ...]:
-        silent = self._clock.now() - worker.last_answer_ms > SILENT_MS
-        if worker.listing is None or (silent and not worker.over):
+        if worker.listing is None or self._is_unreachable(worker):
             return ()
         if not worker.earlier_runs_barred:
             return ()
@@ -472,3 +471,11 @@
             *run_plan.crash_ends(plan_input),
         )
         return (worker.report(ends),)
+
+    def _is_unreachable(self, worker: life_lib.WorkerIncarnation) -> bool:
+        """Returns whether runs can be neither started nor listed for now."""
+        if worker.over:
+            return False
+        if worker.down_since_ms is not None and not worker.withdrawn:
+            return True
+        return self._clock.now() - worker.last_answer_ms > SILENT_MS
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -335,6 +335,15 @@
     await harness.until(lambda: harness.board.batch.get() == ())
 
 
+async def test_worker_that_refuses_connections_is_not_reported(harness):
+    harness.announce()
+    await harness.until(lambda: harness.board.batch.get())
+    harness.port.down = True
+    await harness.until(lambda: harness.board.batch.get() == ())
+    harness.port.down = False
+    await harness.until(lambda: harness.board.batch.get())
+
+
 async def outcomes(harness) -> list[str]:
     """Returns the outcomes reported by the second incarnation."""
     await harness.until(
