--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -111,6 +111,18 @@
     max_unavailable: int = 0
 
 
+def task_demand(step: Step) -> Resources:
+    """Returns the resources that a task of a step is counted with.
+
+    A step that fills idle CPU cores is counted without its CPU need.
+    """
+    if not step.fills:
+        return step.need
+    return Resources(
+        memory_mb=step.need.memory_mb, accelerators=step.need.accelerators
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Schedule:
     """When the steps of a job run again.
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -85,7 +85,7 @@
     """
     if not unit.step.gang:
         return False
-    need = room_lib.task_demand(unit.step)
+    need = batch.task_demand(unit.step)
     spread = unit.step.spread_limit or len(unit.indexes)
     fitting: collections.Counter[str] = collections.Counter()
     for worker in resources.workers.values():
@@ -105,7 +105,7 @@
 
     Suspect workers are chosen only if no other worker fits.
     """
-    need = room_lib.task_demand(unit.step)
+    need = batch.task_demand(unit.step)
     free = {worker.ref.name: available[worker.ref.name] for worker in group}
     suspect = {w.ref.name for w in group if w.suspect}
     remaining_spread = {
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -124,7 +124,7 @@
     queue = state.catalog.queue(record.queue)
     return PreemptibleUnit(
         tasks=tuple(tasks),
-        need=room_lib.task_demand(step),
+        need=batch.task_demand(step),
         lost_work=ran_ms * len(tasks) * _weight(step),
         priority=queue.priority if queue is not None else 0,
         checkpoints=step.checkpointing,
@@ -192,7 +192,7 @@
         candidates: list[PreemptibleUnit],
         group: list[views.WorkerSnapshot],
     ):
-        self._need = room_lib.task_demand(unit.step)
+        self._need = batch.task_demand(unit.step)
         free_now = resources.free_after(0)
         self._free = {w.ref.name: free_now[w.ref.name] for w in group}
         self._remaining_spread = {
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -88,7 +88,7 @@
             step = record.content.steps[task_id.step]
             forecast = remaining_ms.get((task_id, task.run))
             allocation = _Allocation(
-                need=task_demand(step),
+                need=batch.task_demand(step),
                 remaining_ms=_expected_remaining_ms(
                     task, step, forecast, wall_ms
                 ),
@@ -124,7 +124,7 @@
 
         Workers with enough free resources come first.
         """
-        need = task_demand(unit.step)
+        need = batch.task_demand(unit.step)
         fitting = [
             worker
             for worker in self.workers.values()
@@ -176,7 +176,7 @@
 
     def allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Subtracts the demand of one task for each worker name given."""
-        need = task_demand(unit.step)
+        need = batch.task_demand(unit.step)
         for name in names:
             self.free[name] = self.free[name].minus(need)
             self._task_counts[name][unit.step_key] += 1
@@ -185,7 +185,9 @@
         self, unit: views.ReadyUnit, names: Iterable[str], from_ms: int
     ) -> None:
         """Reserves the demand of one task on each worker from a time on."""
-        each = _UnitReservation(need=task_demand(unit.step), from_ms=from_ms)
+        each = _UnitReservation(
+            need=batch.task_demand(unit.step), from_ms=from_ms
+        )
         for name in names:
             self._reservations.setdefault(name, []).append(each)
 
@@ -242,15 +244,3 @@
         memory_mb=min(a.memory_mb, b.memory_mb),
         accelerators=min(a.accelerators, b.accelerators),
     )
-
-
-def task_demand(step: batch.Step) -> batch.Resources:
-    """Returns the resources that a task of a step is counted with.
-
-    A step that fills idle CPU cores is counted without its CPU need.
-    """
-    if not step.fills:
-        return step.need
-    return batch.Resources(
-        memory_mb=step.need.memory_mb, accelerators=step.need.accelerators
-    )
