Keep planning while a worker has less capacity than its runs hold

Callers would have seen nothing placed any more: a round that meets such a worker raised "min() arg is an empty sequence", on every leader, until the capacity had grown again or the runs had ended.

Resources.multiple_of ignored components that a need does not use, while Resources.holds refuses them when negative. A step without accelerators thus counted as fitting on a worker with fewer accelerators than its runs hold, and no worker was left to choose from. Capacities did not change while runs were placed until now, so what is free was never negative. Both now agree.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -45,16 +45,18 @@
     def multiple_of(self, need: "Resources") -> int:
         """Returns how often `need` fits within these resources.
 
-        A need of nothing fits more often than any step has tasks.
+        A need of nothing fits more often than any step has tasks. Nothing fits
+        while any component is negative, as for `holds`.
         """
+        if not self.holds(need):
+            return 0
         pairs = (
             (self.cpu_millis, need.cpu_millis),
             (self.memory_mb, need.memory_mb),
             (self.accelerators, need.accelerators),
         )
         fits = (has // part for has, part in pairs if part)
-        # What is free may be negative.
-        return max(0, min(fits, default=sys.maxsize))
+        return min(fits, default=sys.maxsize)
 
     def holds(self, need: "Resources") -> bool:
         """Returns whether `need` fits within these resources."""
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -102,6 +102,37 @@
     assert plan(log, *apart, at_ms=log.now + LATER_MS).units
 
 
+SHRUNK = batch.Resources(cpu_millis=32_000, memory_mb=64_000, accelerators=2)
+
+
+def test_worker_below_what_it_runs_does_not_break_the_planning_round(log):
+    """The waiting tasks need none of what the worker has too little of."""
+    log.submit("busy", batches.content(batches.step(1, 4)))
+    commit(log, plan(log, batches.worker("w1")))
+    log.submit("j1", batches.content(batches.step(2, 0)))
+    log.submit("j2", batches.content(batches.step(1, need=batch.Resources())))
+    shrunk = batches.worker("w1", capacity=SHRUNK)
+    assert plan(log, shrunk).units == ()
+    decided = plan(log, shrunk, batches.worker("w2"))
+    assert worker_names(decided) == [["w2"], ["w2"], ["w2"]]
+
+
+def test_nothing_is_placed_or_reserved_beyond_a_shrunken_capacity(log):
+    log.submit("busy", batches.content(batches.step(1, 2)))
+    commit(log, plan(log, batches.worker("w1")))
+    log.submit("wide", batches.content(batches.step(1, 4)))
+    log.submit("narrow", batches.content(batches.step(1, 2)))
+    full = batches.worker("w2")
+    log.submit("other", batches.content(batches.step(1, 7)), "urgent")
+    commit(log, plan(log, full))
+    shrunk = batches.worker("w1", capacity=SHRUNK)
+    assert plan(log, shrunk, full).units == ()
+    log.end(batches.task("busy"))
+    decided = plan(log, shrunk, full)
+    assert [unit.job_id for unit in decided.units] == ["narrow"]
+    assert worker_names(decided) == [["w1"]]
+
+
 @pytest.mark.parametrize(
     "change",
     [
