Start runs only within the capacity announced last

A worker that does not check admission starts whatever it is told. If its capacity shrank while a placement was on its way, the agent started the run beyond it: the agent compared nothing with the capacity, and could not, as a desired run did not say what it needs. It also started runs beside a run that the leader no longer counts and that the worker still listed.

Each desired run now names its need, counted as the planner does (a run that fills, without its processors). An agent starts nothing while the runs that may be on its worker, started or ordered or being stopped, together with those to start exceed the capacity in the worker's newest announcement, or while a run of unknown need is there. It is the last to decide, with the newest knowledge. Runs of an older leader name no need and start as before.

Ruled out: runs that are being stopped (the planner counts them until their end is committed), reservations and permits (computed anew in every round).

The explored model now has workers that check nothing and whose capacity changes at random while orders are in flight.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -63,6 +63,7 @@
         self._metrics = metrics
         self._pacing = pacing.Pacing(port, metrics)
         self._worker: life_lib.WorkerIncarnation | None = None
+        self._held_starts: frozenset[run_plan.RunKey] = frozenset()
         self._wake = asyncio.Event()
         self._poll_soon = asyncio.Event()
 
@@ -267,7 +268,9 @@
             return
         if not self._bar_earlier_runs(worker):
             return
-        for action in run_plan.actions(self._plan_input(worker)):
+        plan_input = self._plan_input(worker)
+        self._note_held_starts(worker, run_plan.held_starts(plan_input))
+        for action in run_plan.actions(plan_input):
             match action:
                 case run_plan.StartRun(run=run):
                     self._mark_in_flight(worker, (run.task, run.run))
@@ -279,6 +282,21 @@
         self._drop_stale_progress(worker)
         self._publish()
 
+    def _note_held_starts(
+        self,
+        worker: life_lib.WorkerIncarnation,
+        held: frozenset[run_plan.RunKey],
+    ) -> None:
+        """Counts and logs each run once when it begins to wait for capacity."""
+        for key in sorted(held - self._held_starts, key=str):
+            self._metrics.retried("no_capacity")
+            logger.info(
+                "start waits for capacity",
+                extra=run_plan.key_fields(key)
+                | {"worker": worker.announced.name},
+            )
+        self._held_starts = held
+
     def _pace(self, worker: life_lib.WorkerIncarnation) -> None:
         desired = self._board.desired.get().runs
         fence = self._board.lease.get().term
@@ -342,6 +360,7 @@
             payloads=frozenset(board.payloads.get()),
             listing=worker.listing,
             progress=worker.progress,
+            capacity=announcement.capacity,
         )
 
     async def _start(
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -67,6 +67,7 @@
       payloads: IDs of the batch jobs whose payload the agent has.
       listing: The worker's newest listing.
       progress: Progress by run.
+      capacity: Capacity in the worker's newest announcement.
     """
 
     worker: batch.WorkerRef
@@ -77,6 +78,7 @@
     payloads: frozenset[str]
     listing: worker_port.Listing
     progress: dict[RunKey, RunProgress]
+    capacity: batch.Resources
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,10 +103,8 @@
     calls: list[Action] = []
     running = {(r.task, r.run) for r in plan_input.listing.running}
     ended = {(e.task, e.run) for e in plan_input.listing.ends}
-    desired_runs = {}
-    for run in plan_input.desired:
-        if run.worker == plan_input.worker:
-            desired_runs[run.task, run.run] = run
+    held = held_starts(plan_input)
+    desired_runs = _desired_by_key(plan_input)
     for key, run in desired_runs.items():
         state = plan_input.progress.get(key, RunProgress())
         if state.call_in_flight or key in ended:
@@ -114,7 +114,9 @@
             and state.phase != RunPhase.BARRED
         ):
             calls.append(StopRun(key=key))
-        elif _may_start_run(run, key, state, running, plan_input):
+        elif key not in held and _may_start_run(
+            run, key, state, running, plan_input
+        ):
             calls.append(StartRun(run=run))
     if plan_input.covered:
         for key in running - desired_runs.keys():
@@ -124,6 +126,56 @@
     return calls
 
 
+def _desired_by_key(
+    plan_input: RunPlanInput,
+) -> dict[RunKey, wire.DesiredRun]:
+    return {
+        (run.task, run.run): run
+        for run in plan_input.desired
+        if run.worker == plan_input.worker
+    }
+
+
+def held_starts(plan_input: RunPlanInput) -> frozenset[RunKey]:
+    """Returns the runs that must not start until the worker has capacity.
+
+    A worker may have less capacity than when the leader placed the runs, and
+    may start whatever it is told. So nothing starts while all runs that may be
+    on the worker, together with those to start, exceed its capacity. The
+    leader stops the runs that no longer fit.
+    """
+    running = {(r.task, r.run) for r in plan_input.listing.running}
+    ended = {(e.task, e.run) for e in plan_input.listing.ends}
+    desired_runs = _desired_by_key(plan_input)
+    total = batch.NO_RESOURCES
+    startable = set()
+    for key, run in desired_runs.items():
+        state = plan_input.progress.get(key, RunProgress())
+        if key in ended or _is_absent(key, state, running, plan_input.listing):
+            continue
+        total = total.plus(run.need)
+        if (
+            run.need != batch.NO_RESOURCES
+            and not state.call_in_flight
+            and _may_start_run(run, key, state, running, plan_input)
+        ):
+            startable.add(key)
+    if plan_input.capacity.holds(total) and not _has_run_of_unknown_need(
+        desired_runs, running, plan_input
+    ):
+        return frozenset()
+    return frozenset(startable)
+
+
+def _has_run_of_unknown_need(
+    desired_runs: dict[RunKey, wire.DesiredRun],
+    running: set[RunKey],
+    plan_input: RunPlanInput,
+) -> bool:
+    called = {k for k, p in plan_input.progress.items() if p.call_in_flight}
+    return bool((running | called) - desired_runs.keys())
+
+
 def _must_stop(
     run: wire.DesiredRun, state: RunProgress, plan_input: RunPlanInput
 ) -> bool:
@@ -161,16 +213,9 @@
     for run in plan_input.desired:
         key = (run.task, run.run)
         state = plan_input.progress.get(key)
-        if (
-            run.worker != plan_input.worker
-            or state is None
-            or state.call_in_flight
-        ):
-            continue
-        if key in running or key in ended:
+        if run.worker != plan_input.worker or state is None or key in ended:
             continue
-        settled = state.phase in (RunPhase.BARRED, RunPhase.STARTED)
-        if settled and plan_input.listing.clock_ms > state.clock_ms:
+        if _is_absent(key, state, running, plan_input.listing):
             ends.append(
                 wire.EndReport(
                     number=0,
@@ -182,6 +227,22 @@
     return tuple(ends)
 
 
+def _is_absent(
+    key: RunKey,
+    state: RunProgress,
+    running: set[RunKey],
+    listing: worker_port.Listing,
+) -> bool:
+    """Returns whether a listing without a run proves that it has ended."""
+    settled = state.phase in (RunPhase.BARRED, RunPhase.STARTED)
+    return (
+        key not in running
+        and settled
+        and not state.call_in_flight
+        and listing.clock_ms > state.clock_ms
+    )
+
+
 def apply_start_answer(
     state: RunProgress, answer: worker_port.StartAnswer
 ) -> None:
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -144,6 +144,7 @@
       tail_target_ms: Bound of the tail latency within which the run serves;
         0 for none.
       fills: Whether the run takes only the processors that others leave.
+      need: Resources that the run is counted with; none from older leaders.
     """
 
     task: batch.TaskId
@@ -154,6 +155,7 @@
     permit: str = ""
     tail_target_ms: int = 0
     fills: bool = False
+    need: batch.Resources = batch.NO_RESOURCES
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/replica/desired.py
+++ b/bilberryroute/replica/desired.py
@@ -167,6 +167,7 @@
         permit="" if stop else task.permit,
         tail_target_ms=step.tail_target_ms,
         fills=step.fills,
+        need=batch.task_demand(step),
     )
 
 
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -240,6 +240,23 @@
     assert ("start", TASK, 1) not in harness.port.calls
 
 
+async def test_start_waits_for_the_capacity_that_was_announced_last(
+    harness, caplog
+):
+    caplog.set_level("INFO")
+    need = batches.task_need(1)
+    harness.announce(capacity=need)
+    await harness.until(lambda: harness.board.batch.get())
+    harness.announce(sequence=2, capacity=batches.task_need(0))
+    harness.desire(dataclasses.replace(desired(), need=need))
+    await asyncio.sleep(2.5 * clock_lib.seconds(batch_lib.PLAN_INTERVAL_MS))
+    assert harness.port.calls == []
+    assert caplog.text.count("start waits for capacity") == 1
+    harness.announce(sequence=3, capacity=need)
+    await harness.until(lambda: harness.port.calls)
+    assert harness.port.calls == [("start", TASK, 1)]
+
+
 async def test_nothing_starts_on_a_draining_worker(harness):
     harness.announce(draining=True)
     harness.desire(desired())
--- a/tests/scheduling/test_run_exploration.py
+++ b/tests/scheduling/test_run_exploration.py
@@ -29,8 +29,17 @@
     batches.content(batches.step(3, 3)),
     batches.content(batches.step(2, 8, gang=True)),
     batches.content(batches.step(2, 2), batches.step(1, 2, depends_on=(0,))),
+    batches.content(batches.step(2, 0, fills=True), batches.step(2, 5)),
 )
 QUEUES = ("urgent", "planned", "nightly")
+CAPACITIES = tuple(
+    batch.Resources(
+        cpu_millis=4_000 * accelerators,
+        memory_mb=8_000 * accelerators,
+        accelerators=accelerators,
+    )
+    for accelerators in (8, 6, 4, 2)
+)
 MAX_JOBS = 6
 
 
@@ -138,6 +147,15 @@
     def drain(self, step, agent):
         agent.draining = step.flag
 
+    def resize(self, step, agent):
+        """Changes a worker's capacity; its agent hears of it at once or later."""
+        agent.worker.capacity = CAPACITIES[step.pick % len(CAPACITIES)]
+        if step.flag:
+            agent.accept_announcement()
+
+    def announce(self, step, agent):
+        agent.accept_announcement()
+
 
 # Relative frequency of each event, chosen so that schedules make progress.
 WEIGHTS = {
@@ -154,6 +172,8 @@
     "list_runs": 4,
     "end": 2,
     "drain": 1,
+    "resize": 3,
+    "announce": 2,
 }
 NAMES = [name for name, weight in WEIGHTS.items() for _ in range(weight)]
 WORKERS = ("w1", "w2")
@@ -244,7 +264,13 @@
     patch.setattr(run_model.ModelAgent, "stop_awaiting", stop_awaiting)
 
 
+def _start_beyond_the_capacity(patch):
+    """Starts every placed run, whatever its worker announces."""
+    patch.setattr(run_plan, "held_starts", lambda view: frozenset())
+
+
 MUTANTS = (
+    _start_beyond_the_capacity,
     _place_before_the_end_is_committed,
     _accept_a_stale_listing,
     _treat_an_unanswered_start_as_not_run,
