Place runs elsewhere if their worker's capacity shrinks before they begin

A run that was placed on a worker whose capacity then shrank below it stayed there: the agent does not start it, and the leader stopped runs that have not begun only on drained workers and in evacuated failure domains. Its job waited until the capacity had grown again, although other workers had room, and members of its gang waited for it.

The leader now stops runs that have not begun and no longer fit beside those that have begun or are being stopped. The oldest are kept.

test_runs_not_begun_that_no_longer_fit_are_stopped_youngest_first, test_run_being_stopped_still_counts_against_a_shrunken_capacity and test_run_that_no_longer_fits_its_worker_runs_on_another failed before.

--- a/bilberryroute/replica/batch_upkeep.py
+++ b/bilberryroute/replica/batch_upkeep.py
@@ -25,6 +25,7 @@
     return [
         *_broken_gangs(batch_state),
         *_blocked_runs(batch_state, workers),
+        *_runs_beyond_capacity(batch_state, workers),
         *_runs_to_move(batch_state, workers, left_ms),
     ]
 
@@ -101,6 +102,45 @@
     return selected
 
 
+def _runs_beyond_capacity(
+    batch_state: batch.BatchState, workers: WorkersByName
+) -> list[batching.TaskRun]:
+    """Returns runs that have not begun and no longer fit on their worker.
+
+    Its capacity has shrunk since they were placed. The agent does not start
+    them; elsewhere they need not wait. The oldest runs are kept.
+    """
+    selected = []
+    for worker in workers.values():
+        report = worker.report
+        if report.draining or report.over:
+            continue
+        ref = batch.WorkerRef(
+            agent=worker.agent, name=report.name, born=report.born
+        )
+        begun = {(run.task, run.run) for run in report.running}
+        free = report.capacity
+        not_begun = []
+        for task_id in batch_state.placed.get(worker.agent, ()):
+            record = batch_state.jobs[task_id.job_id]
+            task = record.task(task_id)
+            if task.worker != ref:
+                continue
+            demand = batch.task_demand(record.content.steps[task_id.step])
+            placed = task.state == batch.TaskState.PLACED
+            if placed and (task_id, task.run) not in begun:
+                run = batching.TaskRun(task=task_id, run=task.run)
+                not_begun.append((run, demand))
+            else:
+                free = free.minus(demand)
+        for run, demand in not_begun:
+            if free.holds(demand):
+                free = free.minus(demand)
+            elif demand != batch.NO_RESOURCES:
+                selected.append(run)
+    return selected
+
+
 def _runs_to_move(
     batch_state: batch.BatchState,
     workers: WorkersByName,
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -200,6 +200,43 @@
     assert stop.task == task
 
 
+@pytest.fixture
+def pairs(parts, log):
+    """Three runs of half a worker's capacity on w1, the first one begun."""
+    log.end(batches.task())
+    for job_id in ("p1", "p2", "p3"):
+        log.submit(job_id, batches.content())
+        log.place(batches.unit(job_id, batches.ref("w1")))
+    running = (wire.RunReport(task=batches.task("p1"), run=1),)
+
+    def stops(capacity: batch.Resources) -> list[str]:
+        shrunk = dataclasses.replace(report(running=running), capacity=capacity)
+        report_now(parts, shrunk)
+        chosen = batch_upkeep.required_stops(
+            parts.machine.state.batch, parts.board.batch_workers.get(), {}
+        )
+        return [each.task.job_id for each in chosen]
+
+    return stops
+
+
+NEED = batches.task_need()
+
+
+def test_runs_not_begun_that_no_longer_fit_are_stopped_youngest_first(pairs):
+    two = NEED.plus(NEED)
+    assert pairs(two.plus(NEED)) == []
+    assert pairs(two) == ["p3"]
+    assert pairs(NEED) == ["p2", "p3"]
+    assert pairs(batch.NO_RESOURCES) == ["p2", "p3"]
+
+
+def test_run_being_stopped_still_counts_against_a_shrunken_capacity(pairs, log):
+    stop = batching.TaskRun(task=batches.task("p2"), run=1)
+    log.apply(batching.StopRuns(runs=(stop,), at_ms=1))
+    assert pairs(NEED.plus(NEED)) == ["p3"]
+
+
 def test_many_payloads_go_in_several_datagrams(parts, log):
     service = lease_lib.LeaseService(parts)
     for number in range(24):
--- a/tests/scheduling/test_run_exploration.py
+++ b/tests/scheduling/test_run_exploration.py
@@ -222,6 +222,23 @@
     Player().play(chosen)
 
 
+def test_run_that_no_longer_fits_its_worker_runs_on_another():
+    system = run_model.System()
+    first, second = system.agents.values()
+    system.sync(first)
+    system.log.submit("j0", batches.content(batches.step(1, 4)))
+    system.run_leader_round()
+    first.worker.capacity = CAPACITIES[-1]
+    first.accept_announcement()
+    for _ in range(4):
+        system.sync(first)
+        system.sync(second)
+        system.run_leader_round()
+    system.sync(second)
+    assert not first.worker.running
+    assert list(second.worker.running) == [batches.task("j0")]
+
+
 def _place_before_the_end_is_committed(patch):
     """Places the next run while the previous one is still being stopped."""
     original = batch_rules._stop_runs
