Wake the planner when a worker's capacity changes

An agent reports a changed capacity at once, but the leader planned with it only in its next idle round, up to 250 ms later: the fields whose change wakes the planner lacked the capacity. Runs that no longer fit waited for that long before they were placed elsewhere, and so did jobs for a capacity that grew.

test_changed_capacity_wakes_the_planner failed before.

--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -337,6 +337,7 @@
             report.name,
             report.born,
             report.pool,
+            report.capacity,
             report.draining,
             report.over,
             [(run.task, run.run) for run in report.running],
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -231,6 +231,17 @@
     assert pairs(batch.NO_RESOURCES) == ["p2", "p3"]
 
 
+def test_changed_capacity_wakes_the_planner(parts):
+    service = lease_lib.LeaseService(parts)
+    cell = parts.board.batch_workers
+    seen = []
+    for capacity in (NEED, NEED, NEED.plus(NEED)):
+        shrunk = dataclasses.replace(report(), capacity=capacity)
+        service._store_renewal(renewal(shrunk), ("", 0))
+        seen.append(cell.version)
+    assert seen[0] == seen[1] < seen[2]
+
+
 def test_run_being_stopped_still_counts_against_a_shrunken_capacity(pairs, log):
     stop = batching.TaskRun(task=batches.task("p2"), run=1)
     log.apply(batching.StopRuns(runs=(stop,), at_ms=1))
