--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -45,16 +45,18 @@
     def multiple_of(self, need: "Resources") -> int:
         """Returns how often `need` fits within these resources.
 
-        A need of nothing fits more often than any step has tasks.
+        A need of nothing fits more often than any step has tasks. Nothing fits
+        while any component is negative, as for `holds`.
         """
+        if not self.holds(need):
+            return 0
         pairs = (
             (self.cpu_millis, need.cpu_millis),
             (self.memory_mb, need.memory_mb),
             (self.accelerators, need.accelerators),
         )
         fits = (has // part for has, part in pairs if part)
-        # What is free may be negative.
-        return max(0, min(fits, default=sys.maxsize))
+        return min(fits, default=sys.maxsize)
 
     def holds(self, need: "Resources") -> bool:
         """Returns whether `need` fits within these resources."""
@@ -111,6 +113,18 @@
     max_unavailable: int = 0
 
 
+def task_demand(step: Step) -> Resources:
+    """Returns the resources that a task of a step is counted with.
+
+    A step that fills idle CPU cores is counted without its CPU need.
+    """
+    if not step.fills:
+        return step.need
+    return Resources(
+        memory_mb=step.need.memory_mb, accelerators=step.need.accelerators
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Schedule:
     """When the steps of a job run again.
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -124,7 +124,7 @@
     queue = state.catalog.queue(record.queue)
     return PreemptibleUnit(
         tasks=tuple(tasks),
-        need=room_lib.task_demand(step),
+        need=batch.task_demand(step),
         lost_work=ran_ms * len(tasks) * _weight(step),
         priority=queue.priority if queue is not None else 0,
         checkpoints=step.checkpointing,
@@ -192,7 +192,7 @@
         candidates: list[PreemptibleUnit],
         group: list[views.WorkerSnapshot],
     ):
-        self._need = room_lib.task_demand(unit.step)
+        self._need = batch.task_demand(unit.step)
         self._takes_whole_workers = unit.suspect
         self._capacity = {w.ref.name: w.capacity for w in group}
         free_now = resources.free_after(0)
