Start nothing on a restarted worker before it announces its capacity

A worker may come back with less capacity, even at the same address. An agent that finds the new incarnation by its listing takes over the announcement of the earlier one, and started runs within that capacity until the new one arrived, up to a second later.

Starts now wait for the incarnation's own announcement. It is reported at once as before, so that runs of the earlier incarnation are freed. The sequence number of an incarnation without an announcement is lower than any that a worker sends, so an announcement with number 0 is no longer dropped.

Found by reading. test_restarted_worker_starts_nothing_before_its_own_ announcement failed before.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -240,7 +240,7 @@
             announcement = dataclasses.replace(
                 worker.announced,
                 born=listing.born,
-                sequence=0,
+                sequence=life_lib.UNANNOUNCED,
                 draining=False,
             )
             self._begin_incarnation(announcement)
@@ -360,7 +360,7 @@
             payloads=frozenset(board.payloads.get()),
             listing=worker.listing,
             progress=worker.progress,
-            capacity=announcement.capacity,
+            capacity=worker.confirmed_capacity(),
         )
 
     async def _start(
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -7,6 +7,10 @@
 from bilberryroute.model import batch
 from bilberryroute.model import wire
 
+# Sequence number of an incarnation that was found before it announced itself;
+# lower than any announced one.
+UNANNOUNCED = -1
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class WorkerIncarnation:
@@ -46,6 +50,16 @@
             return announcement.born > known.born
         return announcement.sequence > known.sequence
 
+    def confirmed_capacity(self) -> batch.Resources:
+        """Returns the capacity that this incarnation has announced itself.
+
+        Until then its announcement is that of an earlier incarnation, which
+        may have had more.
+        """
+        if self.announced.sequence == UNANNOUNCED:
+            return batch.NO_RESOURCES
+        return self.announced.capacity
+
     def worker_clock(self, now: int) -> int:
         """Returns a lower bound of the worker's clock at `now`."""
         return self.listing.clock_ms + max(0, now - self.listing_received_ms)
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -257,6 +257,23 @@
     assert harness.port.calls == [("start", TASK, 1)]
 
 
+async def test_restarted_worker_starts_nothing_before_its_own_announcement(
+    harness,
+):
+    """It may have less capacity than before."""
+    need = batches.task_need(1)
+    harness.announce(sequence=5, capacity=need)
+    await harness.until(lambda: harness.board.batch.get())
+    harness.port.born = 2
+    await harness.until(lambda: harness.board.batch.get()[0].born == 2)
+    harness.desire(dataclasses.replace(desired(born=2), need=need))
+    await asyncio.sleep(0.1)
+    assert harness.port.calls == []
+    harness.announce(born=2, sequence=0, capacity=need)
+    await harness.until(lambda: harness.port.calls)
+    assert harness.port.calls == [("start", TASK, 1)]
+
+
 async def test_nothing_starts_on_a_draining_worker(harness):
     harness.announce(draining=True)
     harness.desire(desired())
