--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -259,7 +259,7 @@
             announcement = dataclasses.replace(
                 worker.announced,
                 born=listing.born,
-                sequence=0,
+                sequence=life_lib.UNANNOUNCED,
                 draining=False,
             )
             self._begin_incarnation(announcement)
@@ -387,7 +387,7 @@
             listing=worker.listing,
             progress=worker.progress,
             crashed_runs=worker.crashed_runs,
-            capacity=announcement.capacity,
+            capacity=worker.confirmed_capacity(),
         )
 
     async def _start(
