Keep the outcome of lost runs readable for older replicas

Cause: the causes of a loss had become outcomes of their own. An older replica of a group that is being upgraded can't decode a command with an unknown outcome and halts, and an older leader drops the whole renewal of an agent that reports a crash.

Change: such a run ends `lost` as before, and an additional field, which older processes ignore, has the cause: crashed, restarted, withdrawn or silent. Log and counter show it.

Also waits for the second incarnation's report in one test of the agent, which read the report while it was empty.

Tests: test_older_replica_can_read_the_end_of_a_crashed_run, failed before; the tests of the outcomes now check the causes.

--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -238,7 +238,8 @@
             number=0,
             task=run.task,
             run=run.run,
-            outcome=batch.RunOutcome.CRASHED,
+            outcome=batch.RunOutcome.LOST,
+            cause=batch.LossCause.CRASHED,
         )
         for run in plan_input.desired
         if run.worker != plan_input.worker
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -60,7 +60,8 @@
       log_lines_dropped: Log lines dropped as their reader lagged.
       accept_ms: Time of a call that submits a batch job, by `outcome`.
       first_start_ms: Time from acceptance to the first placement, by `queue`.
-      run_ends: Ends of runs that this leader committed, by `outcome`.
+      run_ends: Ends of runs that this leader committed, by `outcome`; for lost
+        runs that is the cause.
       commit_ms: Time from proposal to result, by `kind` of the command.
       round_ms: Time that the planner took for one round.
     """
--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -188,12 +188,8 @@
     """How one run of a task ended.
 
     The worker reports `DONE` to `ALONE`. The agent reports `REJECTED` and
-    `ABSENT`: the run never started and never will; and `CRASHED`: the worker
-    restarted without notice while its agent went on.
-
-    The leader sets the others. `WITHDRAWN`: the worker announced its end.
-    `RESTARTED`: the worker has restarted and no agent saw why, as after a loss
-    of power. `LOST`: the worker was silent until its lease had expired.
+    `ABSENT`: the run never started and never will. `LOST`: the worker's
+    incarnation ended, or its lease has expired; `LossCause` says why.
     """
 
     DONE = "done"
@@ -205,9 +201,21 @@
     REJECTED = "rejected"
     ABSENT = "absent"
     LOST = "lost"
+
+
+class LossCause(enum.StrEnum):
+    """Why a run was lost with its worker.
+
+    `CRASHED`: the worker restarted without notice while its agent went on; only
+    the agent can tell. `WITHDRAWN`: the worker announced its end. `RESTARTED`:
+    it has restarted and no agent saw why, as after a loss of power. `SILENT`:
+    it was silent until its lease had expired.
+    """
+
     CRASHED = "crashed"
     WITHDRAWN = "withdrawn"
     RESTARTED = "restarted"
+    SILENT = "silent"
 
 
 class TaskState(enum.StrEnum):
--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -113,12 +113,15 @@
 
     Attributes:
       saved: Checkpoint that the run left, or empty.
+      cause: Why a lost run was lost. Not an outcome of its own, so that older
+        replicas can still apply the command.
     """
 
     task: batch.TaskId
     run: int
     outcome: batch.RunOutcome
     saved: str = ""
+    cause: batch.LossCause | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -68,6 +68,7 @@
     Attributes:
       number: Counts the ends of one life of a worker, from 1; 0 for an end
         that the agent found out by itself.
+      cause: Why the run was lost, if the agent knows.
     """
 
     number: int
@@ -75,6 +76,7 @@
     run: int
     outcome: batch.RunOutcome
     saved: str = ""
+    cause: batch.LossCause | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -174,7 +174,9 @@
             if await self._proposer.try_propose(command) is None:
                 return
             for end in ends:
-                self._metrics.run_ends.inc({"outcome": str(end.outcome)})
+                self._metrics.run_ends.inc(
+                    {"outcome": end.cause or end.outcome}
+                )
             batch_log.log_ended(ends, self._batch_state)
         agents = batch_ends.update_committed_ends(
             self._batch_state, self._board
@@ -195,7 +197,11 @@
             step = (end.task.job_id, end.task.occurrence, end.task.step)
             self._permits.discard(step)
         return batching.RunEnd(
-            task=end.task, run=end.run, outcome=end.outcome, saved=end.saved
+            task=end.task,
+            run=end.run,
+            outcome=end.outcome,
+            saved=end.saved,
+            cause=end.cause,
         )
 
     def _plan(
--- a/bilberryroute/replica/batch_ends.py
+++ b/bilberryroute/replica/batch_ends.py
@@ -59,26 +59,27 @@
     for task_ids in batch_state.placed.values():
         for task_id in task_ids:
             task = batch_state.jobs[task_id.job_id].task(task_id)
-            outcome = _certain_end(task.worker, board, now, fence_ms)
-            if outcome is not None:
+            cause = _loss_cause(task.worker, board, now, fence_ms)
+            if cause is not None:
                 ends.append(
                     batching.RunEnd(
                         task=task_id,
                         run=task.run,
-                        outcome=outcome,
+                        outcome=batch.RunOutcome.LOST,
                         saved=task.saved,
+                        cause=cause,
                     )
                 )
     return ends
 
 
-def _certain_end(
+def _loss_cause(
     ref: batch.WorkerRef,
     board: board_lib.ReplicaBoard,
     now: clock_lib.Millis,
     fence_ms: int,
-) -> batch.RunOutcome | None:
-    """Returns how an incarnation of a worker has ended its runs, or None.
+) -> batch.LossCause | None:
+    """Returns why the runs of an incarnation have certainly ended, or None.
 
     A crash that the agent saw is among the ends that it reports.
     """
@@ -86,16 +87,16 @@
     for report in agent.renewal.batch if agent is not None else ():
         # A host runs one worker at a time: a newer one replaces the older.
         if report.born > ref.born:
-            return batch.RunOutcome.RESTARTED
+            return batch.LossCause.RESTARTED
         if report.over and report.born == ref.born:
-            return batch.RunOutcome.WITHDRAWN
+            return batch.LossCause.WITHDRAWN
     last_seen = board.term.get().began
     worker = board.batch_workers.get().get(ref.name)
     if worker is not None:
         if worker.report.born > ref.born:
-            return batch.RunOutcome.RESTARTED
+            return batch.LossCause.RESTARTED
         last_seen = max(last_seen, worker.last_seen_ms)
-    return batch.RunOutcome.LOST if now - last_seen > fence_ms else None
+    return batch.LossCause.SILENT if now - last_seen > fence_ms else None
 
 
 def update_committed_ends(
--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -15,11 +15,7 @@
 # How long after a crash a worker is chosen last for suspect units.
 CRASH_MEMORY_MS = clock_lib.MINUTE
 
-_FAILURES = (
-    batch.RunOutcome.FAILED,
-    batch.RunOutcome.REJECTED,
-    batch.RunOutcome.CRASHED,
-)
+_FAILURES = (batch.RunOutcome.FAILED, batch.RunOutcome.REJECTED)
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,9 +38,10 @@
         """Updates a worker's failures from the end of a run."""
         if end.outcome == batch.RunOutcome.DONE:
             self._streaks.pop(worker, None)
-        elif end.outcome in _FAILURES:
-            if end.outcome == batch.RunOutcome.CRASHED:
-                self._crashed_ms[worker] = self._clock.now()
+        crashed = end.cause == batch.LossCause.CRASHED
+        if crashed:
+            self._crashed_ms[worker] = self._clock.now()
+        if crashed or end.outcome in _FAILURES:
             streak = self._streaks.setdefault(worker, _FailureStreak())
             streak.jobs.add(end.task.job_id)
             streak.last_ms = self._clock.now()
--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -70,7 +70,8 @@
                 "task": _task_label(end.task),
                 "run": end.run,
                 "outcome": str(end.outcome),
-            },
+            }
+            | ({"cause": str(end.cause)} if end.cause else {}),
         )
     for job_id in sorted(job_ids):
         record = batch_state.jobs.get(job_id)
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -323,7 +323,7 @@
     for end in command.ends:
         task = _active_task(batch_state, end.task, end.run)
         if task is not None:
-            if end.outcome == batch.RunOutcome.CRASHED:
+            if end.cause == batch.LossCause.CRASHED:
                 crash_rules.record_crash(
                     task,
                     task.worker,
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -31,7 +31,7 @@
     for end in ends:
         record = batch_state.jobs.get(end.task.job_id)
         task = record.task(end.task) if record is not None else None
-        crashed = end.outcome == batch.RunOutcome.CRASHED
+        crashed = end.cause == batch.LossCause.CRASHED
         if crashed and task is not None and task.active and task.run == end.run:
             key = crash_model.unit_key(record, end.task)
             units.setdefault(task.worker, set()).add(key)
@@ -62,7 +62,7 @@
       ends: Ends that were reported together.
     """
     for end in ends:
-        if end.outcome != batch.RunOutcome.CRASHED:
+        if end.cause != batch.LossCause.CRASHED:
             continue
         record = batch_state.jobs.get(end.task.job_id)
         if record is None or record.task(end.task) is None:
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -268,7 +268,10 @@
     harness.announce(sequence=5, capacity=need)
     await harness.until(lambda: harness.board.batch.get())
     harness.port.born = 2
-    await harness.until(lambda: harness.board.batch.get()[0].born == 2)
+    await harness.until(
+        lambda: harness.board.batch.get()
+        and harness.board.batch.get()[0].born == 2
+    )
     harness.desire(dataclasses.replace(desired(born=2), need=need))
     await asyncio.sleep(0.1)
     assert harness.port.calls == []
@@ -378,13 +381,13 @@
     await harness.until(lambda: harness.board.batch.get())
 
 
-async def outcomes(harness) -> list[str]:
-    """Returns the outcomes reported by the second incarnation."""
+async def loss_causes(harness) -> list[str]:
+    """Returns why runs were lost, as the second incarnation reports it."""
     await harness.until(
         lambda: harness.board.batch.get()
         and harness.board.batch.get()[0].born == 2
     )
-    return [end.outcome for end in harness.board.batch.get()[0].ends]
+    return [end.cause for end in harness.board.batch.get()[0].ends]
 
 
 async def restart_worker(harness):
@@ -399,7 +402,7 @@
     harness.desire(desired())
     await harness.until(lambda: harness.port.calls)
     await restart_worker(harness)
-    assert await outcomes(harness) == ["crashed"]
+    assert await loss_causes(harness) == ["crashed"]
 
 
 async def test_start_that_crashes_the_worker_unanswered_is_reported(harness):
@@ -408,7 +411,7 @@
     harness.desire(desired())
     await harness.until(lambda: harness.port.attempts)
     await restart_worker(harness)
-    assert await outcomes(harness) == ["crashed"]
+    assert await loss_causes(harness) == ["crashed"]
 
 
 async def test_run_on_a_worker_that_withdrew_has_not_crashed_it(harness):
@@ -417,7 +420,7 @@
     await harness.until(lambda: harness.port.calls)
     harness.agent.withdraw("w1")
     await restart_worker(harness)
-    assert await outcomes(harness) == []
+    assert await loss_causes(harness) == []
 
 
 async def test_start_that_may_have_crashed_the_worker_is_not_repeated(harness):
@@ -431,5 +434,5 @@
     await asyncio.sleep(0.3)
     await restart_worker(harness)
     harness.port.down = False
-    assert await outcomes(harness) == ["crashed"]
+    assert await loss_causes(harness) == ["crashed"]
     assert ("start", TASK, 1) not in harness.port.calls
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -133,15 +133,15 @@
 
 
 @pytest.mark.parametrize(
-    "changes, outcome",
+    "changes, cause",
     [
-        ({"born": 2}, batch.RunOutcome.RESTARTED),
-        ({"born": 1, "over": True}, batch.RunOutcome.WITHDRAWN),
+        ({"born": 2}, batch.LossCause.RESTARTED),
+        ({"born": 1, "over": True}, batch.LossCause.WITHDRAWN),
     ],
 )
-def test_run_lost_with_its_worker_says_why(parts, log, changes, outcome):
+def test_run_lost_with_its_worker_says_why(parts, log, changes, cause):
     report_now(parts, report(**changes))
-    assert [end.outcome for end in lost(parts)] == [outcome]
+    assert [end.cause for end in lost(parts)] == [cause]
 
 
 def test_crash_that_the_agent_saw_is_committed_first(parts, log):
@@ -150,14 +150,17 @@
         number=0,
         task=batches.task(),
         run=1,
-        outcome=batch.RunOutcome.CRASHED,
+        outcome=batch.RunOutcome.LOST,
+        cause=batch.LossCause.CRASHED,
     )
     report_now(parts, report(born=2, ends=(crashed,)))
     batch_state = parts.machine.state.batch
     ((_, end, _),) = batch_ends.reported_ends(batch_state, parts.board)
-    assert end.outcome == batch.RunOutcome.CRASHED
+    assert end.cause == batch.LossCause.CRASHED
     ends = (
-        batching.RunEnd(task=end.task, run=end.run, outcome=end.outcome),
+        batching.RunEnd(
+            task=end.task, run=end.run, outcome=end.outcome, cause=end.cause
+        ),
         *lost(parts),
     )
     log.apply(batching.EndRuns(ends=ends, at_ms=1))
--- a/tests/replica/test_batch_health.py
+++ b/tests/replica/test_batch_health.py
@@ -19,26 +19,31 @@
     return batch_health.BatchWorkerHealth(env.clock)
 
 
-def end_runs(health, outcome: batch.RunOutcome, *job_ids: str) -> None:
+FAILED = {"outcome": batch.RunOutcome.FAILED}
+CRASHED = {
+    "outcome": batch.RunOutcome.LOST,
+    "cause": batch.LossCause.CRASHED,
+}
+
+
+def end_runs(health, how: dict, *job_ids: str) -> None:
     for job_id in job_ids:
         report = wire.EndReport(
-            number=0, task=batches.task(job_id), run=1, outcome=outcome
+            number=0, task=batches.task(job_id), run=1, **how
         )
         health.record_end("w1", report)
 
 
-@pytest.mark.parametrize(
-    "outcome", [batch.RunOutcome.CRASHED, batch.RunOutcome.FAILED]
-)
-def test_worker_that_ends_the_runs_of_several_jobs_is_suspect(health, outcome):
-    end_runs(health, outcome, "j1")
+@pytest.mark.parametrize("how", [CRASHED, FAILED])
+def test_worker_that_ends_the_runs_of_several_jobs_is_suspect(health, how):
+    end_runs(health, how, "j1")
     assert not health.is_suspect("w1")
-    end_runs(health, outcome, "j2")
+    end_runs(health, how, "j2")
     assert health.is_suspect("w1")
 
 
 def test_crash_of_a_worker_is_remembered_for_a_while(health, env):
-    end_runs(health, batch.RunOutcome.CRASHED, "j1")
+    end_runs(health, CRASHED, "j1")
     env.clock.advance(batch_health.CRASH_MEMORY_MS - 1)
     assert health.has_crashed("w1")
     env.clock.advance(1)
--- a/tests/scheduling/crash_model.py
+++ b/tests/scheduling/crash_model.py
@@ -128,16 +128,21 @@
 
     def crash(self, name: str) -> None:
         """Crashes a worker with all that runs on it."""
-        self._end_all_on(name, batch.RunOutcome.CRASHED)
+        self._end_all_on(name, batch.LossCause.CRASHED)
         self._crashed_ms[name] = self.log.now
 
     def lose_power(self, name: str) -> None:
         """Ends all that runs on a worker whose host lost power."""
-        self._end_all_on(name, batch.RunOutcome.RESTARTED)
+        self._end_all_on(name, batch.LossCause.RESTARTED)
 
-    def _end_all_on(self, name: str, outcome: batch.RunOutcome) -> None:
+    def _end_all_on(self, name: str, cause: batch.LossCause) -> None:
         ends = tuple(
-            batching.RunEnd(task=task_id, run=task.run, outcome=outcome)
+            batching.RunEnd(
+                task=task_id,
+                run=task.run,
+                outcome=batch.RunOutcome.LOST,
+                cause=cause,
+            )
             for task_id, task, _ in self._placed_runs()
             if task.worker.name == name
         )
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -39,7 +39,8 @@
         batching.RunEnd(
             task=batches.task(job_id),
             run=run,
-            outcome=batch.RunOutcome.CRASHED,
+            outcome=batch.RunOutcome.LOST,
+            cause=batch.LossCause.CRASHED,
         )
         for job_id in job_ids
     )
@@ -68,8 +69,9 @@
 def test_gang_wider_than_the_share_of_suspects_still_runs(log):
     log.submit("g", batches.content(batches.step(3, 8, gang=True)))
     log.place(batches.unit("g", *(batches.ref(f"x{n}") for n in range(3))))
-    for index, outcome in enumerate(("crashed", "broken", "broken")):
-        log.end(batches.task("g", index), outcome=batch.RunOutcome(outcome))
+    log.crash(batches.task("g", 0))
+    for index in (1, 2):
+        log.end(batches.task("g", index), outcome=batch.RunOutcome.BROKEN)
     assert len(placed_on(plan(log, *FOUR))["g"]) == 3
 
 
@@ -155,7 +157,10 @@
     log.place(batches.unit("new", batches.ref("w9")))
     ends = tuple(
         batching.RunEnd(
-            task=batches.task(each), run=1, outcome=batch.RunOutcome.CRASHED
+            task=batches.task(each),
+            run=1,
+            outcome=batch.RunOutcome.LOST,
+            cause=batch.LossCause.CRASHED,
         )
         for each in ("old", "new")
     )
@@ -173,8 +178,8 @@
     log.submit("g", batches.content(batches.step(2, 4, gang=True)))
     refs = (batches.ref("w9"), batches.ref("w8"))
     log.place(batches.unit("g", *refs))
-    for index, outcome in enumerate(("crashed", "broken")):
-        log.end(batches.task("g", index), outcome=batch.RunOutcome(outcome))
+    log.crash(batches.task("g", 0))
+    log.end(batches.task("g", 1), outcome=batch.RunOutcome.BROKEN)
     (names,) = placed_on(plan(log)).values()
     assert len(names) == 1
 
--- a/tests/state/test_crashes.py
+++ b/tests/state/test_crashes.py
@@ -13,6 +13,7 @@
 from tests.utils import batches
 
 Outcome = batch.RunOutcome
+Cause = batch.LossCause
 GANG = batches.step(2, gang=True)
 
 
@@ -26,7 +27,12 @@
 def crash(log, *task_ids, run=1):
     """Ends runs by a crash of the one worker that they are on."""
     ends = tuple(
-        batching.RunEnd(task=each, run=run, outcome=Outcome.CRASHED)
+        batching.RunEnd(
+            task=each,
+            run=run,
+            outcome=Outcome.LOST,
+            cause=Cause.CRASHED,
+        )
         for each in task_ids
     )
     log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
@@ -63,12 +69,12 @@
 
 
 @pytest.mark.parametrize(
-    "outcome", [Outcome.LOST, Outcome.RESTARTED, Outcome.WITHDRAWN]
+    "cause", [None, Cause.RESTARTED, Cause.WITHDRAWN, Cause.SILENT]
 )
-def test_task_on_a_host_that_lost_power_is_not_suspect(log, outcome):
+def test_task_on_a_host_that_lost_power_is_not_suspect(log, cause):
     for run in range(1, 6):
         log.place(batches.unit(run=run))
-        log.end(batches.task(), run=run, outcome=outcome)
+        log.end(batches.task(), run=run, outcome=Outcome.LOST, cause=cause)
     assert not is_suspect(log)
     assert log.held.jobs["j1"].result is None
 
@@ -112,10 +118,16 @@
         )
         ends = (
             batching.RunEnd(
-                task=batches.task("j1"), run=number, outcome=Outcome.CRASHED
+                task=batches.task("j1"),
+                run=number,
+                outcome=Outcome.LOST,
+                cause=Cause.CRASHED,
             ),
             batching.RunEnd(
-                task=batches.task(other), run=1, outcome=Outcome.CRASHED
+                task=batches.task(other),
+                run=1,
+                outcome=Outcome.LOST,
+                cause=Cause.CRASHED,
             ),
         )
         log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
@@ -142,7 +154,12 @@
             batches.unit(f"other{run}", batches.ref("w1", run)),
         )
         ends = [
-            batching.RunEnd(task=task, run=number, outcome=Outcome.CRASHED)
+            batching.RunEnd(
+                task=task,
+                run=number,
+                outcome=Outcome.LOST,
+                cause=Cause.CRASHED,
+            )
             for task, number in (
                 (batches.task("j1"), run),
                 (batches.task(f"other{run}"), 1),
@@ -189,3 +206,12 @@
         case list():
             return sum(_drop_key(each, key) for each in value)
     return 0
+
+
+def test_older_replica_can_read_the_end_of_a_crashed_run():
+    """An outcome that it does not know would halt it."""
+    end = batching.RunEnd(
+        task=batches.task(), run=1, outcome=Outcome.LOST, cause=Cause.CRASHED
+    )
+    encoded = msgspec.msgpack.decode(codec.encode(end))
+    assert encoded["outcome"] == "lost"
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -125,14 +125,22 @@
     def place(self, *units: batching.Unit):
         return self.apply(batching.PlaceRuns(units=units, at_ms=self.now))
 
+    def crash(self, task: batch.TaskId, run: int = 1):
+        """Ends a run by a crash of its worker."""
+        lost = batch.RunOutcome.LOST
+        return self.end(task, run, lost, cause=batch.LossCause.CRASHED)
+
     def end(
         self,
         task: batch.TaskId,
         run: int = 1,
         outcome: batch.RunOutcome = batch.RunOutcome.DONE,
         saved: str = "",
+        cause: batch.LossCause | None = None,
     ):
-        each = batching.RunEnd(task=task, run=run, outcome=outcome, saved=saved)
+        each = batching.RunEnd(
+            task=task, run=run, outcome=outcome, saved=saved, cause=cause
+        )
         return self.apply(batching.EndRuns(ends=(each,), at_ms=self.now))
 
 
