--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -265,7 +265,9 @@
     harness.announce(sequence=5, capacity=need)
     await harness.until(lambda: harness.board.batch.get())
     harness.port.born = 2
-    await harness.until(lambda: harness.board.batch.get()[0].born == 2)
+    await harness.until(
+        lambda: [each.born for each in harness.board.batch.get()] == [2]
+    )
     harness.desire(dataclasses.replace(desired(born=2), need=need))
     await asyncio.sleep(0.1)
     assert harness.port.calls == []
