Don't hold starts for the stop of a run that has ended

The check of the capacity regarded any run with a call in flight that the leader no longer wants as one of unknown need.

Only a start in flight may still bring a run onto the worker. A stop in flight matters only while the run is listed, and those runs count anyway.

test_unanswered_stop_of_a_run_that_has_ended_holds_no_start failed before.

--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -172,7 +172,12 @@
     running: set[RunKey],
     plan_input: RunPlanInput,
 ) -> bool:
-    called = {k for k, p in plan_input.progress.items() if p.call_in_flight}
+    # A start without an answer may still be carried out.
+    called = {
+        key
+        for key, state in plan_input.progress.items()
+        if state.call_in_flight and state.phase == RunPhase.PENDING
+    }
     return bool((running | called) - desired_runs.keys())
 
 
--- a/tests/agent/test_run_plan.py
+++ b/tests/agent/test_run_plan.py
@@ -158,6 +158,17 @@
     assert run_plan.actions(given) == []
 
 
+@pytest.mark.parametrize("ends", [[OTHER], []])
+def test_unanswered_stop_of_a_run_that_has_ended_holds_no_start(ends):
+    stopping = progress(
+        OTHER, phase=Phase.STARTED, clock_ms=99, call_in_flight=True
+    )
+    given = plan_input(
+        desired(need=HALF), progress=stopping, listing=listing(100, ends=ends)
+    )
+    assert run_plan.held_starts(given) == set()
+
+
 def test_run_of_an_older_leader_that_names_no_need_starts_as_before():
     given = plan_input(
         desired(),
