--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -269,8 +269,7 @@
     await harness.until(lambda: harness.board.batch.get())
     harness.port.born = 2
     await harness.until(
-        lambda: harness.board.batch.get()
-        and harness.board.batch.get()[0].born == 2
+        lambda: [each.born for each in harness.board.batch.get()] == [2]
     )
     harness.desire(dataclasses.replace(desired(born=2), need=need))
     await asyncio.sleep(0.1)
