Log for which job a run is stopped, and what it had done

The line `stopped to make room` named only the run that is stopped. It could not tell a job whose runs are stopped again and again from a wide job of which each task is stopped once, nor how much work a stop threw away.

It now carries the job that room is made for, the worker, how long the run had worked and whether it saves its progress.

Test: test_plan_names_the_job_that_each_run_is_stopped_for.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -249,7 +249,7 @@
             self._record_first_start(unit)
         batch_log.log_placed(plan)
         batch_log.log_stopped(forced_stops, "stopped: it cannot go on here")
-        batch_log.log_stopped(plan.stops, "stopped to make room")
+        batch_log.log_preempted(plan, self._batch_state, self._clock.wall())
         for job_id in sorted(plan.waiting_jobs.keys() - self._logged_waiting):
             batch_log.log_waiting(plan, job_id, len(self._reports))
         self._logged_waiting = set(plan.waiting_jobs)
--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -43,6 +43,28 @@
         )
 
 
+def log_preempted(
+    plan: views.BatchPlan, batch_state: batch.BatchState, wall_ms: int
+) -> None:
+    """Logs each run that is stopped to make room, and for which job."""
+    for run, job_id in plan.stopped_for.items():
+        record = batch_state.jobs[run.task.job_id]
+        task = record.task(run.task)
+        step = record.content.steps[run.task.step]
+        logger.info(
+            "stopped to make room",
+            extra={
+                "job_id": run.task.job_id,
+                "task": _task_label(run.task),
+                "run": run.run,
+                "for_job": job_id,
+                "worker": task.worker.name,
+                "ran_ms": wall_ms - task.placed_ms,
+                "saves": step.checkpointing,
+            },
+        )
+
+
 def log_waiting(plan: views.BatchPlan, job_id: str, workers: int) -> None:
     """Logs that a job has begun to wait for capacity."""
     logger.info(
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -98,7 +98,7 @@
         self._wall_ms = wall_ms
         self._available_runs = available_runs
         self._units: list[batching.Unit] = []
-        self._stops: list[batching.TaskRun] = []
+        self._stopped_for: dict[batching.TaskRun, str] = {}
         self._preemptible: list[preempting.PreemptibleUnit] | None = None
         self._reservation_count = 0
         self._waiting_unit_count = 0
@@ -118,7 +118,8 @@
                 blocked_steps.add(unit.step_key)
         return views.BatchPlan(
             units=tuple(self._units),
-            stops=tuple(self._stops),
+            stops=tuple(self._stopped_for),
+            stopped_for=self._stopped_for,
             waiting_unit_count=self._waiting_unit_count,
             waiting_jobs=self._waiting_jobs,
             permit_candidates=self._permit_candidates,
@@ -265,7 +266,8 @@
             return None
         names, preempted = selection
         for candidate in preempted:
-            self._stops += [run for run, _ in candidate.tasks]
+            for run, _ in candidate.tasks:
+                self._stopped_for[run] = unit.record.id
             self._preemptible.remove(candidate)
             for _, name in candidate.tasks:
                 if name in self._resources.workers:
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -92,6 +92,7 @@
     Attributes:
       units: Units to place, in order.
       stops: Runs to preempt for units of a better rank.
+      stopped_for: Job that each of them is preempted for.
       waiting_unit_count: Number of ready units that could not be placed.
       waiting_jobs: Jobs with such units, and the rank of their first one.
       permit_candidates: Steps that need permits, with the names of the workers
@@ -100,6 +101,9 @@
 
     units: tuple[batching.Unit, ...] = ()
     stops: tuple[batching.TaskRun, ...] = ()
+    stopped_for: dict[batching.TaskRun, str] = dataclasses.field(
+        default_factory=dict
+    )
     waiting_unit_count: int = 0
     waiting_jobs: dict[str, tuple[int, ...]] = dataclasses.field(
         default_factory=dict
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -177,6 +177,18 @@
     assert [unit.job_id for unit in started.units] == ["own"]
 
 
+def test_plan_names_the_job_that_each_run_is_stopped_for(log):
+    for name, worker in (("low1", "w1"), ("low2", "w2")):
+        log.submit(name, batches.content(batches.step(1, 8)), "nightly")
+        commit(log, plan(log, batches.worker(worker)))
+    log.submit("own1", batches.content(batches.step(1, 4)), "urgent")
+    log.submit("own2", batches.content(batches.step(1, 4)), "urgent")
+    decided = plan(log, batches.worker("w1"))
+    stopped = {r.task.job_id: job for r, job in decided.stopped_for.items()}
+    assert stopped == {"low1": "own1"}
+    assert decided.stops == tuple(decided.stopped_for)
+
+
 def test_only_as_much_is_stopped_as_is_needed(log):
     for number in range(4):
         log.submit(f"low{number}", batches.content(batches.step(1, 2)))
