Do not retry a task on the worker that just failed it

Callers saw jobs shown as failed within a second of their start: a worker that fails all it starts is idle again at once, so best fit chose it for the retry, until the attempts were used up. A worker is suspect only after two jobs have failed there, so the first one pays with all its attempts.

Cause: neither the state nor the planner knew where a task had failed.

Change: the log keeps the workers of a task's last failures, so that a new leader knows them. For ten seconds after its last placement a task, or a gang, is not placed on them, unless it fits nowhere else even when the others are idle. A task that waits for this reason does not hold up the others of its step.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -206,6 +206,7 @@
       run: Number of the last run; 0 before the first.
       worker: Where the present run was placed; None while it waits.
       failed: Runs that ended by a failure.
+      failed_on: Names of the workers of the last of these runs.
       saved: Newest checkpoint, or empty.
       resumed: Checkpoint that the present run begins with, or empty.
       permit: Permit of an advisory service for the present run, or empty.
@@ -216,6 +217,7 @@
     run: int = 0
     worker: WorkerRef | None = None
     failed: int = 0
+    failed_on: list[str] = dataclasses.field(default_factory=list)
     saved: str = ""
     resumed: str = ""
     permit: str = ""
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -59,6 +59,7 @@
         for worker in resources.workers.values()
         if resources.is_eligible(unit, worker, evacuated)
     ]
+    allowed = _without_failed(unit, allowed)
     racks: dict[str, list[views.WorkerSnapshot]] = {}
     for worker in allowed:
         racks.setdefault(worker.rack, []).append(worker)
@@ -74,6 +75,25 @@
     return [*rack_groups, *(sorted(racks.values(), key=len)), allowed]
 
 
+def _without_failed(
+    unit: views.ReadyUnit, workers: list[views.WorkerSnapshot]
+) -> list[views.WorkerSnapshot]:
+    """Leaves out the workers that failed the unit, if the others suffice.
+
+    They suffice if the unit would fit on them when they are idle: waiting for
+    them is better than to use up the attempts of the job.
+    """
+    if not unit.failed_on:
+        return workers
+    others = [w for w in workers if w.ref.name not in unit.failed_on]
+    need = room_lib.task_demand(unit.step)
+    spread = unit.step.spread_limit or len(unit.indexes)
+    fitting = sum(
+        min(spread, worker.capacity.multiple_of(need)) for worker in others
+    )
+    return others if fitting >= len(unit.indexes) else workers
+
+
 def is_wider_than_racks(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -103,7 +103,9 @@
         self._reservation_count = 0
         self._waiting_unit_count = 0
         self._waiting_jobs: dict[str, tuple[int, ...]] = {}
-        self._fits: dict[views.StepKey, _FutureFit | None] = {}
+        self._fits: dict[
+            tuple[views.StepKey, frozenset[str]], _FutureFit | None
+        ] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
 
     def run(self, ready: list[views.ReadyUnit]) -> views.BatchPlan:
@@ -115,7 +117,9 @@
             elif not self._try_place(unit):
                 self._waiting_unit_count += 1
                 self._waiting_jobs.setdefault(unit.record.id, unit.rank)
-                blocked_steps.add(unit.step_key)
+                # Other tasks of the step may use the workers that it avoids.
+                if not unit.failed_on:
+                    blocked_steps.add(unit.step_key)
         return views.BatchPlan(
             units=tuple(self._units),
             stops=tuple(self._stopped_for),
@@ -277,10 +281,10 @@
     def _earliest_fit(self, unit: views.ReadyUnit) -> _FutureFit | None:
         """Returns the earliest expected local fit of a unit, or None.
 
-        Computed once a round for each step: what is placed in between changes
-        it little.
+        Computed once a round for each step and what its units avoid: what is
+        placed in between changes it little.
         """
-        key = unit.step_key
+        key = (unit.step_key, unit.failed_on)
         if key not in self._fits:
             self._fits[key] = self._find_earliest_fit(unit)
         return self._fits[key]
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -12,6 +12,11 @@
 # milliseconds, and a run must not start early.
 DUE_MARGIN_MS = 20
 
+# A task avoids the workers of its failed runs for this long after its last
+# placement. A worker that fails all it starts is idle again at once, and would
+# get the retries until the attempts are used up.
+AVOID_FAILED_MS = 10_000
+
 
 def ready_units(
     state: batch.BatchState,
@@ -124,9 +129,24 @@
                     indexes=indexes,
                     run=run,
                     due_since_ms=due_ms,
+                    failed_on=_recently_failed_on(
+                        step_records[step_number], indexes, wall_ms
+                    ),
                 )
 
 
+def _recently_failed_on(
+    step_record: batch.StepRecord, indexes: tuple[int, ...], wall_ms: int
+) -> frozenset[str]:
+    tasks = [step_record.tasks[index] for index in indexes]
+    return frozenset(
+        name
+        for task in tasks
+        if wall_ms - task.placed_ms < AVOID_FAILED_MS
+        for name in task.failed_on
+    )
+
+
 def _waiting_units(
     step: batch.Step, step_record: batch.StepRecord
 ) -> Iterator[tuple[tuple[int, ...], int]]:
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -41,6 +41,7 @@
       rank: Sort key; lower keys are tried first. The second element is 0 for
         jobs within their accounts' guarantees.
       due_since_ms: Unix time at which the occurrence became due.
+      failed_on: Names of workers on which runs of the unit failed recently.
     """
 
     record: batch.BatchRecord
@@ -52,6 +53,7 @@
     run: int
     rank: tuple[int, ...] = ()
     due_since_ms: int = 0
+    failed_on: frozenset[str] = frozenset()
 
     @property
     def step_key(self) -> StepKey:
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -16,6 +16,10 @@
 
 BatchRefused = batching.BatchRefused
 
+# Failures of a task whose workers are kept. A task that is not long-running
+# seldom has more attempts.
+MAX_FAILED_ON = 4
+
 
 def apply(
     state: records.ReplicatedState, command: commands.Command
@@ -338,6 +342,7 @@
     end: batching.RunEnd,
     at_ms: int,
 ) -> None:
+    worker_name = task.worker.name
     _clear_placement(batch_state, task, end.task)
     step = record.content.steps[end.task.step]
     step_record = record.occurrences[end.task.occurrence][end.task.step]
@@ -349,7 +354,7 @@
             # The first member that is done completes the step of its gang.
             step_record.done = step_record.done or step.gang
         case batch.RunOutcome.FAILED:
-            _count_failure(task, step_record, end.run)
+            _count_failure(task, step_record, end.run, worker_name)
     if step_record.done:
         task.state = batch.TaskState.DONE
     if record.result is None:
@@ -368,10 +373,14 @@
 
 
 def _count_failure(
-    task: batch.TaskRecord, step_record: batch.StepRecord, run: int
+    task: batch.TaskRecord,
+    step_record: batch.StepRecord,
+    run: int,
+    worker_name: str,
 ) -> None:
     """Counts a failure; a gang's run counts once however many members fail."""
     task.failed += 1
+    task.failed_on = [*task.failed_on, worker_name][-MAX_FAILED_ON:]
     if step_record.failed_run < run:
         step_record.failed_run = run
         step_record.failed += 1
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -225,6 +225,67 @@
     assert worker_names(plan(log, *workers)) == [["w2"]]
 
 
+def fail_first(log, decided):
+    """Places the units of a plan; the run of the first task fails at once.
+
+    The other runs of its gang break.
+    """
+    commit(log, decided)
+    (unit,) = decided.units
+    outcome = batch.RunOutcome.FAILED
+    for member in unit.members:
+        log.end(unit.task(member), unit.run, outcome)
+        outcome = batch.RunOutcome.BROKEN
+
+
+def test_task_is_not_retried_on_the_worker_that_just_failed_it(log):
+    log.submit("j1", batches.content(batches.step(1, 8)))
+    workers = [batches.worker("w1"), batches.worker("w2")]
+    fail_first(log, plan(log, *workers))
+    assert worker_names(plan(log, *workers)) == [["w2"]]
+    assert worker_names(plan(log, workers[0])) == [["w1"]]
+
+
+def test_task_waits_rather_than_fail_again_on_the_worker_that_is_free(log):
+    log.submit("j1", batches.content(batches.step(1, 8)))
+    workers = [batches.worker("w1"), batches.worker("w2")]
+    fail_first(log, plan(log, *workers))
+    log.submit("busy", batches.content(batches.step(1, 8)), "urgent")
+    commit(log, plan(log, workers[1]))
+    assert plan(log, *workers).units == ()
+    assert plan(log, *workers, at_ms=log.now + LATER_MS).units
+
+
+def test_failed_task_that_waits_does_not_hold_up_the_rest_of_its_step(log):
+    log.submit("j1", batches.content(batches.step(2, 8)))
+    workers = [batches.worker("w1"), batches.worker("w2")]
+    fail_first(log, plan(log, workers[0]))
+    log.submit("busy", batches.content(batches.step(1, 8)), "urgent")
+    commit(log, planner.plan(log.held, workers[1:], {}, log.now))
+    (unit,) = plan(log, *workers).units
+    assert [m.index for m in unit.members] == [1]
+
+
+def test_gang_is_not_retried_with_the_worker_that_just_failed_it(log):
+    log.submit("j1", batches.content(ONE_RACK))
+    workers = [
+        batches.worker(name, rack)
+        for name, rack in (("w1", "a"), ("w2", "a"), ("w3", "b"), ("w4", "b"))
+    ]
+    fail_first(log, plan(log, *workers))
+    assert worker_names(plan(log, *workers)) == [["w3", "w4"]]
+
+
+def test_guarantee_makes_room_elsewhere_than_where_it_just_failed(log):
+    workers = [batches.worker("w1"), batches.worker("w2")]
+    log.submit("low", batches.content(batches.step(1, 8)), "nightly")
+    commit(log, plan(log, workers[1]))
+    log.submit("own", batches.content(batches.step(1, 8)), "urgent")
+    fail_first(log, plan(log, *workers))
+    (stop,) = plan(log, *workers).stops
+    assert stop.task.job_id == "low"
+
+
 def test_guarantee_waits_for_a_run_that_is_about_to_end(log):
     log.submit("low", batches.content(batches.step(1, 8)), "nightly")
     commit(log, plan(log, batches.worker()))
--- a/tests/state/test_batch.py
+++ b/tests/state/test_batch.py
@@ -8,6 +8,7 @@
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
+from bilberryroute.state import batch as batch_rules
 from bilberryroute.state import machine as machine_lib
 from tests.utils import batches
 
@@ -211,6 +212,18 @@
     assert restored.state == log.machine.state
 
 
+def test_last_workers_that_failed_a_task_outlive_a_snapshot(log):
+    log.submit("j1", batches.content(batches.step(long_running=True)))
+    names = [f"w{number}" for number in range(6)]
+    for run, name in enumerate(names, 1):
+        log.place(batches.unit("j1", batches.ref(name), run=run))
+        log.end(batches.task(), run, Outcome.FAILED)
+    restored = machine_lib.StateMachine()
+    restored.restore(log.machine.snapshot())
+    task = restored.state.batch.jobs["j1"].task(batches.task())
+    assert task.failed_on == names[-batch_rules.MAX_FAILED_ON :]
+
+
 def test_checkpoints_outlive_the_run_that_made_them(log):
     log.submit("j1", batches.content(batches.step(2, gang=True)))
     log.place(batches.unit("j1", batches.ref("w1"), batches.ref("w2")))
