--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -46,6 +46,7 @@
       due_since_ms: Unix time at which the occurrence became due.
       suspect: Whether it may crash its workers, so that it runs apart from
         other work.
+      failed_on: Names of workers on which runs of the unit failed recently.
     """
 
     record: batch.BatchRecord
@@ -58,6 +59,7 @@
     rank: tuple[int, ...] = ()
     due_since_ms: int = 0
     suspect: bool = False
+    failed_on: frozenset[str] = frozenset()
 
     @property
     def step_key(self) -> StepKey:
@@ -98,6 +100,7 @@
     Attributes:
       units: Units to place, in order.
       stops: Runs to preempt for units of a better rank.
+      stopped_for: Job that each of them is preempted for.
       waiting_unit_count: Number of ready units that could not be placed.
       waiting_jobs: Jobs with such units, and the rank of their first one.
       permit_candidates: Steps that need permits, with the names of the workers
@@ -106,6 +109,9 @@
 
     units: tuple[batching.Unit, ...] = ()
     stops: tuple[batching.TaskRun, ...] = ()
+    stopped_for: dict[batching.TaskRun, str] = dataclasses.field(
+        default_factory=dict
+    )
     waiting_unit_count: int = 0
     waiting_jobs: dict[str, tuple[int, ...]] = dataclasses.field(
         default_factory=dict
