Don't hold up the rest of a step for one suspect task

Callers of a wide job would have waited for all of its tasks while one of them, on a worker that crashed, waited for an idle worker: the round skips a step once one of its tasks finds no place, and the lowest index is tried first.

Change: a suspect that waits doesn't block its step, and the earliest fit of a step is kept apart for suspects, which need a whole worker.

Tests: test_suspect_without_an_idle_worker_does_not_hold_up_its_step and test_suspect_beyond_the_share_does_not_hold_up_its_step failed before; tests/scheduling/test_suspects.py passes.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -104,7 +104,7 @@
         self._waiting_unit_count = 0
         self._waiting_jobs: dict[str, tuple[int, ...]] = {}
         self._fits: dict[
-            tuple[views.StepKey, frozenset[str]], _FutureFit | None
+            tuple[views.StepKey, frozenset[str], bool], _FutureFit | None
         ] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
 
@@ -117,8 +117,8 @@
             elif not self._try_place(unit):
                 self._waiting_unit_count += 1
                 self._waiting_jobs.setdefault(unit.record.id, unit.rank)
-                # Other tasks of the step may use the workers that it avoids.
-                if not unit.failed_on:
+                # Other tasks of the step may fit where this one may not run.
+                if not (unit.failed_on or unit.suspect):
                     blocked_steps.add(unit.step_key)
         return views.BatchPlan(
             units=tuple(self._units),
@@ -288,7 +288,7 @@
         Computed once a round for each step and what its units avoid: what is
         placed in between changes it little.
         """
-        key = (unit.step_key, unit.failed_on)
+        key = (unit.step_key, unit.failed_on, unit.suspect)
         if key not in self._fits:
             self._fits[key] = self._find_earliest_fit(unit)
         return self._fits[key]
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -106,6 +106,23 @@
     assert placed_on(plan(log, batches.worker("w1"))) == {"later": {"w1"}}
 
 
+def test_suspect_without_an_idle_worker_does_not_hold_up_its_step(log):
+    occupy(log, "w1", "nightly", "busy")
+    submit_suspects(log, "wide", count=2)
+    left = {(batches.task("busy"), 1): 60_000}
+    (placed,) = plan(log, batches.worker("w1"), left=left).units
+    assert [member.index for member in placed.members] == [1]
+
+
+def test_suspect_beyond_the_share_does_not_hold_up_its_step(log):
+    log.submit("wide", batches.content(batches.step(2)))
+    log.submit("other", batches.content())
+    crash(log, "other", "wide")
+    log.place(batches.unit("other", batches.ref("w1"), run=2))
+    (placed,) = plan(log, *FOUR).units
+    assert [member.index for member in placed.members] == [1]
+
+
 def test_idle_worker_is_kept_for_a_suspect_that_waits(log):
     """Small jobs would otherwise keep every worker busy for good."""
     log.submit("busy", batches.content())
