Order suspects only among those of the same crash

A low-priority suspect that began later got the first place of all suspects, and the only idle worker, before an urgent one that had never shared a worker with it; each further crash of low-priority work would have done so again.

Cause: suspects of all crashes were put in one order, by when they had started. Who started last says something only about one crash.

Tests: test_suspect_of_a_later_crash_does_not_overtake_an_urgent_one failed before; test_run_that_began_last_before_the_crash_is_tried_first stays. 60 tests of suspects and of batch planning pass.

--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -50,20 +50,39 @@
 def _newest_suspects_first(
     ready: list[views.ReadyUnit],
 ) -> list[views.ReadyUnit]:
-    """Lets the suspects that started last before a crash run first.
+    """Lets the suspects of a crash that started last before it run first.
 
     Few workers are idle for suspects, and those that ran for longer are less
-    likely to have caused the crash. All other units keep their places.
+    likely to have caused the crash. All other units keep their places, so that
+    the suspects of one crash do not overtake more urgent ones of another.
     """
-    suspects = [unit for unit in ready if unit.suspect]
-    suspects.sort(key=_last_placed_ms, reverse=True)
-    ordered = iter(suspects)
-    return [next(ordered) if unit.suspect else unit for unit in ready]
+    by_crash: dict[batch.WorkerRef, list[views.ReadyUnit]] = {}
+    for unit in ready:
+        if unit.suspect:
+            by_crash.setdefault(_last_crashed(unit), []).append(unit)
+    ordered = {
+        worker: iter(sorted(units, key=_last_placed_ms, reverse=True))
+        for worker, units in by_crash.items()
+    }
+    return [
+        next(ordered[_last_crashed(unit)]) if unit.suspect else unit
+        for unit in ready
+    ]
+
+
+def _last_crashed(unit: views.ReadyUnit) -> batch.WorkerRef:
+    """Returns the worker that crashed last under a suspect unit."""
+    crashes = _step_record(unit).crashes(unit.indexes[0], gang=unit.step.gang)
+    return max(crashes, key=lambda crash: crash.run).worker
 
 
 def _last_placed_ms(unit: views.ReadyUnit) -> int:
-    step_record = unit.record.occurrences[unit.occurrence][unit.step_number]
-    return max(step_record.tasks[index].placed_ms for index in unit.indexes)
+    tasks = _step_record(unit).tasks
+    return max(tasks[index].placed_ms for index in unit.indexes)
+
+
+def _step_record(unit: views.ReadyUnit) -> batch.StepRecord:
+    return unit.record.occurrences[unit.occurrence][unit.step_number]
 
 
 def guaranteed_jobs(state: batch.BatchState) -> set[str]:
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -30,10 +30,10 @@
     }
 
 
-def crash(log, *job_ids, run=1, ran_ms=1_000):
+def crash(log, *job_ids, run=1, ran_ms=1_000, worker="w9"):
     """Lets jobs run on a worker that then crashes."""
     for job_id in job_ids:
-        log.place(batches.unit(job_id, batches.ref("w9", run), run=run))
+        log.place(batches.unit(job_id, batches.ref(worker, run), run=run))
     log.now += ran_ms
     ends = tuple(
         batching.RunEnd(
@@ -185,6 +185,14 @@
     assert placed_on(plan(log, batches.worker("w1"))) == {"new": {"w1"}}
 
 
+def test_suspect_of_a_later_crash_does_not_overtake_an_urgent_one(log):
+    log.submit("urgent", batches.content(), "urgent")
+    crash(log, "urgent")
+    log.submit("low", batches.content(), "nightly")
+    crash(log, "low", worker="w8")
+    assert placed_on(plan(log, batches.worker("w1"))) == {"urgent": {"w1"}}
+
+
 def test_suspect_avoids_workers_that_crashed_recently(log):
     submit_suspects(log, "j1")
     workers = (batches.worker("w1", crashed=True), batches.worker("w2"))
