Let guaranteed work reclaim the worker of a suspect

A suspect that is not covered by a guarantee kept its worker for up to ten minutes: nothing is eligible for an isolated worker, and that held for preemption, too. A job within its guarantee, which is promised its accelerators within seconds, had to wait.

Change: a suspect holds all resources of its worker instead of making it ineligible. So nothing starts beside it as before, but its end is expected like any other, a reservation may wait for it, and guaranteed work may stop it. What takes its place starts after it has ended.

Tests: test_guaranteed_job_reclaims_a_worker_from_a_suspect (two sizes) and test_guaranteed_job_waits_for_a_suspect_that_is_being_stopped failed before.

--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -195,6 +195,7 @@
         self._need = batch.task_demand(unit.step)
         self._takes_whole_workers = unit.suspect
         self._capacity = {w.ref.name: w.capacity for w in group}
+        self._isolated = resources.isolated
         free_now = resources.free_after(0)
         self._free = {w.ref.name: free_now[w.ref.name] for w in group}
         self._remaining_spread = {
@@ -225,14 +226,24 @@
         _, name, stops = min(options, key=lambda option: option[:2])
         for candidate in stops:
             self.to_stop.append(candidate)
-            for _, each in candidate.tasks:
+            for each in {each for _, each in candidate.tasks}:
                 if each in self._free:
-                    self._free[each] = self._free[each].plus(candidate.need)
+                    self._free[each] = self._free[each].plus(
+                        self._held_by(candidate, each)
+                    )
         self._free[name] = self._free[name].minus(self._need)
         self._remaining_spread[name] -= 1
         self.names.append(name)
         return True
 
+    def _held_by(
+        self, candidate: PreemptibleUnit, name: str
+    ) -> batch.Resources:
+        """Returns what is free on a worker once a unit has been stopped."""
+        if name in self._isolated:
+            return self._capacity[name]
+        return candidate.resources_on(name)
+
     def _needed_on(self, name: str) -> batch.Resources:
         """Returns what must be free on a worker for one more task."""
         if self._takes_whole_workers and name not in self.names:
@@ -248,12 +259,12 @@
             if free.holds(needed):
                 break
             if candidate not in self.to_stop:
-                free = free.plus(candidate.resources_on(name))
+                free = free.plus(self._held_by(candidate, name))
                 stops.append(candidate)
         if not free.holds(needed):
             return None
         for candidate in reversed(list(stops)):
-            remaining = free.minus(candidate.resources_on(name))
+            remaining = free.minus(self._held_by(candidate, name))
             if remaining.holds(needed):
                 free = remaining
                 stops.remove(candidate)
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -45,8 +45,8 @@
       workers: Workers by name.
       free: Resources that are neither in use nor allocated in this round, by
         worker.
-      isolated: Names of workers that run suspect units; nothing else may start
-        there.
+      isolated: Names of workers that run a suspect unit, which holds all of
+        their resources, as nothing may start beside it.
     """
 
     def __init__(
@@ -105,6 +105,10 @@
             task_counts[task_id.job_id, task_id.occurrence, task_id.step] += 1
             if _is_unproven_suspect(record, task_id, wall_ms):
                 self.isolated.add(name)
+        if name in self.isolated:
+            last_end_ms = max(each.remaining_ms for each in allocations)
+            allocations.append(_Allocation(need=free, remaining_ms=last_end_ms))
+            free = batch.NO_RESOURCES
         allocations.sort(key=lambda allocation: allocation.remaining_ms)
         self.free[name] = free
         self._allocations[name] = allocations
@@ -117,7 +121,10 @@
         evacuated: list[str],
     ) -> bool:
         """Returns whether a unit may run on a worker, free resources aside."""
-        if worker.ref.name in self.isolated:
+        if (
+            worker.ref.name in self.isolated
+            and batch.task_demand(unit.step) == batch.NO_RESOURCES
+        ):
             return False
         advised = unit.queue.advised
         if advised and worker.ref.name not in self.permits(unit):
@@ -198,6 +205,9 @@
             self._task_counts[name][unit.step_key] += 1
             if unit.suspect:
                 self.isolated.add(name)
+        if unit.suspect:
+            for name in set(names):
+                self.free[name] = _minimum(self.free[name], batch.NO_RESOURCES)
 
     def reserve(
         self, unit: views.ReadyUnit, names: Iterable[str], from_ms: int
@@ -216,7 +226,16 @@
             )
 
     def mark_stopping(self, name: str, need: batch.Resources) -> None:
-        """Treats one run with this need on a worker as about to end."""
+        """Treats one run with this need on a worker as about to end.
+
+        On an isolated worker the suspect unit is all that runs.
+        """
+        if name in self.isolated:
+            self._allocations[name] = [
+                dataclasses.replace(each, remaining_ms=0)
+                for each in self._allocations[name]
+            ]
+            return
         for allocation in self._allocations[name]:
             if allocation.need == need and allocation.remaining_ms > 0:
                 self._allocations[name].remove(allocation)
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -149,6 +149,53 @@
     assert stops == {"low1", "low2"}
 
 
+def run_after_two_crashes(log, job_id, worker):
+    """Places a job that must run apart until it has ended."""
+    for run in (1, 2):
+        log.submit(f"other{run}", batches.content(), "nightly")
+        crash(log, job_id, f"other{run}", run=run)
+        log.cancel(f"other{run}", "nightly")
+    log.place(batches.unit(job_id, batches.ref(worker), run=3))
+
+
+@pytest.mark.parametrize("accelerators", [1, 8])
+def test_guaranteed_job_reclaims_a_worker_from_a_suspect(log, accelerators):
+    log.submit("low", batches.content(), "nightly")
+    run_after_two_crashes(log, "low", "w1")
+    own = batches.content(batches.step(1, accelerators))
+    log.submit("own", own, "urgent")
+    log.now += 10_000
+    decided = plan(log, batches.worker("w1"))
+    assert [stop.task.job_id for stop in decided.stops] == ["low"]
+    assert decided.units == ()
+
+
+def test_guaranteed_job_waits_for_a_suspect_that_is_being_stopped(log):
+    log.submit("low", batches.content(), "nightly")
+    run_after_two_crashes(log, "low", "w1")
+    occupy(log, "w2", "nightly", "low2", "low3")
+    log.submit("own", batches.content(batches.step(1, 8)), "urgent")
+    log.now += 10_000
+    stops = plan(log).stops
+    assert [stop.task.job_id for stop in stops] == ["low"]
+    log.apply(batching.StopRuns(runs=stops, at_ms=log.now))
+    decided = plan(log)
+    assert (decided.stops, decided.units) == ((), ())
+
+
+def test_guaranteed_suspect_gang_loses_no_worker_to_guaranteed_work(log):
+    log.submit("g", batches.content(batches.step(2, 2, gang=True)), "urgent")
+    log.place(batches.unit("g", batches.ref("w9"), batches.ref("w9")))
+    log.now += 1_000
+    log.crash(batches.task("g", 0))
+    log.end(batches.task("g", 1), outcome=batch.RunOutcome.BROKEN)
+    log.place(batches.unit("g", batches.ref("w1"), batches.ref("w1"), run=2))
+    log.submit("own", batches.content(), "urgent")
+    log.now += 500
+    decided = plan(log, batches.worker("w1"))
+    assert (decided.stops, decided.units) == ((), ())
+
+
 def test_suspect_stops_no_guaranteed_work(log):
     log.submit("own", batches.content(), "urgent")
     crash(log, "own")
