Report a restarted worker without the labels and capacity it had before

Callers could see a task run on a worker without its required label, or wait for a worker that has less capacity than before. An agent that finds a restarted worker by its listing reported it with the announcement of the earlier incarnation. The leader placed runs there by those labels and that capacity until the worker announced itself. The agent's own check covers the capacity only, so a run that was placed by a former label started as soon as the capacity was known.

Such a worker is now reported without labels and without capacity until its own announcement. What is placed in the meantime goes to other workers instead of waiting there. The report itself is not delayed, as it frees the runs of the earlier incarnation.

Ruled out: that runs placed before the restart start there, as the new incarnation bars them before it is reported at all.

test_restarted_worker_is_not_reported_with_its_former_labels failed before.

--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -55,13 +55,18 @@
             return announcement.born > known.born
         return announcement.sequence > known.sequence
 
+    @property
+    def has_announced_itself(self) -> bool:
+        """Whether `announced` is of this incarnation, not of an earlier one."""
+        return self.announced.sequence != UNANNOUNCED
+
     def confirmed_capacity(self) -> batch.Resources:
         """Returns the capacity that this incarnation has announced itself.
 
         Until then its announcement is that of an earlier incarnation, which
         may have had more.
         """
-        if self.announced.sequence == UNANNOUNCED:
+        if not self.has_announced_itself:
             return batch.NO_RESOURCES
         return self.announced.capacity
 
@@ -100,7 +105,11 @@
         )
 
     def report(self, ends: tuple[wire.EndReport, ...]) -> wire.WorkerReport:
-        """Returns the report to the leader, with these ends."""
+        """Returns the report to the leader, with these ends.
+
+        Capacity and labels may differ between incarnations, so none are
+        reported until this one has announced its own.
+        """
         announcement = self.announced
         return wire.WorkerReport(
             name=announcement.name,
@@ -108,8 +117,8 @@
             pool=announcement.pool,
             failure_domain=announcement.failure_domain,
             rack=announcement.rack,
-            labels=announcement.labels,
-            capacity=announcement.capacity,
+            labels=announcement.labels if self.has_announced_itself else (),
+            capacity=self.confirmed_capacity(),
             draining=announcement.draining,
             remaining_ms=announcement.remaining_ms,
             over=self.over,
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -279,6 +279,22 @@
     assert harness.port.calls == [("start", TASK, 1)]
 
 
+async def test_restarted_worker_is_not_reported_with_its_former_labels(harness):
+    """The leader would place runs there that need them, or that don't fit."""
+    need = batches.task_need(1)
+    harness.announce(sequence=5, capacity=need)
+    await harness.until(lambda: harness.board.batch.get())
+    harness.port.born = 2
+    await harness.until(
+        lambda: [each.born for each in harness.board.batch.get()] == [2]
+    )
+    (report,) = harness.board.batch.get()
+    assert (report.labels, report.capacity) == ((), batch.NO_RESOURCES)
+    harness.announce(born=2, sequence=1, labels=("b",), capacity=need)
+    (report,) = harness.board.batch.get()
+    assert (report.labels, report.capacity) == (("b",), need)
+
+
 async def test_nothing_starts_on_a_draining_worker(harness):
     harness.announce(draining=True)
     harness.desire(desired())
