Start nothing by an announced capacity that may be out of date

A worker that doesn't check admission could be given more than its capacity: an agent used the newest announcement that it had, however old. If announcements get lost or are late while calls to the worker succeed, the worker may have shrunk long ago, and the agent went on starting runs by the former capacity.

An announced capacity now counts for `timing.capacity_age_ms`, 3 s by default and the platform's own bound there. The age is taken on the worker's clock, from the sending of the announcement to the present, so a late or queued announcement is as old as it is, also for an agent that was suspended. After that the capacity counts as unknown: nothing starts, and the leader is told of no capacity, so that it places runs elsewhere until the next announcement. What runs goes on.

Ruled out as a bound: the time since the arrival of the announcement, which a suspended agent or a delayed connection makes look young.

test_nothing_starts_while_announcements_are_lost and test_late_announcement_counts_from_when_it_was_sent failed before.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -387,7 +387,9 @@
             listing=worker.listing,
             progress=worker.progress,
             crashed_runs=worker.crashed_runs,
-            capacity=worker.confirmed_capacity(),
+            capacity=worker.known_capacity(
+                self._clock.now(), self._cfg.timing.capacity_age_ms
+            ),
         )
 
     async def _start(
@@ -489,7 +491,7 @@
             *run_plan.inferred_ends(plan_input),
             *run_plan.crash_ends(plan_input),
         )
-        return (worker.report(ends),)
+        return (worker.report(ends, plan_input.capacity),)
 
     def _is_unreachable(self, worker: life_lib.WorkerIncarnation) -> bool:
         """Returns whether runs can be neither started nor listed for now."""
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -70,7 +70,7 @@
       listing: The worker's newest listing.
       progress: Progress by run.
       crashed_runs: Runs that ended by a crash of the incarnation before.
-      capacity: Capacity in the worker's newest announcement.
+      capacity: Capacity that the worker has for certain.
     """
 
     worker: batch.WorkerRef
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -60,14 +60,17 @@
         """Whether `announced` is of this incarnation, not of an earlier one."""
         return self.announced.sequence != UNANNOUNCED
 
-    def confirmed_capacity(self) -> batch.Resources:
-        """Returns the capacity that this incarnation has announced itself.
+    def known_capacity(self, now: int, max_age_ms: int) -> batch.Resources:
+        """Returns the capacity that the worker has for certain, or none.
 
-        Until then its announcement is that of an earlier incarnation, which
-        may have had more.
+        It is unknown until this incarnation has announced itself, as an earlier
+        one may have had more, and once its last announcement is too old: later
+        ones may have been lost.
         """
         if not self.has_announced_itself:
             return batch.NO_RESOURCES
+        if self.worker_clock(now) - self.announced.clock_ms > max_age_ms:
+            return batch.NO_RESOURCES
         return self.announced.capacity
 
     def worker_clock(self, now: int) -> int:
@@ -104,11 +107,13 @@
             agent=agent, name=self.announced.name, born=self.announced.born
         )
 
-    def report(self, ends: tuple[wire.EndReport, ...]) -> wire.WorkerReport:
-        """Returns the report to the leader, with these ends.
+    def report(
+        self, ends: tuple[wire.EndReport, ...], capacity: batch.Resources
+    ) -> wire.WorkerReport:
+        """Returns the report to the leader, with these ends and capacity.
 
-        Capacity and labels may differ between incarnations, so none are
-        reported until this one has announced its own.
+        Labels may differ between incarnations, so none are reported until this
+        one has announced its own.
         """
         announcement = self.announced
         return wire.WorkerReport(
@@ -118,7 +123,7 @@
             failure_domain=announcement.failure_domain,
             rack=announcement.rack,
             labels=announcement.labels if self.has_announced_itself else (),
-            capacity=self.confirmed_capacity(),
+            capacity=capacity,
             draining=announcement.draining,
             remaining_ms=announcement.remaining_ms,
             over=self.over,
--- a/bilberryroute/agent/worker_port.py
+++ b/bilberryroute/agent/worker_port.py
@@ -27,6 +27,7 @@
     Attributes:
       born: When this incarnation of the worker started, as it reports.
       sequence: Increases with each announcement of one incarnation.
+      clock_ms: Worker's monotonic clock when it sent the announcement.
       address: Address of its API, `ip:port`.
       draining: Whether it drains and accepts no new runs.
       remaining_ms: While it drains, how long its runs continue at least.
@@ -35,6 +36,7 @@
     name: str
     born: int
     sequence: int
+    clock_ms: int
     address: str
     pool: str
     failure_domain: str
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -45,11 +45,14 @@
     """Time bounds of the platform.
 
     Attributes:
+      contactMs: How long a worker that shrinks is still judged by the
+        capacity that it announced before, in milliseconds.
       holdMaxMs: Maximum lease of runs on a worker, in milliseconds.
       status_s: How long an ended job can be looked up, in seconds.
     """
 
-    holdMaxMs: int = 6_000  # noqa: N815 (mixed case on the platform's side)
+    contactMs: int = 3_000  # noqa: N815 (mixed case on the platform's side)
+    holdMaxMs: int = 6_000  # noqa: N815
     status_s: float = 120
 
 
@@ -167,6 +170,7 @@
         ),
         timing=settings.Timing(
             run_lease_ms=node.bounds.holdMaxMs,
+            capacity_age_ms=node.bounds.contactMs,
             batch_kept_ms=int(1_000 * node.bounds.status_s),
             balancer_lag_ms=BALANCER_LAG_MS,
         ),
--- a/bilberryroute/platform/workers.py
+++ b/bilberryroute/platform/workers.py
@@ -110,6 +110,7 @@
         name=name,
         born=said.born,
         sequence=said.sequence,
+        clock_ms=said.clock_ms,
         address=said.address,
         pool=said.service,
         failure_domain=said.zone,
--- a/bilberryroute/settings.py
+++ b/bilberryroute/settings.py
@@ -49,6 +49,7 @@
     agent_lease_ms: int = 2_200
     task_lease_ms: int = 10_000
     run_lease_ms: int = 6_000
+    capacity_age_ms: int = 3_000
     batch_kept_ms: int = 120_000
     worker_lease_ms: int = 2_200
     decide_ms: int = 100
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -19,6 +19,7 @@
 from tests.utils import environment
 
 RUN_LEASE_MS = 6_000
+CAPACITY_AGE_MS = 3_000
 FAR_FUTURE = clock_lib.Millis(10**9)
 TASK = batches.task()
 
@@ -109,7 +110,9 @@
             host="a-w1",
             failure_domain="apapa",
             roles=(settings.ProcessRole.AGENT,),
-            timing=settings.Timing(run_lease_ms=RUN_LEASE_MS),
+            timing=settings.Timing(
+                run_lease_ms=RUN_LEASE_MS, capacity_age_ms=CAPACITY_AGE_MS
+            ),
         )
         self.agent = batch_lib.BatchAgent(
             cfg, env, self.board, self.port, metrics_lib.Metrics()
@@ -124,6 +127,7 @@
     def announce(self, born: int = 1, sequence: int = 1, **more) -> None:
         defaults = {
             "name": "w1",
+            "clock_ms": self.port.clock_ms,
             "address": "x:1",
             "pool": "pool",
             "failure_domain": "apapa",
@@ -295,6 +299,33 @@
     assert (report.labels, report.capacity) == (("b",), need)
 
 
+async def test_nothing_starts_while_announcements_are_lost(harness):
+    """They may have said that the capacity has shrunk."""
+    need = batches.task_need(1)
+    harness.announce(sequence=5, capacity=need)
+    await harness.until(lambda: harness.board.batch.get())
+    harness.port.clock_ms += CAPACITY_AGE_MS + 1
+    await harness.until(
+        lambda: harness.board.batch.get()[0].capacity == batch.NO_RESOURCES
+    )
+    harness.desire(dataclasses.replace(desired(), need=need))
+    await asyncio.sleep(2.5 * clock_lib.seconds(batch_lib.PLAN_INTERVAL_MS))
+    assert harness.port.calls == []
+    harness.announce(sequence=6, capacity=need)
+    await harness.until(lambda: harness.port.calls)
+    assert harness.port.calls == [("start", TASK, 1)]
+
+
+async def test_late_announcement_counts_from_when_it_was_sent(harness):
+    need = batches.task_need(1)
+    harness.port.clock_ms = 20_000
+    harness.announce(clock_ms=20_000 - CAPACITY_AGE_MS - 1, capacity=need)
+    harness.desire(dataclasses.replace(desired(), need=need))
+    await harness.until(lambda: harness.board.batch.get())
+    await asyncio.sleep(0.1)
+    assert harness.port.calls == []
+
+
 async def test_nothing_starts_on_a_draining_worker(harness):
     harness.announce(draining=True)
     harness.desire(desired())
--- a/tests/agent/test_pacing.py
+++ b/tests/agent/test_pacing.py
@@ -143,6 +143,7 @@
         name="w1",
         born=1,
         sequence=1,
+        clock_ms=0,
         address="10.0.0.1:1",
         pool="pool",
         failure_domain="apapa",
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -220,6 +220,7 @@
 [faultTolerance]
 machines = 2
 [bounds]
+contactMs = 4000
 holdMaxMs = 10000
 status_s = 60
 """
@@ -245,6 +246,7 @@
     assert [r.failure_domain for r in cfg.replicas] == ["apapa", "", ""]
     assert cfg.group.size == 5  # A majority is left after the loss of 2.
     assert cfg.timing.run_lease_ms == 10_000
+    assert cfg.timing.capacity_age_ms == 4_000
     assert place.addresses.control == "10.1.0.19:8526"
 
 
--- a/tests/scheduling/run_model.py
+++ b/tests/scheduling/run_model.py
@@ -138,6 +138,7 @@
                 name=worker.name,
                 born=1,
                 sequence=1,
+                clock_ms=0,
                 address="",
                 pool="pool",
                 failure_domain="apapa",
@@ -211,7 +212,8 @@
         """Returns the worker report that the agent sends to the leader."""
         listing = self.life.listing
         report = self.life.report(
-            listing.ends + run_plan.inferred_ends(self._view())
+            listing.ends + run_plan.inferred_ends(self._view()),
+            self.life.announced.capacity,
         )
         return dataclasses.replace(
             report, draining=self.draining, remaining_ms=0
