Don't split a gang over racks because a worker has shrunk for a moment

A gang that prefers one rack takes three times as long on several. It waits up to 1.5 s for its rack if workers are missing there, unless it would not fit into any rack anyway. That was judged by the present capacities: as soon as a capacity shrank, the gang counted as wider than every rack and was placed apart at once, even if the capacity was back a second later.

The leader now keeps the largest capacity that each worker has reported in its term, and the width of a rack is judged by that. The wait is as short as before, so a capacity that has shrunk for good delays a gang by 1.5 s at most.

Ruled out: that anything is placed on more than the present capacity; only the comparison with the racks' width has changed.

test_gang_is_not_split_because_a_worker_shrinks_for_a_moment failed before. test_leader_remembers_what_a_worker_had_before_it_shrank covers the memory.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -42,6 +42,14 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def largest(self, other: "Resources") -> "Resources":
+        """Returns the larger of both, component by component."""
+        return Resources(
+            cpu_millis=max(self.cpu_millis, other.cpu_millis),
+            memory_mb=max(self.memory_mb, other.memory_mb),
+            accelerators=max(self.accelerators, other.accelerators),
+        )
+
     def multiple_of(self, need: "Resources") -> int:
         """Returns how often `need` fits within these resources.
 
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -241,6 +241,7 @@
             rack=report.rack,
             labels=report.labels,
             capacity=report.capacity,
+            largest_capacity=worker.largest_capacity,
             open=not (report.draining or report.over or leaving),
             suspect=self._health.is_suspect(report.name),
             crashed=self._health.has_crashed(report.name),
--- a/bilberryroute/replica/board.py
+++ b/bilberryroute/replica/board.py
@@ -7,6 +7,7 @@
 
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
+from bilberryroute.model import batch
 from bilberryroute.model import wire
 
 DatagramAddress = tuple[str, int]
@@ -66,11 +67,13 @@
 
     Attributes:
       last_seen_ms: Monotonic instant of the last report.
+      largest_capacity: Largest capacity that it has reported in this term.
     """
 
     agent: str
     report: wire.WorkerReport
     last_seen_ms: clock_lib.Millis
+    largest_capacity: batch.Resources = batch.NO_RESOURCES
 
 
 @dataclasses.dataclass(slots=True)
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -119,8 +119,14 @@
             stored = cell.get().get(report.name)
             if stored is not None and stored.report.born > report.born:
                 continue
+            largest = report.capacity
+            if stored is not None:
+                largest = largest.largest(stored.largest_capacity)
             cell.get()[report.name] = board_lib.BatchWorker(
-                agent=renewal.agent, report=report, last_seen_ms=now
+                agent=renewal.agent,
+                report=report,
+                last_seen_ms=now,
+                largest_capacity=largest,
             )
         previous_reports = () if previous is None else previous.renewal.batch
         if _significant_batch_fields(
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -101,7 +101,8 @@
 ) -> bool:
     """Returns whether a gang fits into no rack, however idle the workers are.
 
-    Counts workers that accept nothing at present, as they may come back.
+    Counts workers that accept nothing at present, as they may come back, and
+    capacity that workers lack at present.
     """
     if not unit.step.gang:
         return False
@@ -110,7 +111,8 @@
     fitting: collections.Counter[str] = collections.Counter()
     for worker in resources.workers.values():
         if room_lib.meets_constraints(unit, worker, evacuated):
-            count = worker.capacity.multiple_of(need)
+            capacity = worker.capacity.largest(worker.largest_capacity)
+            count = capacity.multiple_of(need)
             fitting[worker.rack] += min(spread, count)
     return max(fitting.values(), default=0) < len(unit.indexes)
 
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -17,6 +17,8 @@
     Attributes:
       pool: Name of the pool; a queue uses the workers of one pool.
       labels: Labels of the worker; a step may require one.
+      largest_capacity: Capacity that it had at most; its capacity may shrink
+        for a while.
       open: Whether the worker and its agent accept new runs.
       suspect: Whether runs failed there recently; such workers are chosen last.
       crashed: Whether the worker crashed recently. Suspect units go there last:
@@ -29,6 +31,7 @@
     rack: str
     labels: tuple[str, ...]
     capacity: batch.Resources
+    largest_capacity: batch.Resources = batch.NO_RESOURCES
     open: bool = True
     suspect: bool = False
     crashed: bool = False
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -309,6 +309,16 @@
     assert seen[0] == seen[1] < seen[2]
 
 
+def test_leader_remembers_what_a_worker_had_before_it_shrank(parts):
+    service = lease_lib.LeaseService(parts)
+    for born, capacity in ((1, NEED), (1, NEED.plus(NEED)), (2, NEED)):
+        shrunk = dataclasses.replace(report(), born=born, capacity=capacity)
+        service._store_renewal(renewal(shrunk), ("", 0))
+    (worker,) = parts.board.batch_workers.get().values()
+    assert worker.report.capacity == NEED
+    assert worker.largest_capacity == NEED.plus(NEED)
+
+
 def test_run_being_stopped_still_counts_against_a_shrunken_capacity(pairs, log):
     stop = batching.TaskRun(task=batches.task("p2"), run=1)
     log.apply(batching.StopRuns(runs=(stop,), at_ms=1))
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -57,6 +57,16 @@
     assert sorted(worker_names(decided)[0]) == ["w2", "w3"]
 
 
+def test_gang_is_not_split_because_a_worker_shrinks_for_a_moment(log):
+    log.submit("j1", batches.content(ONE_RACK))
+    full = batches.worker().capacity
+    shrunk = batches.worker(
+        "w3", "r2", capacity=batch.NO_RESOURCES, largest_capacity=full
+    )
+    assert plan(log, *APART, shrunk).units == ()
+    assert plan(log, *APART, shrunk, at_ms=log.now + LATER_MS).units
+
+
 @pytest.mark.parametrize(
     "left_ms, waits", [(8_000, True), (9_900, True), (11_000, False)]
 )
