Replace an entry's connection to a replica that went silent

An open connection may go silent for good while new ones work, those of all hosts at once. An entry whose connection to the leader does so answers nothing from then on: a call or watch that times out makes it avoid the leader for 3 s, then it uses the same connection again.

Cause: the entry kept one gRPC channel a replica for good; a channel without keepalive never finds out. Class: a long-lived connection without a check of its own that the other side is there. Replicas among themselves, entries and agents, and agents and endpoints have such checks; greetings use a new channel each, and agents reach replicas by datagram.

Change: if a call or a watch times out and nothing else has arrived over the connection since it began, the next call opens a new one, and the entry logs it. The old channel is closed once nobody uses it.

Ruled out: gRPC's keepalive (600 ms and 800 ms): pings run only while a call is in progress, and calls of 800 ms end before the ping is missed. The test failed with it too.

Test: test_silent_connection_to_the_leader_is_replaced failed before (CommitUnknown after 8 s) and passes.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -12,6 +12,7 @@
 from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import connections as connection_lib
 from bilberryroute.model import commands
 from bilberryroute.model import control
 from bilberryroute.model import membership
@@ -29,14 +30,6 @@
 SUSPICION_MS = clock_lib.Millis(3_000)
 REPORT_INTERVAL_MS = clock_lib.Millis(500)
 
-_CHANNEL_OPTIONS = (
-    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
-    ("grpc.max_send_message_length", 64 * 1024 * 1024),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 500),
-)
-
 
 class ControlClient(mode.Service):
     """Finds the leading replica and sends RPCs to it.
@@ -59,16 +52,15 @@
         self._board = board
         self._clock = clock
         self._rng = rng
-        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._connections = connection_lib.Connections(clock)
         self._replica_index = 0
         self._learned_addresses: dict[str, str] = {}
         self._suspected_until: dict[str, int] = {}
         self._watched_leader = ""
 
     async def on_stop(self) -> None:
-        """Closes all channels."""
-        for channel in self._channels.values():
-            await channel.close()
+        """Closes all connections."""
+        await self._connections.close()
 
     async def propose(
         self,
@@ -151,13 +143,18 @@
         self, method: str, payload: bytes, timeout_ms: int
     ) -> bytes:
         address = self._leader_address()
-        call = self._channel(address).unary_unary(methods.path(method))
-        try:
-            answer = await call(payload, timeout=clock_lib.seconds(timeout_ms))
-        except grpc.aio.AioRpcError as exc:
-            if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
-                self._suspect(address)
-            raise _error_from_rpc(exc) from exc
+        began_ms = self._clock.now()
+        async with self._connections.use(address) as connection:
+            call = connection.channel.unary_unary(methods.path(method))
+            try:
+                answer = await call(
+                    payload, timeout=clock_lib.seconds(timeout_ms)
+                )
+            except grpc.aio.AioRpcError as exc:
+                if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                    self._handle_timeout(connection, began_ms)
+                raise _error_from_rpc(exc) from exc
+            self._connections.record_arrival(connection)
         reply = methods.REPLIES.decode(answer)
         if reply.error is not None:
             raise _error_from_reply(reply.error)
@@ -188,9 +185,18 @@
         """Records a replica that the settings may not name."""
         self._learned_addresses[replica_id] = address
 
-    def _suspect(self, address: str) -> None:
-        """Avoids an unresponsive replica for `SUSPICION_MS`."""
-        self._suspected_until[address] = self._clock.now() + SUSPICION_MS
+    def _handle_timeout(
+        self, connection: connection_lib.Connection, began_ms: int
+    ) -> None:
+        """Avoids the replica for `SUSPICION_MS`; drops a silent connection."""
+        address = connection.address
+        now = self._clock.now()
+        self._suspected_until[address] = now + SUSPICION_MS
+        if self._connections.drop_if_silent(connection, began_ms):
+            self.log.info(
+                "connection is silent; dropped it",
+                extra={"address": address, "silent_ms": now - began_ms},
+            )
 
     def _is_suspected(self, address: str) -> bool:
         return self._suspected_until.get(address, 0) > self._clock.now()
@@ -206,13 +212,6 @@
         if not leader_id:
             self._replica_index += 1
 
-    def _channel(self, address: str) -> grpc.aio.Channel:
-        if address not in self._channels:
-            self._channels[address] = grpc.aio.insecure_channel(
-                address, options=_CHANNEL_OPTIONS
-            )
-        return self._channels[address]
-
     @mode.Service.task
     async def _watch_leader(self) -> None:
         while not self.should_stop:
@@ -225,23 +224,33 @@
             await self.sleep(clock_lib.seconds(pause_ms))
 
     async def _watch_once(self) -> None:
-        address = self._leader_address()
-        call = self._channel(address).stream_stream(
-            methods.path(methods.WATCH)
-        )(self._watch_requests())
+        async with self._connections.use(self._leader_address()) as connection:
+            open_stream = connection.channel.stream_stream(
+                methods.path(methods.WATCH)
+            )
+            call = open_stream(self._watch_requests())
+            try:
+                await self._read_watch(call, connection)
+            finally:
+                call.cancel()
+
+    async def _read_watch(
+        self,
+        call: grpc.aio.StreamStreamCall,
+        connection: connection_lib.Connection,
+    ) -> None:
         timeout = clock_lib.seconds(WATCH_TIMEOUT_MS)
-        try:
-            while not self.should_stop:
-                try:
-                    payload = await asyncio.wait_for(call.read(), timeout)
-                except TimeoutError:
-                    self._suspect(address)
-                    raise
-                if payload is grpc.aio.EOF:
-                    return
-                self._apply_event(methods.WATCH_EVENTS.decode(payload))
-        finally:
-            call.cancel()
+        while not self.should_stop:
+            began_ms = self._clock.now()
+            try:
+                payload = await asyncio.wait_for(call.read(), timeout)
+            except TimeoutError:
+                self._handle_timeout(connection, began_ms)
+                raise
+            self._connections.record_arrival(connection)
+            if payload is grpc.aio.EOF:
+                return
+            self._apply_event(methods.WATCH_EVENTS.decode(payload))
 
     async def _watch_requests(self) -> AsyncIterator[bytes]:
         """Yields this entry's revision, on every change and periodically."""
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -1,9 +1,11 @@
 import asyncio
+import random
 
 import grpc
 import pytest
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import errors
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import control as control_lib
@@ -14,6 +16,7 @@
 from bilberryroute.transport import codec
 from bilberryroute.transport import control as methods
 from tests.utils import environment
+from tests.utils import relay as relay_lib
 
 CLOCK = clock_lib.SystemClock()
 COMMAND = commands.CancelJobs(job_ids=("j1",), at_ms=0)
@@ -176,3 +179,33 @@
             await replica.stop()
     assert result == commands.Changed(revision=7)
     assert leader.proposals_received == 1
+
+
+@pytest.fixture
+async def relayed_leader():
+    """A leading replica and the relay that its address leads to."""
+    leader = FakeReplica()
+    await leader.start()
+    relay = relay_lib.TcpRelay(leader.address, random.Random(0))
+    leader.address = await relay.start()
+    yield leader, relay
+    await relay.stop()
+    await leader.stop()
+
+
+async def test_silent_connection_to_the_leader_is_replaced(relayed_leader):
+    leader, relay = relayed_leader
+    env = environment.fake_environment(clock=CLOCK)
+    client = control_lib.ControlClient(
+        _settings_with_seed(leader), board_lib.new_board(), CLOCK, env.rng
+    )
+    try:
+        await client.propose(COMMAND)
+        relay.forward.swallow = True
+        with pytest.raises(errors.CommitUnknown):
+            await client.propose(COMMAND, control_lib.CALL_TIMEOUT_MS)
+        relay.heal()
+        result = await client.propose(COMMAND)
+    finally:
+        await client.on_stop()
+    assert result == commands.Changed(revision=7)
