Don't rule out a leader that was heard, or had little time to answer

What callers saw: an entry whose call to the leader timed out sent the leader nothing for 3 s, and its callers got 503 meanwhile. The last call within a caller's deadline may have a few milliseconds left, and a leader that takes long to commit one command still answers look-ups and the watch.

Cause: every timeout counted as silence, whatever its length and whatever else arrived from that replica. Class: a timeout taken as proof of a failure.

Change: a replica counts as silent if it was heard neither since the call began nor for 700 ms; a leader sends something every 500 ms to those that watch it.

Ruled out: a shorter time of avoiding; a frozen leader is still named by the others for an election timeout (the test of the frozen leader passes as before).

Tests: test_call_with_little_time_left_does_not_rule_out_the_leader and test_slow_call_does_not_rule_out_a_leader_that_is_heard failed before (Unavailable, 3 of 3 runs) and pass, 3 of 3.

--- a/bilberryroute/entry/connections.py
+++ b/bilberryroute/entry/connections.py
@@ -67,13 +67,13 @@
         """Records that something arrived."""
         connection.heard_ms = self._clock.now()
 
-    def drop_if_silent(self, connection: Connection, since_ms: int) -> bool:
-        """Has the next user open a new connection if nothing arrived since.
+    def drop(self, connection: Connection) -> bool:
+        """Has the next user open a new connection.
 
         Returns:
-          Whether the connection was dropped by this call.
+          Whether this call dropped it, and not an earlier one.
         """
-        if connection.heard_ms > since_ms or not self._is_current(connection):
+        if not self._is_current(connection):
             return False
         del self._current[connection.address]
         return True
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -28,6 +28,8 @@
 RETRY_MAX_MS = 120
 WATCH_TIMEOUT_MS = clock_lib.Millis(1_500)
 SUSPICION_MS = clock_lib.Millis(3_000)
+# A leader sends something every 500 ms to those that watch it.
+SILENCE_MS = clock_lib.Millis(700)
 REPORT_INTERVAL_MS = clock_lib.Millis(500)
 
 
@@ -188,14 +190,20 @@
     def _handle_timeout(
         self, connection: connection_lib.Connection, began_ms: int
     ) -> None:
-        """Avoids the replica for `SUSPICION_MS`; drops a silent connection."""
-        address = connection.address
+        """Avoids a silent replica for `SUSPICION_MS`, and its connection.
+
+        A replica that was heard meanwhile is slow, or had little time left.
+        """
         now = self._clock.now()
+        silent_ms = now - max(began_ms, connection.heard_ms)
+        if silent_ms < SILENCE_MS:
+            return
+        address = connection.address
         self._suspected_until[address] = now + SUSPICION_MS
-        if self._connections.drop_if_silent(connection, began_ms):
+        if self._connections.drop(connection):
             self.log.info(
                 "connection is silent; dropped it",
-                extra={"address": address, "silent_ms": now - began_ms},
+                extra={"address": address, "silent_ms": silent_ms},
             )
 
     def _is_suspected(self, address: str) -> bool:
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -30,16 +30,20 @@
       leader_id: Leader that it reports; empty if it leads itself.
       leader_address: Address that it reports for that leader.
       silent: Whether it never answers proposals.
+      delay_ms: How long it waits before it answers a proposal.
       proposals_received: Number of proposals received.
       event: Event sent to a watch, if any.
+      repeat_ms: Interval at which the event is sent again; 0 if it is not.
     """
 
     def __init__(self, leader_id: str = "", silent: bool = False):
         self.leader_id = leader_id
         self.leader_address = ""
         self.silent = silent
+        self.delay_ms = 0
         self.proposals_received = 0
         self.event: wire.WatchEvent | None = None
+        self.repeat_ms = 0
         self.address = ""
         self._server = grpc.aio.server()
 
@@ -64,11 +68,15 @@
     async def _watch(self, reports: object, context: object):
         if self.event is not None:
             yield codec.encode(self.event)
+        while self.repeat_ms:
+            await asyncio.sleep(clock_lib.seconds(self.repeat_ms))
+            yield codec.encode(self.event)
 
     async def _propose(self, payload: bytes, context: object) -> bytes:
         self.proposals_received += 1
         if self.silent:
             await asyncio.sleep(60)
+        await asyncio.sleep(clock_lib.seconds(self.delay_ms))
         if not self.leader_id:
             return codec.encode(control.Reply(payload=DONE))
         error = control.ErrorReply(
@@ -209,3 +217,58 @@
     finally:
         await client.on_stop()
     assert result == commands.Changed(revision=7)
+
+
+@pytest.fixture
+async def slow_leader():
+    """A leading replica, a follower, and a client of both."""
+    leader, follower = FakeReplica(), FakeReplica(leader_id="r1")
+    for replica in (leader, follower):
+        await replica.start()
+    cfg = settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.ProcessRole.ENTRY,),
+        replicas=(
+            settings.ReplicaAddress(id="r1", grpc=leader.address, datagram=""),
+            settings.ReplicaAddress(
+                id="r2", grpc=follower.address, datagram=""
+            ),
+        ),
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    client = control_lib.ControlClient(
+        cfg, board_lib.new_board(), CLOCK, env.rng
+    )
+    yield leader, client
+    for replica in (leader, follower):
+        await replica.stop()
+
+
+async def test_call_with_little_time_left_does_not_rule_out_the_leader(
+    slow_leader,
+):
+    leader, client = slow_leader
+    leader.delay_ms = 150
+    with pytest.raises(errors.CommitUnknown):
+        await client.propose(COMMAND, clock_lib.Millis(50))
+    try:
+        result = await client.propose(COMMAND, clock_lib.Millis(1_000))
+    finally:
+        await client.on_stop()
+    assert result == commands.Changed(revision=7)
+
+
+async def test_slow_call_does_not_rule_out_a_leader_that_is_heard(slow_leader):
+    leader, client = slow_leader
+    leader.event = wire.WatchEvent(
+        term=2, leader_id="r1", configuration=None, endpoints=None
+    )
+    leader.repeat_ms = 100
+    leader.delay_ms = control_lib.CALL_TIMEOUT_MS + 100
+    async with client:
+        with pytest.raises(errors.CommitUnknown):
+            await client.propose(COMMAND, clock_lib.Millis(900))
+        leader.delay_ms = 0
+        result = await client.propose(COMMAND, clock_lib.Millis(1_000))
+    assert result == commands.Changed(revision=7)
