Let innocent suspects run although no worker gets idle

A task that was on a crashed worker once had to wait for a worker with nothing on it. With long-running tasks on every worker there never is one, so the job waited for good although there was room.

Cause: the wait for a worker of its own had no bound, and suspicion no end.

Change: after one crash a unit waits as long as it is going to run, 15 s at least; then it runs beside others. After a second crash it waits as long as it takes, as before, so that a guilty task still crashes no third worker with others on it. A suspect beside other work doesn't keep the rest of that worker to itself.

Tests: test_suspect_of_one_crash_does_not_wait_for_an_idle_worker_for_good failed before; test_suspect_of_two_crashes_never_joins_other_work. Tests of suspects, batch planning and both explorations pass.

--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -13,6 +13,9 @@
 # milliseconds, and a run must not start early.
 DUE_MARGIN_MS = 20
 
+# How long a suspect waits for a worker of its own at least.
+MIN_ISOLATION_WAIT_MS = 15_000
+
 # A task avoids the workers of its failed runs for this long after its last
 # placement. A worker that fails all it starts is idle again at once, and would
 # get the retries until the attempts are used up.
@@ -162,7 +165,6 @@
                 continue
             step_record = step_records[step_number]
             for indexes, run in _waiting_units(step, step_record):
-                crashes = step_record.crashes(indexes[0], gang=step.gang)
                 yield views.ReadyUnit(
                     record=record,
                     queue=queue,
@@ -172,13 +174,35 @@
                     indexes=indexes,
                     run=run,
                     due_since_ms=due_ms,
-                    suspect=crash_model.is_suspect(crashes),
+                    suspect=_is_suspect(step, step_record, indexes, wall_ms),
                     failed_on=_recently_failed_on(
                         step_record, indexes, wall_ms
                     ),
                 )
 
 
+def _is_suspect(
+    step: batch.Step,
+    step_record: batch.StepRecord,
+    indexes: tuple[int, ...],
+    wall_ms: int,
+) -> bool:
+    """Returns whether a unit waits for a worker of its own.
+
+    After one crash most suspects are innocent, so that they wait no longer than
+    they are going to run. After a second one they wait as long as it takes.
+    """
+    crashes = step_record.crashes(indexes[0], gang=step.gang)
+    if not crash_model.is_suspect(crashes):
+        return False
+    if crash_model.crash_count(crashes) > 1:
+        return True
+    placed_ms = max(step_record.tasks[index].placed_ms for index in indexes)
+    ran_ms = max(crash.ran_ms for crash in crashes)
+    waited_ms = wall_ms - placed_ms - ran_ms
+    return waited_ms <= max(MIN_ISOLATION_WAIT_MS, step.estimate_ms)
+
+
 def _recently_failed_on(
     step_record: batch.StepRecord, indexes: tuple[int, ...], wall_ms: int
 ) -> frozenset[str]:
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -45,8 +45,8 @@
       workers: Workers by name.
       free: Resources that are neither in use nor allocated in this round, by
         worker.
-      isolated: Names of workers that run a suspect unit, which holds all of
-        their resources, as nothing may start beside it.
+      isolated: Names of workers that run nothing but a suspect unit. It holds
+        all of their resources, as nothing may start beside it.
     """
 
     def __init__(
@@ -87,6 +87,8 @@
         free = worker.capacity
         allocations = []
         task_counts: collections.Counter[views.StepKey] = collections.Counter()
+        units: set[crash_model.UnitKey] = set()
+        may_crash = False
         for task_id in state.placed.get(worker.ref.agent, ()):
             record = state.jobs[task_id.job_id]
             task = record.task(task_id)
@@ -103,9 +105,10 @@
             free = free.minus(allocation.need)
             allocations.append(allocation)
             task_counts[task_id.job_id, task_id.occurrence, task_id.step] += 1
-            if _is_unproven_suspect(record, task_id, wall_ms):
-                self.isolated.add(name)
-        if name in self.isolated:
+            units.add(crash_model.unit_key(record, task_id))
+            may_crash |= _is_unproven_suspect(record, task_id, wall_ms)
+        if may_crash and len(units) == 1:
+            self.isolated.add(name)
             last_end_ms = max(each.remaining_ms for each in allocations)
             allocations.append(_Allocation(need=free, remaining_ms=last_end_ms))
             free = batch.NO_RESOURCES
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -90,6 +90,29 @@
     assert plan(log).units == ()
 
 
+def test_suspect_of_one_crash_does_not_wait_for_an_idle_worker_for_good(log):
+    """Long-running tasks may keep every worker busy."""
+    service = batches.step(2, long_running=True, spread_limit=1)
+    log.submit("service", batches.content(service))
+    log.place(batches.unit("service", batches.ref("w1"), batches.ref("w2")))
+    submit_suspects(log, "j1", estimate_ms=60_000)
+    log.now += 60_000
+    assert plan(log).units == ()
+    log.now += 1
+    assert "j1" in placed_on(plan(log))
+
+
+def test_suspect_of_two_crashes_never_joins_other_work(log):
+    log.submit("j1", batches.content())
+    for run in (1, 2):
+        log.submit(f"other{run}", batches.content())
+        crash(log, "j1", f"other{run}", run=run)
+        log.cancel(f"other{run}")
+    occupy(log, "w1", "nightly", "busy")
+    log.now += 3_600_000
+    assert plan(log, batches.worker("w1")).units == ()
+
+
 def test_nothing_joins_a_suspect_on_its_worker(log):
     submit_suspects(log, "j1")
     log.place(batches.unit("j1", batches.ref("w1"), run=2))
