Keep ended jobs for longer than promised by what clocks may differ

What callers would see: 410 for an ended job within the time for which it can be looked up.

Cause: the leader that commits the end stamps it with its wall clock, and the leader of a later submission prunes by its own. If a clock is ahead, after a step or on another host, the job goes early. Class: times of two clocks compared without allowance.

Change: the adapter asks for 10 s more than the platform promises, twice what a clock may be off.

Test: test_ended_job_is_kept_although_clocks_of_two_leaders_differ failed before (60,000 ms) and passes.

--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -28,6 +28,10 @@
 # The load balancer removes a process after two failed probes, 1 s apart.
 BALANCER_LAG_MS = 2_300
 
+# How far a clock may be off, in milliseconds. One leader stamps the end of a
+# job, and another one decides when it is no longer stored.
+CLOCK_ERROR_MS = 5_000
+
 
 class _Listen(msgspec.Struct, frozen=True, rename="camel"):
     """Addresses `ip:port` that a role serves; empty if not served.
@@ -171,7 +175,8 @@
         timing=settings.Timing(
             run_lease_ms=node.bounds.holdMaxMs,
             capacity_age_ms=node.bounds.contactMs,
-            batch_kept_ms=int(1_000 * node.bounds.status_s),
+            batch_kept_ms=int(1_000 * node.bounds.status_s)
+            + 2 * CLOCK_ERROR_MS,
             balancer_lag_ms=BALANCER_LAG_MS,
         ),
     )
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -250,6 +250,16 @@
     assert place.addresses.control == "10.1.0.19:8526"
 
 
+def test_ended_job_is_kept_although_clocks_of_two_leaders_differ(settings_file):
+    """The first stamps the end, the second decides what is pruned."""
+    cfg = platform_settings.load(
+        settings_file, settings.ProcessRole.ENTRY
+    ).settings
+    promised_ms = 60_000
+    off_by_ms = 5_000
+    assert cfg.timing.batch_kept_ms >= promised_ms + 2 * off_by_ms
+
+
 def test_roles_on_one_machine_share_no_port(settings_file):
     seen = set()
     for role in settings.ProcessRole:
