Don't clear a failing worker by the end of an older run

Cause: any run that ended as done reset the worker's failures. A worker that fails what it starts may still finish runs that began before, one after the other, and each of them made it look sound.

Change: only a run that was placed after the last failure clears its worker.

Found in reading the code. test_run_older_than_a_failure_does_not_clear_its_worker fails without the comparison.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -188,10 +188,10 @@
         self, worker: str, end: wire.EndReport, task: batch.TaskRecord
     ) -> batching.RunEnd:
         """Updates health, run times and permits; returns the end to commit."""
-        self._health.record_end(worker, end)
+        took_ms = self._clock.wall() - task.placed_ms
+        self._health.record_end(worker, end, took_ms)
         if end.outcome == batch.RunOutcome.DONE and task.run == 1:
             queue = self._batch_state.jobs[end.task.job_id].queue
-            took_ms = self._clock.wall() - task.placed_ms
             self._run_times.add(queue, took_ms)
         if end.outcome == batch.RunOutcome.REJECTED:
             step = (end.task.job_id, end.task.occurrence, end.task.step)
--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -34,10 +34,18 @@
         self._streaks: dict[str, _FailureStreak] = {}
         self._crashed_ms: dict[str, int] = {}
 
-    def record_end(self, worker: str, end: wire.EndReport) -> None:
-        """Updates a worker's failures from the end of a run."""
+    def record_end(
+        self, worker: str, end: wire.EndReport, ran_ms: int
+    ) -> None:
+        """Updates a worker's failures from the end of a run.
+
+        Args:
+          worker: Name of the worker.
+          end: How the run ended.
+          ran_ms: Time since the run was placed, in milliseconds.
+        """
         if end.outcome == batch.RunOutcome.DONE:
-            self._streaks.pop(worker, None)
+            self._record_success(worker, self._clock.now() - ran_ms)
         crashed = end.cause == batch.LossCause.CRASHED
         if crashed:
             self._crashed_ms[worker] = self._clock.now()
@@ -53,6 +61,15 @@
             return False
         return self._clock.now() - crashed_ms < CRASH_MEMORY_MS
 
+    def _record_success(self, worker: str, placed_ms: int) -> None:
+        """Ends a streak, unless the run began before its last failure.
+
+        A worker that fails all it starts may still finish older runs.
+        """
+        streak = self._streaks.get(worker)
+        if streak is not None and placed_ms >= streak.last_ms:
+            del self._streaks[worker]
+
     def is_suspect(self, worker: str) -> bool:
         """Returns whether a worker should be chosen last."""
         streak = self._streaks.get(worker)
--- a/tests/replica/test_batch_health.py
+++ b/tests/replica/test_batch_health.py
@@ -26,12 +26,12 @@
 }
 
 
-def end_runs(health, how: dict, *job_ids: str) -> None:
+def end_runs(health, how: dict, *job_ids: str, ran_ms: int = 0) -> None:
     for job_id in job_ids:
         report = wire.EndReport(
             number=0, task=batches.task(job_id), run=1, **how
         )
-        health.record_end("w1", report)
+        health.record_end("w1", report, ran_ms)
 
 
 @pytest.mark.parametrize("how", [CRASHED, FAILED])
@@ -42,6 +42,19 @@
     assert health.is_suspect("w1")
 
 
+@pytest.mark.parametrize(
+    ("ran_ms", "suspect_after"), [(500, False), (1_500, True)]
+)
+def test_run_older_than_a_failure_does_not_clear_its_worker(
+    health, env, ran_ms, suspect_after
+):
+    end_runs(health, FAILED, "j1", "j2")
+    env.clock.advance(1_000)
+    done = {"outcome": batch.RunOutcome.DONE}
+    end_runs(health, done, "j3", ran_ms=ran_ms)
+    assert health.is_suspect("w1") == suspect_after
+
+
 def test_crash_of_a_worker_is_remembered_for_a_while(health, env):
     end_runs(health, CRASHED, "j1")
     env.clock.advance(batch_health.CRASH_MEMORY_MS - 1)
