Wait for sound workers rather than start on suspect ones

What callers saw: wide jobs used up their attempts on workers that were suspect already.

Cause: suspect workers were only chosen last. A worker that fails all it starts is idle again at once, so as soon as all others are full it is the one with room, and it got whatever came next.

Change: a unit waits for the others if it would fit on them when they are idle. A guaranteed unit first reclaims room on the others, and starts on a failing worker rather than late.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -243,7 +243,7 @@
             capacity=report.capacity,
             largest_capacity=worker.largest_capacity,
             open=not (report.draining or report.over or leaving),
-            suspect=self._health.is_suspect(report.name),
+            health=self._health.assess(report.name),
             crashed=self._health.has_crashed(report.name),
         )
 
--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -5,12 +5,13 @@
 from bilberryroute import clock as clock_lib
 from bilberryroute.model import batch
 from bilberryroute.model import wire
+from bilberryroute.scheduling.batch import views
 
 # Number of distinct jobs that must fail in a row on a worker: a single job
 # may itself be the cause.
 SUSPECT_AFTER_JOBS = 2
-# How long after its last failure a worker is chosen last.
-SUSPECT_MS = 10 * clock_lib.SECOND
+# How long a failure counts as recent.
+RECENT_FAILURE_MS = 10 * clock_lib.SECOND
 
 # How long after a crash a worker is chosen last for suspect units.
 CRASH_MEMORY_MS = clock_lib.MINUTE
@@ -34,9 +35,7 @@
         self._streaks: dict[str, _FailureStreak] = {}
         self._crashed_ms: dict[str, int] = {}
 
-    def record_end(
-        self, worker: str, end: wire.EndReport, ran_ms: int
-    ) -> None:
+    def record_end(self, worker: str, end: wire.EndReport, ran_ms: int) -> None:
         """Updates a worker's failures from the end of a run.
 
         Args:
@@ -70,9 +69,13 @@
         if streak is not None and placed_ms >= streak.last_ms:
             del self._streaks[worker]
 
-    def is_suspect(self, worker: str) -> bool:
-        """Returns whether a worker should be chosen last."""
+    def assess(self, worker: str) -> views.WorkerHealth:
+        """Returns what recent runs say about a worker."""
         streak = self._streaks.get(worker)
-        if streak is None or len(streak.jobs) < SUSPECT_AFTER_JOBS:
-            return False
-        return self._clock.now() - streak.last_ms < SUSPECT_MS
+        if streak is None:
+            return views.WorkerHealth.SOUND
+        if self._clock.now() - streak.last_ms >= RECENT_FAILURE_MS:
+            return views.WorkerHealth.UNPROVEN
+        if len(streak.jobs) < SUSPECT_AFTER_JOBS:
+            return views.WorkerHealth.DOUBTFUL
+        return views.WorkerHealth.SUSPECT
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from bilberryroute.model import batch
+from bilberryroute.scheduling.batch import avoiding
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
@@ -59,7 +60,7 @@
         for worker in resources.workers.values()
         if resources.is_eligible(unit, worker, evacuated)
     ]
-    allowed = _without_failed(unit, allowed)
+    allowed = avoiding.without_failing(unit, allowed)
     racks: dict[str, list[views.WorkerSnapshot]] = {}
     for worker in allowed:
         racks.setdefault(worker.rack, []).append(worker)
@@ -75,25 +76,6 @@
     return [*rack_groups, *(sorted(racks.values(), key=len)), allowed]
 
 
-def _without_failed(
-    unit: views.ReadyUnit, workers: list[views.WorkerSnapshot]
-) -> list[views.WorkerSnapshot]:
-    """Leaves out the workers that failed the unit, if the others suffice.
-
-    They suffice if the unit would fit on them when they are idle: waiting for
-    them is better than to use up the attempts of the job.
-    """
-    if not unit.failed_on:
-        return workers
-    others = [w for w in workers if w.ref.name not in unit.failed_on]
-    need = batch.task_demand(unit.step)
-    spread = unit.step.spread_limit or len(unit.indexes)
-    fitting = sum(
-        min(spread, worker.capacity.multiple_of(need)) for worker in others
-    )
-    return others if fitting >= len(unit.indexes) else workers
-
-
 def is_wider_than_racks(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
@@ -125,15 +107,15 @@
 ) -> tuple[str, ...] | None:
     """Places all tasks by best fit, or returns None if any doesn't fit.
 
-    Suspect workers are chosen only if no other worker fits. Suspect units are
-    placed only on workers that nothing else uses.
+    The healthiest workers that fit are chosen. Suspect units are placed only on
+    workers that nothing else uses.
     """
     if unit.suspect:
         group = [w for w in group if available[w.ref.name] == w.capacity]
     need = batch.task_demand(unit.step)
     free = {worker.ref.name: available[worker.ref.name] for worker in group}
-    last_choices = {
-        w.ref.name for w in group if w.suspect or (unit.suspect and w.crashed)
+    badness = {
+        w.ref.name: (w.health, unit.suspect and w.crashed) for w in group
     }
     remaining_spread = {
         name: resources.remaining_spread(unit, name) for name in free
@@ -154,7 +136,7 @@
         best = min(
             fitting,
             key=lambda n: (
-                n in last_choices,
+                badness[n],
                 free[n].accelerators - need.accelerators,
                 free[n].cpu_millis - need.cpu_millis,
                 n,
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -3,6 +3,7 @@
 import bisect
 import dataclasses
 import types
+from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Set
@@ -17,11 +18,6 @@
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
-# Second element of a unit's rank (see `readiness._rank`) from which on the unit
-# may only preempt runs that lose no work. Making others lose work is justified
-# only for jobs within an account's guarantee.
-FIRST_UNGUARANTEED_PRIORITY = 1
-
 # A unit that would fit near its data or rack only on workers that are absent
 # waits this share of its estimated duration for them, up to the maximum.
 LOCALITY_WAIT_SHARE = 0.5
@@ -103,23 +99,19 @@
         self._reservation_count = 0
         self._waiting_unit_count = 0
         self._waiting_jobs: dict[str, tuple[int, ...]] = {}
-        self._fits: dict[
-            tuple[views.StepKey, frozenset[str], bool], _FutureFit | None
-        ] = {}
+        self._fits: dict[Hashable, _FutureFit | None] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
 
     def run(self, ready: list[views.ReadyUnit]) -> views.BatchPlan:
         """Tries to place each unit, in the given order."""
-        blocked_steps: set[views.StepKey] = set()
+        blocked: set[Hashable] = set()
         for unit in ready:
-            if unit.step_key in blocked_steps:
+            if unit.placement_key in blocked:
                 self._waiting_unit_count += 1
             elif not self._try_place(unit):
                 self._waiting_unit_count += 1
                 self._waiting_jobs.setdefault(unit.record.id, unit.rank)
-                # Other tasks of the step may fit where this one may not run.
-                if not (unit.failed_on or unit.suspect):
-                    blocked_steps.add(unit.step_key)
+                blocked.add(unit.placement_key)
         return views.BatchPlan(
             units=tuple(self._units),
             stops=tuple(self._stopped_for),
@@ -134,28 +126,39 @@
             self._permit_candidates[unit.step_key] = (
                 self._resources.permit_candidates(unit, self._state.evacuated)
             )
-        guaranteed = _is_guaranteed(unit)
-        may_wait = unit.suspect and not guaranteed
-        if may_wait and self._resources.isolates_enough():
+        if unit.guaranteed:
+            return self._try_place_guaranteed(unit)
+        if unit.suspect and self._resources.isolates_enough():
             return False
-        available = (
-            self._resources.free
-            if guaranteed
-            else self._resources.unreserved_for(unit)
-        )
-        names = self._find_workers(unit, available)
-        if names is not None:
-            refs = tuple(self._resources.workers[name].ref for name in names)
-            permits = self._resources.permits(unit)
-            self._units.append(unit.to_command(refs, permits))
-            self._resources.allocate(unit, names)
+        if self._place_on(unit, self._resources.unreserved_for(unit)):
             return True
-        if guaranteed:
-            self._reclaim(unit)
-        else:
-            self._reserve_or_preempt(unit)
+        self._reserve_or_preempt(unit)
         return False
 
+    def _try_place_guaranteed(self, unit: views.ReadyUnit) -> bool:
+        """Starts or reclaims, on failing workers only if no others suffice."""
+        choices = [unit]
+        if self._resources.any_failing:
+            choices.append(dataclasses.replace(unit, accepts_failing=True))
+        for each in choices:
+            if self._place_on(each, self._resources.free):
+                return True
+            if self._reclaim(each):
+                return False
+        return False
+
+    def _place_on(
+        self, unit: views.ReadyUnit, available: Mapping[str, batch.Resources]
+    ) -> bool:
+        names = self._find_workers(unit, available)
+        if names is None:
+            return False
+        refs = tuple(self._resources.workers[name].ref for name in names)
+        permits = self._resources.permits(unit)
+        self._units.append(unit.to_command(refs, permits))
+        self._resources.allocate(unit, names)
+        return True
+
     def _find_workers(
         self, unit: views.ReadyUnit, available: Mapping[str, batch.Resources]
     ) -> tuple[str, ...] | None:
@@ -189,7 +192,7 @@
             return waited_ms < max_wait_ms and not self._is_wider_than_racks(
                 unit
             )
-        if _is_guaranteed(unit):
+        if unit.guaranteed:
             return waited_ms < GUARANTEE_WAIT_MS
         run_ms = self._job_deadlines.run_ms(unit)
         return fit.delay_ms < (placing.REMOTE_FACTOR - 1) * run_ms
@@ -199,8 +202,11 @@
             unit, self._resources, self._state.evacuated
         )
 
-    def _reclaim(self, unit: views.ReadyUnit) -> None:
-        """Claims resources that are about to be freed, or preempts for them."""
+    def _reclaim(self, unit: views.ReadyUnit) -> bool:
+        """Claims resources that are about to be freed, or preempts for them.
+
+        Returns whether there are enough of either.
+        """
         waited_ms = self._wall_ms - unit.due_since_ms
         wait_left_ms = max(0, GUARANTEE_WAIT_MS - waited_ms)
         names = self._find_workers(
@@ -208,8 +214,10 @@
         )
         if names is None:
             names = self._preempt(unit, self._preemption_candidates())
-        if names is not None:
-            self._resources.allocate(unit, names)
+        if names is None:
+            return False
+        self._resources.allocate(unit, names)
+        return True
 
     def _reserve_or_preempt(self, unit: views.ReadyUnit) -> None:
         """Reserves resources, or preempts work that can afford the delay."""
@@ -288,7 +296,7 @@
         Computed once a round for each step and what its units avoid: what is
         placed in between changes it little.
         """
-        key = (unit.step_key, unit.failed_on, unit.suspect)
+        key = unit.placement_key
         if key not in self._fits:
             self._fits[key] = self._find_earliest_fit(unit)
         return self._fits[key]
@@ -315,7 +323,3 @@
             self._state.evacuated,
             local_only=True,
         )
-
-
-def _is_guaranteed(unit: views.ReadyUnit) -> bool:
-    return unit.rank[1] < FIRST_UNGUARANTEED_PRIORITY
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -45,6 +45,7 @@
       workers: Workers by name.
       free: Resources that are neither in use nor allocated in this round, by
         worker.
+      any_failing: Whether runs failed recently on any worker.
       isolated: Names of workers that run nothing but a suspect unit. It holds
         all of their resources, as nothing may start beside it.
     """
@@ -68,6 +69,10 @@
         """
         self._permits = permits
         self.workers = {worker.ref.name: worker for worker in workers}
+        self.any_failing = any(
+            worker.health >= views.WorkerHealth.DOUBTFUL
+            for worker in self.workers.values()
+        )
         self.free: dict[str, batch.Resources] = {}
         self.isolated: set[str] = set()
         self._allocations: dict[str, list[_Allocation]] = {}
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -1,6 +1,8 @@
 """Inputs and outputs of the batch planner."""
 
 import dataclasses
+import enum
+from collections.abc import Hashable
 from collections.abc import Mapping
 
 from bilberryroute.model import batch
@@ -9,6 +11,25 @@
 
 StepKey = tuple[str, int, int]
 
+# Second element of a unit's rank (see `readiness._rank`) from which on the unit
+# may only preempt runs that lose no work. Making others lose work is justified
+# only for jobs within an account's guarantee.
+FIRST_UNGUARANTEED_PRIORITY = 1
+
+
+class WorkerHealth(enum.IntEnum):
+    """What recent runs say about their worker; a higher value is worse.
+
+    `UNPROVEN`: a run failed there some time ago and none has succeeded since.
+    `DOUBTFUL`: runs of one job, which may itself be the cause, failed recently.
+    `SUSPECT`: runs of several jobs failed recently.
+    """
+
+    SOUND = 0
+    UNPROVEN = 1
+    DOUBTFUL = 2
+    SUSPECT = 3
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerSnapshot:
@@ -20,7 +41,7 @@
       largest_capacity: Capacity that it had at most; its capacity may shrink
         for a while.
       open: Whether the worker and its agent accept new runs.
-      suspect: Whether runs failed there recently; such workers are chosen last.
+      health: What recent runs say about it; the healthiest are chosen first.
       crashed: Whether the worker crashed recently. Suspect units go there last:
         a second crash would not prove that they are its cause.
     """
@@ -33,7 +54,7 @@
     capacity: batch.Resources
     largest_capacity: batch.Resources = batch.NO_RESOURCES
     open: bool = True
-    suspect: bool = False
+    health: WorkerHealth = WorkerHealth.SOUND
     crashed: bool = False
 
 
@@ -50,6 +71,8 @@
       suspect: Whether it may crash its workers, so that it runs apart from
         other work.
       failed_on: Names of workers on which runs of the unit failed recently.
+      accepts_failing: Whether it may start on failing workers even if others
+        would suffice later.
     """
 
     record: batch.BatchRecord
@@ -63,12 +86,23 @@
     due_since_ms: int = 0
     suspect: bool = False
     failed_on: frozenset[str] = frozenset()
+    accepts_failing: bool = False
 
     @property
     def step_key(self) -> StepKey:
         """Job id, occurrence and index of the unit's step."""
         return (self.record.id, self.occurrence, self.step_number)
 
+    @property
+    def placement_key(self) -> Hashable:
+        """Equal for units of a step that may use the same workers."""
+        return (self.step_key, self.suspect, self.failed_on)
+
+    @property
+    def guaranteed(self) -> bool:
+        """Whether its job is within its account's guarantee."""
+        return self.rank[1] < FIRST_UNGUARANTEED_PRIORITY
+
     def to_command(
         self,
         workers: tuple[batch.WorkerRef, ...],
--- a/tests/replica/test_batch_health.py
+++ b/tests/replica/test_batch_health.py
@@ -5,6 +5,7 @@
 from bilberryroute.model import batch
 from bilberryroute.model import wire
 from bilberryroute.replica import batch_health
+from bilberryroute.scheduling.batch import views
 from tests.utils import batches
 from tests.utils import environment
 
@@ -35,24 +36,27 @@
 
 
 @pytest.mark.parametrize("how", [CRASHED, FAILED])
-def test_worker_that_ends_the_runs_of_several_jobs_is_suspect(health, how):
+def test_worker_that_ends_the_runs_of_several_jobs_is_suspect(health, env, how):
     end_runs(health, how, "j1")
-    assert not health.is_suspect("w1")
+    assert health.assess("w1") == views.WorkerHealth.DOUBTFUL
     end_runs(health, how, "j2")
-    assert health.is_suspect("w1")
+    assert health.assess("w1") == views.WorkerHealth.SUSPECT
+    env.clock.advance(batch_health.RECENT_FAILURE_MS)
+    assert health.assess("w1") == views.WorkerHealth.UNPROVEN
 
 
 @pytest.mark.parametrize(
-    ("ran_ms", "suspect_after"), [(500, False), (1_500, True)]
+    ("ran_ms", "health_after"),
+    [(500, views.WorkerHealth.SOUND), (1_500, views.WorkerHealth.SUSPECT)],
 )
 def test_run_older_than_a_failure_does_not_clear_its_worker(
-    health, env, ran_ms, suspect_after
+    health, env, ran_ms, health_after
 ):
     end_runs(health, FAILED, "j1", "j2")
     env.clock.advance(1_000)
     done = {"outcome": batch.RunOutcome.DONE}
     end_runs(health, done, "j3", ran_ms=ran_ms)
-    assert health.is_suspect("w1") == suspect_after
+    assert health.assess("w1") == health_after
 
 
 def test_crash_of_a_worker_is_remembered_for_a_while(health, env):
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -4,6 +4,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import planner
+from bilberryroute.scheduling.batch import views
 from tests.utils import batches
 
 # Delay after which no unit waits for its preferred rack any more.
@@ -262,7 +263,8 @@
 
 def test_suspect_workers_are_chosen_last(log):
     log.submit("j1", batches.content())
-    workers = [batches.worker("w1", suspect=True), batches.worker("w2")]
+    suspect = views.WorkerHealth.SUSPECT
+    workers = [batches.worker("w1", health=suspect), batches.worker("w2")]
     assert worker_names(plan(log, *workers)) == [["w2"]]
 
 
