Keep gangs and last attempts off workers that just failed a run

What callers saw: jobs ended as failed, and gangs lost the work of all members, because a run was placed on a worker that had just failed another job's.

Cause: a worker is suspect only after runs of two jobs failed there. Until then each next job was tried on it, whatever a failure costs: a task on its last attempt ends its job, any member ends the attempt of its gang.

Change: such units wait for other workers as they do for suspect ones; all other tasks go there and show which it is. A guaranteed gang doesn't wait for this proof unless it is on its last attempt.

Evidence: four tests of test_avoiding.py; the three on tasks and gangs failed before.

--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -33,7 +33,12 @@
     """Returns whether a unit should not be tried on a worker."""
     if unit.accepts_failing:
         return False
-    return worker.health > views.WorkerHealth.DOUBTFUL
+    tolerated = (
+        views.WorkerHealth.UNPROVEN
+        if unit.fragile
+        else views.WorkerHealth.DOUBTFUL
+    )
+    return worker.health > tolerated
 
 
 def _would_suffice(
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -178,6 +178,9 @@
                     failed_on=_recently_failed_on(
                         step_record, indexes, wall_ms
                     ),
+                    last_attempt=_is_last_attempt(
+                        queue, step, step_record, indexes
+                    ),
                 )
 
 
@@ -215,6 +218,19 @@
     )
 
 
+def _is_last_attempt(
+    queue: catalog_model.Queue,
+    step: batch.Step,
+    step_record: batch.StepRecord,
+    indexes: tuple[int, ...],
+) -> bool:
+    if step.long_running:
+        return False
+    task = step_record.tasks[indexes[0]]
+    failures = step_record.failed if step.gang else task.failed
+    return failures + 1 >= queue.max_attempts
+
+
 def _waiting_units(
     step: batch.Step, step_record: batch.StepRecord
 ) -> Iterator[tuple[tuple[int, ...], int]]:
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -71,6 +71,7 @@
       suspect: Whether it may crash its workers, so that it runs apart from
         other work.
       failed_on: Names of workers on which runs of the unit failed recently.
+      last_attempt: Whether one more failure ends the job.
       accepts_failing: Whether it may start on failing workers even if others
         would suffice later.
     """
@@ -86,6 +87,7 @@
     due_since_ms: int = 0
     suspect: bool = False
     failed_on: frozenset[str] = frozenset()
+    last_attempt: bool = False
     accepts_failing: bool = False
 
     @property
@@ -96,13 +98,27 @@
     @property
     def placement_key(self) -> Hashable:
         """Equal for units of a step that may use the same workers."""
-        return (self.step_key, self.suspect, self.failed_on)
+        return (
+            self.step_key,
+            self.suspect,
+            self.failed_on,
+            self.last_attempt,
+        )
 
     @property
     def guaranteed(self) -> bool:
         """Whether its job is within its account's guarantee."""
         return self.rank[1] < FIRST_UNGUARANTEED_PRIORITY
 
+    @property
+    def fragile(self) -> bool:
+        """Whether the failure of one run costs the job or the work of a gang.
+
+        Guaranteed gangs have no time to wait for proof.
+        """
+        is_gang = self.step.gang and len(self.indexes) > 1
+        return self.last_attempt or (is_gang and not self.guaranteed)
+
     def to_command(
         self,
         workers: tuple[batch.WorkerRef, ...],
--- a/tests/scheduling/test_avoiding.py
+++ b/tests/scheduling/test_avoiding.py
@@ -4,12 +4,16 @@
 
 import pytest
 
+from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
 from tests.utils import batches
 
 DOUBTFUL = views.WorkerHealth.DOUBTFUL
 SUSPECT = views.WorkerHealth.SUSPECT
+UNPROVEN = views.WorkerHealth.UNPROVEN
+# Delay after which the failure of a run is no longer recent.
+LATER_MS = 60_000
 
 
 @pytest.fixture
@@ -33,6 +37,23 @@
         log.place(batches.unit(job_id, batches.ref(name)))
 
 
+def fail_once(log, job_id, name, index=0):
+    log.place(batches.unit(job_id, batches.ref(name), first=index))
+    log.end(batches.task(job_id, index), outcome=batch.RunOutcome.FAILED)
+
+
+def guarantee_all(log, **queue_fields):
+    """Guarantees an account all workers of the tests."""
+    catalog = log.held.catalog
+    log.held.catalog = batches.catalog(
+        accounts=(dataclasses.replace(catalog.accounts[0], guaranteed=32),),
+        queues=tuple(
+            dataclasses.replace(queue, **queue_fields)
+            for queue in catalog.queues
+        ),
+    )
+
+
 def fleet(count=4, **healths):
     return [
         batches.worker(name, health=healths.get(name, views.WorkerHealth.SOUND))
@@ -69,10 +90,40 @@
 
 
 def test_guarantee_is_not_late_where_only_a_suspect_worker_is_left(log):
-    accounts = (
-        dataclasses.replace(log.held.catalog.accounts[0], guaranteed=32),
-    )
-    log.held.catalog = batches.catalog(accounts=accounts)
+    guarantee_all(log)
     occupy(log, "w2", "w3", "w4", queue="urgent")
     log.submit("own", batches.content(batches.step(1, 8)), "urgent")
     assert placed_on(plan(log, *fleet(w1=SUSPECT))) == ["w1"]
+
+
+def test_last_attempt_is_not_spent_on_a_worker_that_just_failed_another(log):
+    occupy(log, "w3", "w4")
+    log.submit("j1", batches.content(batches.step(1, 8)))
+    fail_once(log, "j1", "w2")
+    log.now += LATER_MS
+    occupy(log, "w2")
+    assert placed_on(plan(log, *fleet(w1=DOUBTFUL))) == []
+    assert placed_on(plan(log, *fleet(w1=UNPROVEN))) == ["w1"]
+
+
+def test_task_on_its_last_attempt_does_not_hold_up_its_step(log):
+    occupy(log, "w3", "w4")
+    log.submit("j1", batches.content(batches.step(2, 8)))
+    fail_once(log, "j1", "w2")
+    occupy(log, "w2")
+    (unit,) = plan(log, *fleet(w1=DOUBTFUL)).units
+    assert [m.index for m in unit.members] == [1]
+
+
+def test_gang_waits_rather_than_lose_its_work_on_a_doubtful_worker(log):
+    occupy(log, "w3", "w4")
+    log.submit("j1", batches.content(batches.step(2, 8, gang=True)))
+    assert placed_on(plan(log, *fleet(w1=DOUBTFUL))) == []
+    assert placed_on(plan(log, *fleet(w1=UNPROVEN))) == ["w2", "w1"]
+
+
+def test_guarantee_of_one_attempt_starts_where_only_doubt_is_left(log):
+    guarantee_all(log, max_attempts=1)
+    occupy(log, "w2", "w3", "w4", queue="urgent")
+    log.submit("own", batches.content(batches.step(1, 8)), "urgent")
+    assert placed_on(plan(log, *fleet(w1=DOUBTFUL))) == ["w1"]
