Keep a late retry off the worker that failed it

What callers saw: with one failing worker among eight, a job of two attempts could still end as failed.

Cause: a task avoided the worker that failed it for ten seconds. Work of a low priority often waits for longer than that, and then went to the same worker, which had failed everything in the meantime.

Change: it avoids that worker until a run has succeeded there, if the others would suffice. The state keeps where a task failed; what happened there since is known to the present leader only, so a new leader has the ten seconds.

--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -20,7 +20,7 @@
     They are left out only if the unit would fit on the others when they are
     idle: it is better to wait for them than to use up an attempt.
     """
-    others = [w for w in workers if w.ref.name not in unit.failed_on]
+    others = [w for w in workers if not _may_fail_again(unit, w)]
     sound = [w for w in others if not _is_failing(unit, w)]
     may_avoid = max(1, int(MAX_AVOIDED_SHARE * len(workers)))
     few_fail = len(others) - len(sound) <= may_avoid
@@ -29,6 +29,16 @@
     return others if _would_suffice(unit, others) else workers
 
 
+def _may_fail_again(
+    unit: views.ReadyUnit, worker: views.WorkerSnapshot
+) -> bool:
+    """Returns whether a worker that failed the unit has not improved since."""
+    unproven = worker.health != views.WorkerHealth.SOUND
+    return worker.ref.name in unit.failed_on and (
+        unit.failed_recently or unproven
+    )
+
+
 def _is_failing(unit: views.ReadyUnit, worker: views.WorkerSnapshot) -> bool:
     """Returns whether a unit should not be tried on a worker."""
     if unit.accepts_failing:
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -17,8 +17,7 @@
 MIN_ISOLATION_WAIT_MS = 15_000
 
 # A task avoids the workers of its failed runs for this long after its last
-# placement. A worker that fails all it starts is idle again at once, and would
-# get the retries until the attempts are used up.
+# placement, and beyond that until a run has succeeded there.
 AVOID_FAILED_MS = 10_000
 
 
@@ -165,6 +164,7 @@
                 continue
             step_record = step_records[step_number]
             for indexes, run in _waiting_units(step, step_record):
+                failed_on = _failed_on(step_record, indexes)
                 yield views.ReadyUnit(
                     record=record,
                     queue=queue,
@@ -175,9 +175,9 @@
                     run=run,
                     due_since_ms=due_ms,
                     suspect=_is_suspect(step, step_record, indexes, wall_ms),
-                    failed_on=_recently_failed_on(
-                        step_record, indexes, wall_ms
-                    ),
+                    failed_on=failed_on,
+                    failed_recently=bool(failed_on)
+                    and _placed_recently(step_record, indexes, wall_ms),
                     last_attempt=_is_last_attempt(
                         queue, step, step_record, indexes
                     ),
@@ -206,18 +206,21 @@
     return waited_ms <= max(MIN_ISOLATION_WAIT_MS, step.estimate_ms)
 
 
-def _recently_failed_on(
-    step_record: batch.StepRecord, indexes: tuple[int, ...], wall_ms: int
+def _failed_on(
+    step_record: batch.StepRecord, indexes: tuple[int, ...]
 ) -> frozenset[str]:
-    tasks = [step_record.tasks[index] for index in indexes]
     return frozenset(
-        name
-        for task in tasks
-        if wall_ms - task.placed_ms < AVOID_FAILED_MS
-        for name in task.failed_on
+        name for index in indexes for name in step_record.tasks[index].failed_on
     )
 
 
+def _placed_recently(
+    step_record: batch.StepRecord, indexes: tuple[int, ...], wall_ms: int
+) -> bool:
+    last_ms = max(step_record.tasks[index].placed_ms for index in indexes)
+    return wall_ms - last_ms < AVOID_FAILED_MS
+
+
 def _is_last_attempt(
     queue: catalog_model.Queue,
     step: batch.Step,
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -70,7 +70,8 @@
       due_since_ms: Unix time at which the occurrence became due.
       suspect: Whether it may crash its workers, so that it runs apart from
         other work.
-      failed_on: Names of workers on which runs of the unit failed recently.
+      failed_on: Names of workers on which the last runs of the unit failed.
+      failed_recently: Whether the unit was placed last a short time ago.
       last_attempt: Whether one more failure ends the job.
       accepts_failing: Whether it may start on failing workers even if others
         would suffice later.
@@ -87,6 +88,7 @@
     due_since_ms: int = 0
     suspect: bool = False
     failed_on: frozenset[str] = frozenset()
+    failed_recently: bool = False
     last_attempt: bool = False
     accepts_failing: bool = False
 
@@ -102,6 +104,7 @@
             self.step_key,
             self.suspect,
             self.failed_on,
+            self.failed_recently,
             self.last_attempt,
         )
 
--- a/tests/scheduling/test_avoiding.py
+++ b/tests/scheduling/test_avoiding.py
@@ -127,3 +127,13 @@
     occupy(log, "w2", "w3", "w4", queue="urgent")
     log.submit("own", batches.content(batches.step(1, 8)), "urgent")
     assert placed_on(plan(log, *fleet(w1=DOUBTFUL))) == ["w1"]
+
+
+def test_late_retry_avoids_the_worker_that_has_failed_all_since(log):
+    occupy(log, "w3", "w4")
+    log.submit("j1", batches.content(batches.step(1, 8)))
+    fail_once(log, "j1", "w1")
+    log.now += LATER_MS
+    occupy(log, "w2")
+    assert placed_on(plan(log, *fleet(w1=UNPROVEN))) == []
+    assert placed_on(plan(log, *fleet())) == ["w1"]
