Test with real processes that an entry outlives silent connections

An entry in another region than the leader has all its TCP connections silenced for a second; new ones work then. It has to answer from the leader within 6 s: a watch times out after 1.5 s, and the leader is avoided for 3 s then.

--- a/tests/processes/test_regions.py
+++ b/tests/processes/test_regions.py
@@ -24,6 +24,8 @@
 # Agent's lease, its task's lease, and the worker's round.
 FENCED_MS = 14_000
 STEP_MS = 20_000
+# A watch times out after 1.5 s, and the leader is avoided for 3 s then.
+FOUND_AGAIN_MS = 6_000
 CLOCK = clock_lib.SystemClock()
 
 
@@ -106,3 +108,18 @@
 
     await cluster_lib.until(restarted, FENCED_MS, "the job starts again")
     assert not await cluster.broken()
+
+
+async def test_entry_finds_the_leader_again_after_all_its_connections_go_silent(
+    parted,
+):
+    cluster, relays, _ = parted
+    relays.silence_connections()
+    await asyncio.sleep(1)
+    relays.heal()
+
+    async def answers() -> bool:
+        answer = await cluster.get("e2", "/v1/status")
+        return answer is not None and answer.status == 200
+
+    await cluster_lib.until(answers, FOUND_AGAIN_MS, "e2 finds the leader")
--- a/tests/processes/wires.py
+++ b/tests/processes/wires.py
@@ -117,7 +117,12 @@
         for wire in (*self._datagram.values(), *self._grpc.values()):
             wire.cut()
 
+    def silence_connections(self) -> None:
+        """Swallows all bytes; what is open then stays silent for good."""
+        for wire in self._grpc.values():
+            wire.forward.swallow = wire.backward.swallow = True
+
     def heal(self) -> None:
-        """Ends the cut."""
+        """Ends all faults; new connections work."""
         for wire in (*self._datagram.values(), *self._grpc.values()):
             wire.heal()
