Blame a task for two crashes only if they came soon and on two hosts

What callers would see: a job shown as failed though nothing is wrong with it. A task that takes a whole worker is alone there, so two workers that went down by themselves under it ended its job. Cause: every crash of a worker under one unit alone counted as proof. Change: two such crashes suffice only if each worker was down within 5 s of the start and the hosts differ; otherwise three. The agent measures that time, from the start that it sent until connections were refused: the time kept so far runs from the placement to the commit and contains the worker's restart. It is an additional field, which older processes ignore; without it three crashes are needed. A task that crashes its worker at once is still given up at its second crash alone.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -102,9 +102,9 @@
         )
         previous = self._worker
         crashed_runs = (
-            previous.runs_ended_by_crash()
+            previous.runs_ended_by_crash(self._clock.now())
             if previous is not None
-            else frozenset()
+            else {}
         )
         if crashed_runs:
             logger.info(
@@ -236,10 +236,10 @@
         self, worker: life_lib.WorkerIncarnation, listing: worker_port.Listing
     ) -> None:
         worker.last_answer_ms = self._clock.now()
-        worker.down_since_ms = None
         if listing.born and listing.born != worker.announced.born:
             self._handle_restart(worker, listing)
             return
+        worker.down_since_ms = None
         known = worker.listing
         if known is not None and listing.clock_ms <= known.clock_ms:
             return  # Older than the newest listing.
@@ -412,7 +412,7 @@
             until_ms=until_ms,
             fence=lease.term,
         )
-        state.start_sent = True
+        state.start_sent_ms = self._clock.now()
         try:
             answer = await self._port.start_run(worker.announced.address, order)
         except errors.BilberryrouteError as exc:
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
 from bilberryroute.agent import worker_port
 from bilberryroute.model import batch
@@ -43,7 +44,8 @@
       clock_ms: Worker's clock when it confirmed the start or the stop; only
         a later listing proves that the run is absent.
       call_in_flight: Whether a call on the run awaits its answer.
-      start_sent: Whether a start was sent, answered or not.
+      start_sent_ms: Agent's clock when the last start was sent, answered or
+        not; None before the first.
       outcome_if_absent: Outcome to report if the worker does not list the
         run.
     """
@@ -51,7 +53,7 @@
     phase: RunPhase = RunPhase.PENDING
     clock_ms: int = 0
     call_in_flight: bool = False
-    start_sent: bool = False
+    start_sent_ms: int | None = None
     outcome_if_absent: batch.RunOutcome = batch.RunOutcome.ABSENT
 
 
@@ -69,7 +71,8 @@
       payloads: IDs of the batch jobs whose payload the agent has.
       listing: The worker's newest listing.
       progress: Progress by run.
-      crashed_runs: Runs that ended by a crash of the incarnation before.
+      crashed_runs: Runs that ended by a crash of the incarnation before, with
+        the time from their start until it was down, in milliseconds.
       capacity: Capacity that the worker has for certain.
     """
 
@@ -82,7 +85,9 @@
     listing: worker_port.Listing
     progress: dict[RunKey, RunProgress]
     capacity: batch.Resources
-    crashed_runs: frozenset[RunKey] = frozenset()
+    crashed_runs: Mapping[RunKey, int | None] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -245,6 +250,7 @@
             run=run.run,
             outcome=batch.RunOutcome.LOST,
             cause=batch.LossCause.CRASHED,
+            down_after_ms=plan_input.crashed_runs[run.task, run.run],
         )
         for run in plan_input.desired
         if run.worker != plan_input.worker
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -1,6 +1,7 @@
 """State that an agent keeps on one incarnation of its worker."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from bilberryroute.agent import run_plan
 from bilberryroute.agent import worker_port
@@ -29,7 +30,9 @@
       over: Whether the incarnation has ended, and all its runs with it.
       earlier_runs_barred: Whether the runs meant for earlier incarnations
         are barred here.
-      crashed_runs: Runs of the incarnation before, if that has crashed.
+      crashed_runs: Runs of the incarnation before, if that has crashed, with
+        the time from their start until it was down, in milliseconds; None for
+        those that an earlier process of the agent had started.
     """
 
     announced: worker_port.BatchWorkerAnnouncement
@@ -44,7 +47,9 @@
     withdrawn: bool = False
     over: bool = False
     earlier_runs_barred: bool = False
-    crashed_runs: frozenset[run_plan.RunKey] = frozenset()
+    crashed_runs: Mapping[run_plan.RunKey, int | None] = dataclasses.field(
+        default_factory=dict
+    )
 
     def is_newer(
         self, announcement: worker_port.BatchWorkerAnnouncement
@@ -81,25 +86,40 @@
         """Returns the progress of a run; creates it if there is none."""
         return self.progress.setdefault(key, run_plan.RunProgress())
 
-    def runs_ended_by_crash(self) -> frozenset[run_plan.RunKey]:
+    def runs_ended_by_crash(
+        self, now: int
+    ) -> Mapping[run_plan.RunKey, int | None]:
         """Returns the runs that end if a new incarnation takes over now.
 
         Includes those whose start was not answered: it may have crashed the
         worker. A worker that announced its end has not crashed.
+
+        Returns:
+          For each run the time from its start until the worker was down, as in
+          `crashed_runs`.
         """
         if self.over or self.announced.draining:
-            return frozenset()
+            return {}
         begun = {
             key
             for key, progress in self.progress.items()
             if progress.phase == run_plan.RunPhase.STARTED
-            or progress.start_sent
+            or progress.start_sent_ms is not None
         }
         ended: set[run_plan.RunKey] = set()
         if self.listing is not None:
             begun |= {(run.task, run.run) for run in self.listing.running}
             ended = {(end.task, end.run) for end in self.listing.ends}
-        return frozenset(begun - ended) | self.crashed_runs
+        down_ms = now if self.down_since_ms is None else self.down_since_ms
+        return dict(self.crashed_runs) | {
+            key: self._down_after_ms(key, down_ms) for key in begun - ended
+        }
+
+    def _down_after_ms(self, key: run_plan.RunKey, down_ms: int) -> int | None:
+        progress = self.progress.get(key)
+        if progress is None or progress.start_sent_ms is None:
+            return None
+        return max(0, down_ms - progress.start_sent_ms)
 
     def ref(self, agent: str) -> batch.WorkerRef:
         """Returns the leader's reference to this incarnation."""
--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -243,6 +243,8 @@
       worker: Incarnation that crashed.
       run: Number of the run.
       ran_ms: Time from the placement of the run to its end, in milliseconds.
+      down_after_ms: Time from the start of the run until the worker was down,
+        in milliseconds; None if its agent does not know it.
       alone: Whether no other unit ran on the worker, so that this one has
         caused the crash.
       explained: Whether another unit has since proved to crash workers and may
@@ -252,6 +254,7 @@
     worker: WorkerRef
     run: int
     ran_ms: int
+    down_after_ms: int | None = None
     alone: bool = False
     explained: bool = False
 
--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -115,6 +115,8 @@
       saved: Checkpoint that the run left, or empty.
       cause: Why a lost run was lost. Not an outcome of its own, so that older
         replicas can still apply the command.
+      down_after_ms: For a crash, time from the start of the run until the
+        worker was down, in milliseconds; None if unknown.
     """
 
     task: batch.TaskId
@@ -122,6 +124,7 @@
     outcome: batch.RunOutcome
     saved: str = ""
     cause: batch.LossCause | None = None
+    down_after_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/model/wire.py
+++ b/bilberryroute/model/wire.py
@@ -69,6 +69,8 @@
       number: Counts the ends of one life of a worker, from 1; 0 for an end
         that the agent found out by itself.
       cause: Why the run was lost, if the agent knows.
+      down_after_ms: For a crash, time from the start of the run until the
+        worker was down, in milliseconds; None if unknown.
     """
 
     number: int
@@ -77,6 +79,7 @@
     outcome: batch.RunOutcome
     saved: str = ""
     cause: batch.LossCause | None = None
+    down_after_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -202,6 +202,7 @@
             outcome=end.outcome,
             saved=end.saved,
             cause=end.cause,
+            down_after_ms=end.down_after_ms,
         )
 
     def _plan(
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -329,10 +329,7 @@
         if task is not None:
             if end.cause == batch.LossCause.CRASHED:
                 crash_rules.record_crash(
-                    task,
-                    task.worker,
-                    command.at_ms,
-                    alone=task.worker in alone,
+                    task, end, command.at_ms, alone=task.worker in alone
                 )
             _end_run(
                 batch_state,
@@ -419,14 +416,13 @@
         reason = f"step {task_id.step} failed {failures} times"
         _end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
-    crashes = crash_rules.crashes_alone(
-        crash_model.unit_crashes(record, task_id)
-    )
+    crashes = crash_model.unit_crashes(record, task_id)
     if (
-        crashes >= crash_rules.MAX_CRASHES_ALONE
+        crash_rules.has_proved_to_crash(crashes)
         and task.state != batch.TaskState.DONE
     ):
-        reason = f"step {task_id.step} crashed its worker {crashes} times"
+        count = crash_rules.crashes_alone(crashes)
+        reason = f"step {task_id.step} crashed its worker {count} times"
         _end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
     if task.state == batch.TaskState.DONE and all(
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -9,8 +9,12 @@
 from bilberryroute.model import crashes as crash_model
 
 # Runs of a unit that crashed a worker on which it was alone, after which its
-# job is given up. A second one rules out a crash by chance.
-MAX_CRASHES_ALONE = 2
+# job is given up.
+MAX_CRASHES_ALONE = 3
+# Fewer suffice if each crash came soon after a start and on another host:
+# workers that crash by themselves rarely do that to the same unit twice.
+MAX_PROMPT_CRASHES_ALONE = 2
+PROMPT_CRASH_MS = 5_000
 
 
 def crashes_alone(crashes: Iterable[batch.Crash]) -> int:
@@ -18,6 +22,24 @@
     return crash_model.crash_count(crash for crash in crashes if crash.alone)
 
 
+def has_proved_to_crash(crashes: Iterable[batch.Crash]) -> bool:
+    """Returns whether a unit certainly crashes the workers that run it."""
+    alone = [crash for crash in crashes if crash.alone]
+    prompt = [crash for crash in alone if _is_prompt(crash)]
+    hosts = {crash.worker.agent for crash in prompt}
+    return crash_model.crash_count(alone) >= MAX_CRASHES_ALONE or (
+        min(crash_model.crash_count(prompt), len(hosts))
+        >= MAX_PROMPT_CRASHES_ALONE
+    )
+
+
+def _is_prompt(crash: batch.Crash) -> bool:
+    return (
+        crash.down_after_ms is not None
+        and crash.down_after_ms <= PROMPT_CRASH_MS
+    )
+
+
 def workers_with_one_unit(
     batch_state: batch.BatchState, ends: Iterable[batching.RunEnd]
 ) -> set[batch.WorkerRef]:
@@ -39,13 +61,19 @@
 
 
 def record_crash(
-    task: batch.TaskRecord, worker: batch.WorkerRef, at_ms: int, *, alone: bool
+    task: batch.TaskRecord, end: batching.RunEnd, at_ms: int, *, alone: bool
 ) -> None:
     """Records that a worker crashed under the present run of a task."""
     ran_ms = max(0, at_ms - task.placed_ms)
     if ran_ms <= crash_model.BLAMED_RUN_MS:
         task.crashes.append(
-            batch.Crash(worker=worker, run=task.run, ran_ms=ran_ms, alone=alone)
+            batch.Crash(
+                worker=task.worker,
+                run=task.run,
+                ran_ms=ran_ms,
+                down_after_ms=end.down_after_ms,
+                alone=alone,
+            )
         )
 
 
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -451,6 +451,22 @@
     assert await loss_causes(harness) == ["crashed"]
 
 
+async def test_crash_report_tells_how_long_the_run_had_run(harness):
+    """The restart of the worker is not part of it."""
+    harness.announce()
+    harness.desire(desired())
+    await harness.until(lambda: harness.port.calls)
+    harness.clock.advance(300)
+    harness.port.down = True
+    await harness.until(lambda: harness.port.refused)
+    harness.clock.advance(500)
+    harness.port.down = False
+    await restart_worker(harness)
+    assert await loss_causes(harness) == ["crashed"]
+    (end,) = harness.board.batch.get()[0].ends
+    assert end.down_after_ms == 300
+
+
 async def test_start_that_crashes_the_worker_unanswered_is_reported(harness):
     harness.port.unanswered = {"start"}
     harness.announce()
--- a/tests/scheduling/crash_model.py
+++ b/tests/scheduling/crash_model.py
@@ -142,6 +142,7 @@
                 run=task.run,
                 outcome=batch.RunOutcome.LOST,
                 cause=cause,
+                down_after_ms=self.log.now - task.placed_ms,
             )
             for task_id, task, _ in self._placed_runs()
             if task.worker.name == name
