Log which workers fail runs

A job may now wait although workers are idle, because it avoids those on which runs failed. No log line told on-call engineers which these are.

The leader logs each change: a worker that fails runs (`doubtful`, `suspect`), for which job, and when a run has succeeded there again.

Test: test_log_says_when_a_worker_fails_runs_and_succeeds_again.

--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -1,6 +1,7 @@
 """Tracks which workers have recently failed the runs placed on them."""
 
 import dataclasses
+import logging
 
 from bilberryroute import clock as clock_lib
 from bilberryroute.model import batch
@@ -16,6 +17,8 @@
 # How long after a crash a worker is chosen last for suspect units.
 CRASH_MEMORY_MS = clock_lib.MINUTE
 
+logger = logging.getLogger(__name__)
+
 _FAILURES = (batch.RunOutcome.FAILED, batch.RunOutcome.REJECTED)
 
 
@@ -49,9 +52,7 @@
         if crashed:
             self._crashed_ms[worker] = self._clock.now()
         if crashed or end.outcome in _FAILURES:
-            streak = self._streaks.setdefault(worker, _FailureStreak())
-            streak.jobs.add(end.task.job_id)
-            streak.last_ms = self._clock.now()
+            self._record_failure(worker, end.task.job_id)
 
     def has_crashed(self, worker: str) -> bool:
         """Returns whether a worker has crashed recently."""
@@ -60,6 +61,23 @@
             return False
         return self._clock.now() - crashed_ms < CRASH_MEMORY_MS
 
+    def _record_failure(self, worker: str, job_id: str) -> None:
+        before = self.assess(worker)
+        streak = self._streaks.setdefault(worker, _FailureStreak())
+        streak.jobs.add(job_id)
+        streak.last_ms = self._clock.now()
+        health = self.assess(worker)
+        if health != before:
+            logger.info(
+                "worker fails runs",
+                extra={
+                    "worker": worker,
+                    "job_id": job_id,
+                    "health": health.name.lower(),
+                    "failed_jobs": len(streak.jobs),
+                },
+            )
+
     def _record_success(self, worker: str, placed_ms: int) -> None:
         """Ends a streak, unless the run began before its last failure.
 
@@ -68,6 +86,7 @@
         streak = self._streaks.get(worker)
         if streak is not None and placed_ms >= streak.last_ms:
             del self._streaks[worker]
+            logger.info("worker succeeds again", extra={"worker": worker})
 
     def assess(self, worker: str) -> views.WorkerHealth:
         """Returns what recent runs say about a worker."""
--- a/tests/replica/test_batch_health.py
+++ b/tests/replica/test_batch_health.py
@@ -1,5 +1,7 @@
 """Which batch workers are chosen last."""
 
+import logging
+
 import pytest
 
 from bilberryroute.model import batch
@@ -59,6 +61,23 @@
     assert health.assess("w1") == health_after
 
 
+def test_log_says_when_a_worker_fails_runs_and_succeeds_again(
+    health, env, caplog
+):
+    caplog.set_level(logging.INFO)
+    end_runs(health, FAILED, "j1", "j1", "j2", "j2")
+    env.clock.advance(1_000)
+    end_runs(health, {"outcome": batch.RunOutcome.DONE}, "j3", "j3")
+    logged = [
+        (r.message, r.worker, getattr(r, "health", "")) for r in caplog.records
+    ]
+    assert logged == [
+        ("worker fails runs", "w1", "doubtful"),
+        ("worker fails runs", "w1", "suspect"),
+        ("worker succeeds again", "w1", ""),
+    ]
+
+
 def test_crash_of_a_worker_is_remembered_for_a_while(health, env):
     end_runs(health, CRASHED, "j1")
     env.clock.advance(batch_health.CRASH_MEMORY_MS - 1)
