Don't let a retry wait for workers that stay busy

A retry would have waited for good, also within a guarantee: it kept off the worker that had failed it until a run succeeded there, as long as the others had enough capacity when idle. Long-running tasks keep them from ever being idle, so the job never ran although that worker had nothing to do.

Cause: capacity that exists was taken for capacity that will be free.

Change: ten seconds after the failed run a retry waits for others only if they are expected to have room within the time that it is going to run. A guaranteed unit that finds no other room may use the worker that failed it. A round also looks for other workers only if some are avoided at all, and stops counting once enough fit.

Tests: test_retry_does_not_wait_for_workers_that_stay_busy (two queues) and test_retry_waits_at_first_although_all_others_are_busy_for_long failed before. The exploration of failing workers passes.

--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -4,45 +4,73 @@
 with room, and would use up the attempts of job after job.
 """
 
+from collections.abc import Mapping
+
 from bilberryroute.model import batch
+from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
 # Share of the workers that a unit may avoid for the failures of others. If more
 # are failing, the cause is probably not the workers.
 MAX_AVOIDED_SHARE = 0.25
+# A unit that failed some time ago waits for other workers as long as it is going
+# to run, at least so long.
+MIN_WAIT_MS = 10_000
 
 
 def without_failing(
-    unit: views.ReadyUnit, workers: list[views.WorkerSnapshot]
+    unit: views.ReadyUnit,
+    workers: list[views.WorkerSnapshot],
+    resources: room_lib.AvailableResources,
 ) -> list[views.WorkerSnapshot]:
     """Leaves out the workers on which a unit would probably fail.
 
     They are left out only if the unit would fit on the others when they are
     idle: it is better to wait for them than to use up an attempt.
     """
-    others = [w for w in workers if not _may_fail_again(unit, w)]
+    if unit.accepts_failing or not (unit.failed_on or resources.any_failing):
+        return workers
+    allowed = _without_unproven(unit, workers, resources)
+    others = [
+        worker
+        for worker in allowed
+        if not unit.failed_recently or worker.ref.name not in unit.failed_on
+    ]
     sound = [w for w in others if not _is_failing(unit, w)]
+    if len(sound) == len(workers):
+        return workers
+    idle = {worker.ref.name: worker.capacity for worker in others}
     may_avoid = max(1, int(MAX_AVOIDED_SHARE * len(workers)))
     few_fail = len(others) - len(sound) <= may_avoid
-    if few_fail and _would_suffice(unit, sound):
+    if few_fail and _would_suffice(unit, sound, idle):
         return sound
-    return others if _would_suffice(unit, others) else workers
+    return others if _would_suffice(unit, others, idle) else allowed
 
 
-def _may_fail_again(
-    unit: views.ReadyUnit, worker: views.WorkerSnapshot
-) -> bool:
-    """Returns whether a worker that failed the unit has not improved since."""
-    unproven = worker.health != views.WorkerHealth.SOUND
-    return worker.ref.name in unit.failed_on and (
-        unit.failed_recently or unproven
-    )
+def _without_unproven(
+    unit: views.ReadyUnit,
+    workers: list[views.WorkerSnapshot],
+    resources: room_lib.AvailableResources,
+) -> list[views.WorkerSnapshot]:
+    """Leaves out the workers where nothing succeeded since the unit failed.
+
+    As that may last, they are left out only if the others are expected to have
+    room soon.
+    """
+    others = [
+        worker
+        for worker in workers
+        if worker.health == views.WorkerHealth.SOUND
+        or worker.ref.name not in unit.failed_on
+    ]
+    if unit.failed_recently or len(others) == len(workers):
+        return workers
+    free = resources.free_within(max(MIN_WAIT_MS, unit.step.estimate_ms))
+    return others if _would_suffice(unit, others, free) else workers
 
 
 def _is_failing(unit: views.ReadyUnit, worker: views.WorkerSnapshot) -> bool:
     """Returns whether a unit should not be tried on a worker."""
-    if unit.accepts_failing:
-        return False
     tolerated = (
         views.WorkerHealth.UNPROVEN
         if unit.fragile
@@ -52,12 +80,16 @@
 
 
 def _would_suffice(
-    unit: views.ReadyUnit, workers: list[views.WorkerSnapshot]
+    unit: views.ReadyUnit,
+    workers: list[views.WorkerSnapshot],
+    free: Mapping[str, batch.Resources],
 ) -> bool:
-    """Returns whether a unit fits on these workers when they are idle."""
+    """Returns whether a unit fits on workers that have this much free."""
     need = batch.task_demand(unit.step)
     spread = unit.step.spread_limit or len(unit.indexes)
-    fitting = sum(
-        min(spread, worker.capacity.multiple_of(need)) for worker in workers
-    )
-    return fitting >= len(unit.indexes)
+    fitting = 0
+    for worker in workers:
+        fitting += min(spread, free[worker.ref.name].multiple_of(need))
+        if fitting >= len(unit.indexes):
+            return True
+    return False
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -60,7 +60,7 @@
         for worker in resources.workers.values()
         if resources.is_eligible(unit, worker, evacuated)
     ]
-    allowed = avoiding.without_failing(unit, allowed)
+    allowed = avoiding.without_failing(unit, allowed, resources)
     racks: dict[str, list[views.WorkerSnapshot]] = {}
     for worker in allowed:
         racks.setdefault(worker.rack, []).append(worker)
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -138,7 +138,7 @@
     def _try_place_guaranteed(self, unit: views.ReadyUnit) -> bool:
         """Starts or reclaims, on failing workers only if no others suffice."""
         choices = [unit]
-        if self._resources.any_failing:
+        if unit.failed_on or self._resources.any_failing:
             choices.append(dataclasses.replace(unit, accepts_failing=True))
         for each in choices:
             if self._place_on(each, self._resources.free):
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -77,6 +77,7 @@
         self.isolated: set[str] = set()
         self._allocations: dict[str, list[_Allocation]] = {}
         self._reservations: dict[str, list[_UnitReservation]] = {}
+        self._free_within: dict[int, dict[str, batch.Resources]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
         for name, worker in self.workers.items():
             self._count_worker(state, name, worker, remaining_ms, wall_ms)
@@ -177,6 +178,15 @@
         """Returns the resources that are free once runs due by then end."""
         return {name: self._free_after(name, delay_ms) for name in self.workers}
 
+    def free_within(self, delay_ms: int) -> Mapping[str, batch.Resources]:
+        """Returns `free_after` as it was when first called in this round.
+
+        Good for estimates only: what the round allocates since is not counted.
+        """
+        if delay_ms not in self._free_within:
+            self._free_within[delay_ms] = self.free_after(delay_ms)
+        return self._free_within[delay_ms]
+
     def expected_end_times(self) -> list[int]:
         """Returns the expected end times of all runs, in ascending order."""
         return sorted(
--- a/tests/scheduling/test_avoiding.py
+++ b/tests/scheduling/test_avoiding.py
@@ -21,8 +21,8 @@
     return batches.Log()
 
 
-def plan(log, *workers):
-    return planner.plan(log.held, workers, {}, log.now)
+def plan(log, *workers, left=None):
+    return planner.plan(log.held, workers, left or {}, log.now)
 
 
 def placed_on(decided):
@@ -137,3 +137,25 @@
     occupy(log, "w2")
     assert placed_on(plan(log, *fleet(w1=UNPROVEN))) == []
     assert placed_on(plan(log, *fleet())) == ["w1"]
+
+
+@pytest.mark.parametrize("queue", ["planned", "urgent"])
+def test_retry_does_not_wait_for_workers_that_stay_busy(log, queue):
+    service = batches.step(3, 5, long_running=True, spread_limit=1)
+    log.submit("service", batches.content(service))
+    log.place(batches.unit("service", *map(batches.ref, ("w2", "w3", "w4"))))
+    log.submit("j1", batches.content(batches.step(1, 4)), queue)
+    fail_once(log, "j1", "w1")
+    log.now += LATER_MS
+    assert placed_on(plan(log, *fleet(w1=UNPROVEN))) == ["w1"]
+
+
+def test_retry_waits_at_first_although_all_others_are_busy_for_long(log):
+    """A worker that fails all it starts would use up the attempts at once."""
+    occupy(log, "w2", "w3", "w4")
+    log.submit("j1", batches.content(batches.step(1, 8)))
+    fail_once(log, "j1", "w1")
+    left = {(batches.task(f"busy-{n}"), 1): 600_000 for n in ("w2", "w3", "w4")}
+    assert placed_on(plan(log, *fleet(w1=UNPROVEN), left=left)) == []
+    log.now += LATER_MS
+    assert placed_on(plan(log, *fleet(w1=UNPROVEN), left=left)) == ["w1"]
