Don't reclaim workers for a suspect that are too small for it

A guaranteed suspect stopped the work on a worker on which it can't run, and did so in each round, as that was then idle and cost nothing: it never got a worker. A worker whose capacity isn't known at present counts as one of no capacity, and was chosen in the same way.

Cause: for a suspect the whole worker must be free, and it was not asked whether that is enough for the unit.

Test: test_guaranteed_suspect_reclaims_no_worker_that_is_too_small (too small, and unknown) failed before; the other tests of suspects pass.

--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -247,7 +247,7 @@
     def _needed_on(self, name: str) -> batch.Resources:
         """Returns what must be free on a worker for one more task."""
         if self._takes_whole_workers and name not in self.names:
-            return self._capacity[name]
+            return self._capacity[name].largest(self._need)
         return self._need
 
     def _cheapest_stops(self, name: str) -> list[PreemptibleUnit] | None:
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -228,6 +228,23 @@
     assert plan(log, batches.worker("w1")).stops == ()
 
 
+@pytest.mark.parametrize("accelerators", [0, 2])
+def test_guaranteed_suspect_reclaims_no_worker_that_is_too_small(
+    log, accelerators
+):
+    """Also one whose capacity is not known at present, which counts as none."""
+    log.submit("own", batches.content(batches.step(1, 4)), "urgent")
+    crash(log, "own")
+    small = batches.worker("w1", capacity=batches.task_need(accelerators))
+    if accelerators:
+        occupy(log, "w1", "nightly", "low1")
+    occupy(log, "w2", "nightly", "low2", "low3", "low4")
+    log.now += 10_000
+    decided = plan(log, small, batches.worker("w2"))
+    stops = {stop.task.job_id for stop in decided.stops}
+    assert stops == {"low2", "low3", "low4"}
+
+
 def test_suspect_beyond_its_guarantee_stops_nobody(log):
     saving = batches.step(1, 8, estimate_ms=60_000, checkpointing=True)
     log.submit("low", batches.content(saving), "nightly")
