Promise a worker that is reclaimed for a suspect to nobody else

A second guaranteed job counted on the room of a worker that was being cleared for a suspect of another one, stopped nothing itself, and found out after the stops, when most of the time within which it has to start was gone.

Cause: for a suspect whose worker is still busy only its need was subtracted, so that what the stopped runs held was given away again. The worker also counted as one that runs nothing but a suspect.

Change: the whole capacity is subtracted, and such workers are kept apart from those on which a suspect runs.

Test: test_worker_reclaimed_for_a_suspect_is_promised_to_nobody_else failed before.

--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -14,7 +14,7 @@
 # Lower bound of the remaining time assumed for a run without a forecast.
 MIN_REMAINING_MS = 1_000
 # Share of the workers that suspect units may occupy beyond guarantees. Nothing
-# else starts there, not even guaranteed work.
+# else starts there.
 MAX_ISOLATED_SHARE = 0.25
 # Remaining time of a long-running task, which ends only when it is stopped.
 NEVER_ENDS_MS = 1 << 40
@@ -75,6 +75,7 @@
         )
         self.free: dict[str, batch.Resources] = {}
         self.isolated: set[str] = set()
+        self._claimed: set[str] = set()
         self._allocations: dict[str, list[_Allocation]] = {}
         self._reservations: dict[str, list[_UnitReservation]] = {}
         self._free_within: dict[int, dict[str, batch.Resources]] = {}
@@ -130,20 +131,19 @@
         evacuated: list[str],
     ) -> bool:
         """Returns whether a unit may run on a worker, free resources aside."""
-        if (
-            worker.ref.name in self.isolated
-            and batch.task_demand(unit.step) == batch.NO_RESOURCES
-        ):
+        name = worker.ref.name
+        needs_nothing = batch.task_demand(unit.step) == batch.NO_RESOURCES
+        if needs_nothing and (name in self.isolated or name in self._claimed):
             return False
         advised = unit.queue.advised
-        if advised and worker.ref.name not in self.permits(unit):
+        if advised and name not in self.permits(unit):
             return False
         return worker.open and meets_constraints(unit, worker, evacuated)
 
     def isolates_enough(self) -> bool:
         """Returns whether no more suspect units should get a worker now."""
         limit = max(1, int(MAX_ISOLATED_SHARE * len(self.workers)))
-        return len(self.isolated) >= limit
+        return len(self.isolated | self._claimed) >= limit
 
     def permits(self, unit: views.ReadyUnit) -> Mapping[str, str]:
         """Returns the permits of a unit's step, by worker."""
@@ -216,16 +216,24 @@
         return usable
 
     def allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
-        """Subtracts the demand of one task for each worker name given."""
+        """Subtracts the demand of one task for each worker name given.
+
+        For a suspect unit, subtracts the whole worker.
+        """
+        if unit.suspect:
+            self._claim_whole(names)
         need = batch.task_demand(unit.step)
         for name in names:
-            self.free[name] = self.free[name].minus(need)
+            if not unit.suspect:
+                self.free[name] = self.free[name].minus(need)
             self._task_counts[name][unit.step_key] += 1
-            if unit.suspect:
-                self.isolated.add(name)
-        if unit.suspect:
-            for name in set(names):
-                self.free[name] = _minimum(self.free[name], batch.NO_RESOURCES)
+
+    def _claim_whole(self, names: Iterable[str]) -> None:
+        """Subtracts the capacity of workers, as nothing may start there."""
+        for name in set(names):
+            capacity = self.workers[name].capacity
+            self.free[name] = self.free[name].minus(capacity)
+            self._claimed.add(name)
 
     def reserve(
         self, unit: views.ReadyUnit, names: Iterable[str], from_ms: int
--- a/tests/scheduling/test_suspects.py
+++ b/tests/scheduling/test_suspects.py
@@ -156,9 +156,10 @@
     assert plan(log, batches.worker("w1"), left=left).units == ()
 
 
-def occupy(log, worker, queue, *job_ids):
+def occupy(log, worker, queue, *job_ids, accelerators=2):
     for job_id in job_ids:
-        log.submit(job_id, batches.content(batches.step(1, 2)), queue)
+        each = batches.content(batches.step(1, accelerators))
+        log.submit(job_id, each, queue)
         log.place(batches.unit(job_id, batches.ref(worker)))
 
 
@@ -245,6 +246,17 @@
     assert stops == {"low2", "low3", "low4"}
 
 
+def test_worker_reclaimed_for_a_suspect_is_promised_to_nobody_else(log):
+    log.submit("own1", batches.content(), "urgent")
+    crash(log, "own1")
+    log.submit("own2", batches.content(batches.step(1, 4)), "urgent")
+    occupy(log, "w1", "nightly", "low1", "low2")
+    occupy(log, "w2", "nightly", "low3", accelerators=8)
+    log.now += 10_000
+    stops = {stop.task.job_id for stop in plan(log).stops}
+    assert stops == {"low1", "low2", "low3"}
+
+
 def test_suspect_beyond_its_guarantee_stops_nobody(log):
     saving = batches.step(1, 8, estimate_ms=60_000, checkpointing=True)
     log.submit("low", batches.content(saving), "nightly")
