Let guaranteed suspects run before others of the same crash

Two suspects of one crash stopped each other in turn, and the guaranteed one never ran: the other had begun later, so it was first and got the idle worker; the guaranteed one then reclaimed that worker, both waited, and the other was first again.

Change: the order by who started last holds only among units that can't stop each other.

--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -13,6 +13,9 @@
 # milliseconds, and a run must not start early.
 DUE_MARGIN_MS = 20
 
+# Worker that crashed last under a suspect, and whether it is within a guarantee.
+_SuspectGroup = tuple[batch.WorkerRef, bool]
+
 # How long a suspect waits for a worker of its own at least.
 MIN_ISOLATION_WAIT_MS = 15_000
 
@@ -56,22 +59,27 @@
 
     Few workers are idle for suspects, and those that ran for longer are less
     likely to have caused the crash. All other units keep their places, so that
-    the suspects of one crash do not overtake more urgent ones of another.
+    the suspects of one crash do not overtake more urgent ones of another. Those
+    within a guarantee come before all others, which they may stop.
     """
-    by_crash: dict[batch.WorkerRef, list[views.ReadyUnit]] = {}
+    by_crash: dict[_SuspectGroup, list[views.ReadyUnit]] = {}
     for unit in ready:
         if unit.suspect:
-            by_crash.setdefault(_last_crashed(unit), []).append(unit)
+            by_crash.setdefault(_suspect_group(unit), []).append(unit)
     ordered = {
-        worker: iter(sorted(units, key=_last_placed_ms, reverse=True))
-        for worker, units in by_crash.items()
+        group: iter(sorted(units, key=_last_placed_ms, reverse=True))
+        for group, units in by_crash.items()
     }
     return [
-        next(ordered[_last_crashed(unit)]) if unit.suspect else unit
+        next(ordered[_suspect_group(unit)]) if unit.suspect else unit
         for unit in ready
     ]
 
 
+def _suspect_group(unit: views.ReadyUnit) -> _SuspectGroup:
+    return (_last_crashed(unit), unit.guaranteed)
+
+
 def _last_crashed(unit: views.ReadyUnit) -> batch.WorkerRef:
     """Returns the worker that crashed last under a suspect unit."""
     crashes = _step_record(unit).crashes(unit.indexes[0], gang=unit.step.gang)
