Log and count a reported crash once

The log and `run_ends_total` had each crash twice, once as `crashed` and once as `restarted`, so that the counter could not tell these causes apart. Found in a review; the state took the first one only.

Cause: the agent's report of the crash and the new incarnation in the same report were taken for two ends.

Test: test_crash_that_an_agent_reports_is_logged_once failed before.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -166,9 +166,14 @@
                 self._batch_state, self._board
             )
         ]
-        ends += batch_ends.lost_runs(
-            self._batch_state, self._board, self._timing, self._clock.now()
-        )
+        reported = {(end.task, end.run) for end in ends}
+        ends += [
+            end
+            for end in batch_ends.lost_runs(
+                self._batch_state, self._board, self._timing, self._clock.now()
+            )
+            if (end.task, end.run) not in reported
+        ]
         if ends:
             command = batching.EndRuns(ends=tuple(ends), at_ms=0)
             if await self._proposer.try_propose(command) is None:
--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -1,6 +1,8 @@
 """Ends, stops and checkpoints that the leader derives from reports."""
 
 import dataclasses
+import logging
+import types
 
 import pytest
 
@@ -9,6 +11,7 @@
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import wire
+from bilberryroute.replica import batch as batch_lib
 from bilberryroute.replica import batch_ends
 from bilberryroute.replica import batch_presence
 from bilberryroute.replica import batch_upkeep
@@ -342,3 +345,39 @@
             break
         received |= grant.payloads.keys()
     assert received == {"j1", *(f"p{number}" for number in range(24))}
+
+
+class Proposer:
+    """Applies commands to the state machine of a test at once."""
+
+    def __init__(self, log: batches.Log):
+        self._log = log
+
+    async def try_propose(self, command):
+        return self._log.apply(command)
+
+
+@pytest.fixture
+def controller(parts, log, monkeypatch):
+    leases = types.SimpleNamespace(push_to=lambda agents: None)
+    controller = batch_lib.BatchController(parts, leases, metrics_lib.Metrics())
+    monkeypatch.setattr(controller, "_proposer", Proposer(log))
+    return controller
+
+
+async def test_crash_that_an_agent_reports_is_logged_once(
+    controller, parts, log, caplog
+):
+    """The new incarnation shows that the run is lost as well."""
+    caplog.set_level(logging.INFO)
+    crashed = wire.EndReport(
+        number=0,
+        task=batches.task(),
+        run=1,
+        outcome=batch.RunOutcome.LOST,
+        cause=batch.LossCause.CRASHED,
+    )
+    report_now(parts, report(born=2, ends=(crashed,)))
+    await controller._commit_ends()
+    causes = [r.cause for r in caplog.records if r.message == "run ended"]
+    assert causes == ["crashed"]
