Test moves, stops and reclaims while a capacity shrinks

All three tests pass without a change; they rule out what the postmortem on shrinking capacities left open:

- A job whose worker has shrunk whenever a run is to start moves to another worker instead of moving for ever.
- Nothing that is at work is stopped because its worker has shrunk.
- A guarantee is reclaimed on a worker that has shrunk: what is stopped covers what the worker lacks, too, and nothing starts before those runs have ended.

Not covered: with one suitable worker, a run is placed there again after each dip. That costs its job nothing but the wait, as a run that never began is not counted as an attempt.

Measured: tests/scheduling/test_batch.py and the exploration of runs pass.

--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
 from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
 from tests.utils import batches
@@ -116,6 +117,34 @@
 SHRUNK = batch.Resources(cpu_millis=32_000, memory_mb=64_000, accelerators=2)
 
 
+def test_guarantee_is_reclaimed_on_a_worker_that_has_shrunk(log):
+    """What is stopped also covers what the worker lacks."""
+    for job_id in ("p1", "p2"):
+        log.submit(job_id, batches.content(batches.step(1, 4)), "nightly")
+    commit(log, plan(log, batches.worker()))
+    log.submit("own", batches.content(batches.step(1, 4)), "urgent")
+    halved = batches.worker(
+        capacity=batch.Resources(
+            cpu_millis=16_000, memory_mb=32_000, accelerators=4
+        )
+    )
+    decided = plan(log, halved)
+    assert sorted(run.task.job_id for run in decided.stops) == ["p1", "p2"]
+    log.apply(batching.StopRuns(runs=decided.stops, at_ms=log.now))
+    assert plan(log, halved).units == ()
+    for run in decided.stops:
+        log.end(run.task, outcome=batch.RunOutcome.STOPPED)
+    assert [unit.job_id for unit in plan(log, halved).units] == ["own"]
+
+
+def test_nothing_at_work_is_stopped_because_its_worker_shrinks(log):
+    log.submit("p1", batches.content(batches.step(2, 4)), "nightly")
+    commit(log, plan(log, batches.worker()))
+    log.submit("p2", batches.content(batches.step(1, 8)), "planned")
+    shrunk = batches.worker(capacity=SHRUNK)
+    assert plan(log, shrunk).stops == ()
+
+
 def test_worker_below_what_it_runs_does_not_break_the_planning_round(log):
     """The waiting tasks need none of what the worker has too little of."""
     log.submit("busy", batches.content(batches.step(1, 4)))
--- a/tests/scheduling/test_run_exploration.py
+++ b/tests/scheduling/test_run_exploration.py
@@ -239,6 +239,29 @@
     assert list(second.worker.running) == [batches.task("j0")]
 
 
+def test_job_does_not_move_for_ever_because_a_capacity_flaps():
+    """Its worker has shrunk again whenever a run is to start."""
+    system = run_model.System()
+    first, second = system.agents.values()
+    for each in (first, second):
+        system.sync(each)
+    system.log.submit("j0", batches.content(batches.step(1, 4)))
+    for _ in range(10):
+        system.run_leader_round()
+        first.worker.capacity = CAPACITIES[-1]
+        for _ in range(2):
+            for each in (first, second):
+                system.sync(each)
+            system.run_leader_round()
+            if first.worker.running or second.worker.running:
+                return
+        first.worker.capacity = run_model.FULL_CAPACITY
+        for each in (first, second):
+            system.sync(each)
+    task = system.held.jobs["j0"].task(batches.task("j0"))
+    pytest.fail(f"not at work after {task.run} placements")
+
+
 def _place_before_the_end_is_committed(patch):
     """Places the next run while the previous one is still being stopped."""
     original = batch_rules._stop_runs
