Forget crashes of a task after a long run

A service would have been given up for two crashes that are a year apart: crashes counted for good. Found in a review.

Test: test_service_is_not_given_up_for_crashes_before_a_long_run failed before.

--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -327,6 +327,7 @@
     for end in command.ends:
         task = _active_task(batch_state, end.task, end.run)
         if task is not None:
+            crash_rules.forget_outlived_crashes(task, command.at_ms)
             if end.cause == batch.LossCause.CRASHED:
                 crash_rules.record_crash(
                     task, end, command.at_ms, alone=task.worker in alone
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -77,6 +77,15 @@
         )
 
 
+def forget_outlived_crashes(task: batch.TaskRecord, at_ms: int) -> None:
+    """Clears the crashes under a task whose present run has gone on for long.
+
+    A service would otherwise be given up for crashes that are years apart.
+    """
+    if at_ms - task.placed_ms > crash_model.BLAMED_RUN_MS:
+        task.crashes.clear()
+
+
 def explain_crashes(
     batch_state: batch.BatchState, ends: Iterable[batching.RunEnd]
 ) -> None:
--- a/tests/state/test_crashes.py
+++ b/tests/state/test_crashes.py
@@ -92,6 +92,16 @@
     assert crash_until_given_up(log, workers, down_after_ms) == 3
 
 
+def test_service_is_not_given_up_for_crashes_before_a_long_run(log):
+    log.submit("s", batches.content(batches.step(long_running=True)))
+    place_and_crash(log, "s", run=1, worker="w1")
+    log.place(batches.unit("s", batches.ref("w2"), run=2))
+    log.now += crash_model.BLAMED_RUN_MS + 1
+    log.end(batches.task("s"), 2, Outcome.FAILED)
+    place_and_crash(log, "s", run=3, worker="w3")
+    assert log.held.jobs["s"].result is None
+
+
 def test_long_running_task_that_crashes_every_worker_is_given_up(log):
     log.submit("s", batches.content(batches.step(long_running=True)))
     for run in (1, 2):
