Split the transitions of runs out of those of batch jobs

Placement, stops, checkpoints and ends of runs go to state/batch_runs.py. No behaviour changes. Measured: tests of state and replica and test_imports pass.

--- a/tests/state/test_batch.py
+++ b/tests/state/test_batch.py
@@ -8,7 +8,7 @@
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
-from bilberryroute.state import batch as batch_rules
+from bilberryroute.state import batch_runs
 from bilberryroute.state import machine as machine_lib
 from tests.utils import batches
 
@@ -221,7 +221,7 @@
     restored = machine_lib.StateMachine()
     restored.restore(log.machine.snapshot())
     task = restored.state.batch.jobs["j1"].task(batches.task())
-    assert task.failed_on == names[-batch_rules.MAX_FAILED_ON :]
+    assert task.failed_on == names[-batch_runs.MAX_FAILED_ON :]
 
 
 def test_checkpoints_outlive_the_run_that_made_them(log):
