--- a/extras/fakes/fake_runner.py
+++ b/extras/fakes/fake_runner.py
@@ -29,14 +29,14 @@
 
 
 class RunTable:
-    """What a worker holds: runs, ends and the highest fence, without I/O.
+    """State of a worker: runs, ends and the highest fence, without I/O.
 
     Attributes:
       run_ms: How long each task takes.
-      room: Accelerators free; each task holds one.
+      room: Number of accelerators; each task holds one.
       starts: Every start that was carried out, in order.
-      loads: What is reported of how a task does, by task; else 0.
-      paced: Share at which a task works, by task, once it was ordered.
+      loads: Reported load by task; 0 if missing.
+      paced: Ordered share of work in percent, by task.
     """
 
     def __init__(self, run_ms: int, room: int):
@@ -53,7 +53,7 @@
         self._until_ms = 0
 
     def start(self, order: dict, now: int) -> tuple[int, dict]:
-        """Carries a start out; returns status and body."""
+        """Executes a start; returns status and body."""
         if not self._fenced(order):
             return 409, {"clockMs": now, "reason": "fence"}
         task, run = order["task"], order["run"]
@@ -83,14 +83,14 @@
         return 200, {"clockMs": now}
 
     def pace(self, order: dict, now: int) -> tuple[int, dict]:
-        """Lets a run work at a share."""
+        """Limits a run to a share of its work."""
         if not self._fenced(order):
             return 409, {"clockMs": now, "reason": "fence"}
         self.paced[order["task"]] = order["percent"]
         return 200, {"clockMs": now}
 
     def hold(self, order: dict, now: int) -> tuple[int, dict]:
-        """Extends the lease, forgets committed ends, returns both lists."""
+        """Extends the lease, drops committed ends, returns both lists."""
         if not self._fenced(order):
             return 409, {"clockMs": now, "reason": "fence"}
         if "untilMs" in order:
@@ -142,8 +142,8 @@
     """HTTP server of one worker, which announces itself.
 
     Attributes:
-      table: What it holds.
-      name: Its name; a new life has another `born`.
+      table: Runs and ends.
+      name: Name; a new incarnation has another `born`.
     """
 
     def __init__(
@@ -179,13 +179,13 @@
 
     async def _order(self, req: web.Request) -> web.Response:
         order = msgspec.json.decode(await req.read())
-        carry_out = {
+        handle = {
             "run-start": self.table.start,
             "run-stop": self.table.stop,
             "hold": self.table.hold,
             "pace": self.table.pace,
         }[req.match_info["call"]]
-        status, body = carry_out(order, self._now())
+        status, body = handle(order, self._now())
         if "finished" in body and order.get("waitMs") and not body["finished"]:
             body = await self._wait_for_end(order["waitMs"])
         body["born"] = self._born
--- a/extras/fakes/journal.py
+++ b/extras/fakes/journal.py
@@ -1,4 +1,4 @@
-"""JSON lines file in which a fake writes down what really happened."""
+"""JSON lines file in which a fake records what actually happened."""
 
 import dataclasses
 import pathlib
@@ -19,7 +19,7 @@
       source: Name of the fake.
       subject: What it happened to, such as a job or request id.
       attempt: Attempt of the job, or 0.
-      detail: More in words.
+      detail: Further text.
     """
 
     event: str
--- a/extras/fakes/signals.py
+++ b/extras/fakes/signals.py
@@ -1,4 +1,4 @@
-"""Graceful end of a fake's process."""
+"""Graceful stop of a fake's process on signals."""
 
 import asyncio
 import signal
--- a/extras/processes.py
+++ b/extras/processes.py
@@ -46,24 +46,24 @@
             )
 
     def running(self) -> bool:
-        """Says whether the process has not ended."""
+        """Returns whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
     def kill(self) -> None:
-        """Ends the process at once, without a chance to clean up."""
+        """Kills the process, without a chance to clean up."""
         self._signal(signal.SIGKILL)
         self._process.wait()
 
     def freeze(self) -> None:
-        """Suspends the process."""
+        """Suspends the process by SIGSTOP."""
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Lets a suspended process go on."""
+        """Resumes a suspended process."""
         self._signal(signal.SIGCONT)
 
     def terminate(self) -> None:
-        """Asks the process to leave."""
+        """Sends SIGTERM."""
         self._signal(signal.SIGTERM)
 
     async def ended(self, timeout_ms: int = STOP_MS) -> int | None:
@@ -98,7 +98,7 @@
 
 
 def kill_all(children: list[Child]) -> None:
-    """Ends processes at once."""
+    """Kills all processes."""
     for child in children:
         if child.running():
             child.kill()
