--- a/extras/fakes/fake_runner.py
+++ b/extras/fakes/fake_runner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 import aiohttp
 import defopt
@@ -13,9 +14,11 @@
 from aiohttp import web
 
 from bilberryroute import clock as clock_lib
+from extras.fakes import journal as journal_lib
 from extras.fakes import signals
 
 ANNOUNCE_MS = 300
+ANSWER_MS = 1_000
 TICK_MS = 10
 HOLD_MAX_MS = 6_000
 
@@ -28,6 +31,21 @@
     began_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunEvent:
+    """Start or end of a run.
+
+    Attributes:
+      event: `start`, or how the run ended.
+      at_ms: Worker's clock.
+    """
+
+    event: str
+    task: str
+    run: int
+    at_ms: int
+
+
 class RunTable:
     """State of a worker: runs, ends and the highest fence, without I/O.
 
@@ -39,9 +57,15 @@
       paced: Ordered share of work in percent, by task.
     """
 
-    def __init__(self, run_ms: int, room: int):
+    def __init__(
+        self,
+        run_ms: int,
+        room: int,
+        record: Callable[[RunEvent], None] = lambda event: None,
+    ):
         self.run_ms = run_ms
         self.room = room
+        self._record = record
         self.starts: list[tuple[str, int]] = []
         self.loads: dict[str, int] = {}
         self.paced: dict[str, int] = {}
@@ -69,6 +93,7 @@
             return 409, {"clockMs": now, "reason": "room"}
         self._running[task] = _Run(run=run, began_ms=now)
         self.starts.append((task, run))
+        self._record(RunEvent(event="start", task=task, run=run, at_ms=now))
         return 200, {"clockMs": now}
 
     def stop(self, order: dict, now: int) -> tuple[int, dict]:
@@ -79,7 +104,7 @@
         self._barred[task] = max(run, self._barred.get(task, 0))
         known = self._running.get(task)
         if known is not None and known.run <= run:
-            self._end(task, "stopped")
+            self._end(task, "stopped", now)
         return 200, {"clockMs": now}
 
     def pace(self, order: dict, now: int) -> tuple[int, dict]:
@@ -121,18 +146,22 @@
     def tick(self, now: int) -> None:
         """Ends what is done, or whose lease has lapsed."""
         for task, each in list(self._running.items()):
-            if now >= each.began_ms + self.run_ms:
-                self._end(task, "done")
-            elif now >= self._until_ms:
-                self._end(task, "lapsed")
+            done_ms = each.began_ms + self.run_ms
+            # Both may have passed since the last tick if the process was
+            # suspended.
+            if done_ms <= min(now, self._until_ms):
+                self._end(task, "done", done_ms)
+            elif self._until_ms <= now:
+                self._end(task, "lapsed", self._until_ms)
 
     def _fenced(self, order: dict) -> bool:
         fence = order.get("fencingToken", 0)
         self._fence = max(self._fence, fence)
         return fence >= self._fence
 
-    def _end(self, task: str, how: str) -> None:
+    def _end(self, task: str, how: str, at_ms: int) -> None:
         each = self._running.pop(task)
+        self._record(RunEvent(event=how, task=task, run=each.run, at_ms=at_ms))
         self._barred[task] = max(each.run, self._barred.get(task, 0))
         self._count += 1
         self._ends.append([self._count, task, each.run, how, ""])
@@ -147,17 +176,39 @@
     """
 
     def __init__(
-        self, name: str, agent: str, zone: str, service: str, table: RunTable
+        self,
+        name: str,
+        agent: str,
+        zone: str,
+        service: str,
+        table: RunTable,
+        clock: clock_lib.Clock | None = None,
+        listen: str = "127.0.0.1:0",
+        announced: str = "",
     ):
+        """Creates a worker that does not run yet.
+
+        Args:
+          name: Name that it announces.
+          agent: Address of the agent beside it.
+          zone: Failure domain that it names.
+          service: Pool that it belongs to.
+          table: State of its runs.
+          clock: Clock; None for the system's.
+          listen: Address to listen on.
+          announced: Address to announce; empty for that of `listen`.
+        """
         self.name = name
         self.table = table
         self._agent = agent
         self._zone = zone
         self._service = service
-        self._clock = clock_lib.SystemClock()
+        self._clock = clock or clock_lib.SystemClock()
         self._began_ms = self._clock.now()
         self._born = self._clock.wall()
         self._sequence = 0
+        self._listen = listen
+        self._announced = announced
 
     async def run(self) -> None:
         """Serves, announces and ends tasks until cancelled."""
@@ -165,11 +216,13 @@
         app.router.add_post("/bilberryroute/{call}", self._order)
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = self._listen.rsplit(":", 1)
+        await web.TCPSite(runner, host, int(port)).start()
         host, port = runner.addresses[0][:2]
+        address = self._announced or f"{host}:{port}"
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._announce(f"{host}:{port}"))
+                group.create_task(self._announce(address))
                 group.create_task(self._tick())
         finally:
             await runner.cleanup()
@@ -206,13 +259,14 @@
 
     async def _announce(self, address: str) -> None:
         url = f"http://{self._agent}/bilberryroute/instances/{self.name}"
-        async with aiohttp.ClientSession() as session:
+        timeout = aiohttp.ClientTimeout(total=clock_lib.seconds(ANSWER_MS))
+        async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 self._sequence += 1
                 try:
                     async with session.put(url, json=self._hello(address)):
                         pass
-                except aiohttp.ClientError as exc:
+                except (aiohttp.ClientError, TimeoutError) as exc:
                     print(f"{self.name}: agent does not answer: {exc}")
                 await asyncio.sleep(clock_lib.seconds(ANNOUNCE_MS))
 
@@ -241,6 +295,9 @@
     service: str = "gang-alloc",
     run_ms: int = 1_000,
     room: int = 8,
+    journal: str = "",
+    listen: str = "127.0.0.1:0",
+    announced: str = "",
 ) -> None:
     """Runs one fake worker of the platform.
 
@@ -250,8 +307,22 @@
     :param service: Pool that it belongs to.
     :param run_ms: How long each task takes.
     :param room: Tasks that it runs at once.
+    :param journal: JSON lines file of the starts and ends of its runs.
+    :param listen: Address to listen on.
+    :param announced: Address to announce; empty for that of `listen`.
     """
-    runner = FakeRunner(name, agent, zone, service, RunTable(run_ms, room))
+    clock = clock_lib.SystemClock()
+    book = journal_lib.Journal(journal, name, zone, clock)
+    began_ms = clock.now()
+
+    def record(event: RunEvent) -> None:
+        at_ms = began_ms + event.at_ms
+        book.write(event.event, event.task, event.run, monotonic_ms=at_ms)
+
+    table = RunTable(run_ms, room, record)
+    runner = FakeRunner(
+        name, agent, zone, service, table, clock, listen, announced
+    )
     asyncio.run(signals.until_signalled(runner.run()))
 
 
--- a/extras/fakes/journal.py
+++ b/extras/fakes/journal.py
@@ -48,14 +48,29 @@
         self._clock = clock
 
     def write(
-        self, event: str, subject: str, attempt: int = 0, detail: str = ""
+        self,
+        event: str,
+        subject: str,
+        attempt: int = 0,
+        detail: str = "",
+        monotonic_ms: int | None = None,
     ) -> None:
-        """Appends one event; without a path it is dropped."""
+        """Appends one event; without a path it is dropped.
+
+        Args:
+          event: What happened.
+          subject: What it happened to.
+          attempt: Attempt of the subject, or 0.
+          detail: Further text.
+          monotonic_ms: When it happened; None for now.
+        """
         if not self._path:
             return
         line = Line(
             event=event,
-            monotonic_ms=self._clock.now(),
+            monotonic_ms=self._clock.now()
+            if monotonic_ms is None
+            else monotonic_ms,
             wall_ms=self._clock.wall(),
             source=self._source,
             subject=subject,
--- a/extras/processes.py
+++ b/extras/processes.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 
 from bilberryroute import clock as clock_lib
 
@@ -20,12 +21,28 @@
     Attributes:
       name: Name in messages and of the log file.
       args: Arguments after the interpreter.
+      log: File with all that the process has printed.
     """
 
-    def __init__(self, name: str, args: list[str], folder: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        args: list[str],
+        folder: pathlib.Path,
+        variables: Mapping[str, str] | None = None,
+    ):
+        """Names a process; does not start it.
+
+        Args:
+          name: Name of the process.
+          args: Arguments after the interpreter.
+          folder: Folder of the log file.
+          variables: Environment variables beside those of this process.
+        """
         self.name = name
         self.args = args
         self.log = folder / f"{name}.log"
+        self._variables = dict(variables or {})
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -35,7 +52,7 @@
 
     def start(self) -> None:
         """Starts the process, again if it has ended."""
-        environment = os.environ | {"PYTHONPATH": str(ROOT)}
+        environment = os.environ | {"PYTHONPATH": str(ROOT)} | self._variables
         with open(self.log, "ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, *self.args],
@@ -49,6 +66,11 @@
         """Returns whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Returns the exit code of the last run, or None if it goes on."""
+        return self._process.poll()
+
     def kill(self) -> None:
         """Kills the process, without a chance to clean up."""
         self._signal(signal.SIGKILL)
