Probe a worker that just failed with one run at a time

Eight tasks, four of them its own, were placed together on a worker that had failed one run 10 ms before. Each lost an attempt, and one of them failed by itself on its last.

Cause: a worker that failed the runs of one job is only chosen last. With all others full it has the only room, and gets all that fits there in one round. The same holds for a worker whose failures are older than ten seconds.

Ruled out: that only retries are concerned.

Until a run succeeds there, such a worker gets one unit at a time. Once a run that began after the last failure has lasted twice as long as the longest failed one, two seconds at most, the rest of the room is used again. A gang may be the probe, as it is one attempt. Guarantees don't wait for a probe. If more than a quarter of the workers are concerned, the cause is probably not the workers, and nothing is held back.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -250,6 +250,7 @@
             largest_capacity=worker.largest_capacity,
             open=not (report.draining or report.over or leaving),
             health=self._health.assess(report.name),
+            probation=self._health.probation(report.name),
             crashed=self._health.has_crashed(report.name),
         )
 
--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -17,6 +17,13 @@
 # How long after a crash a worker is chosen last for suspect units.
 CRASH_MEMORY_MS = clock_lib.MINUTE
 
+# How many times longer than the failed runs a run must last to show that its
+# worker has recovered: runs fail, and are reported, with different delays.
+PROBE_FACTOR = 2
+# Longest time that a run must last to show it. Workers that take longer to fail
+# don't attract work.
+MAX_PROBE_MS = 2 * clock_lib.SECOND
+
 logger = logging.getLogger(__name__)
 
 _FAILURES = (batch.RunOutcome.FAILED, batch.RunOutcome.REJECTED)
@@ -24,10 +31,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _FailureStreak:
-    """Jobs that failed since the last success, and the last failure's time."""
+    """Failures on a worker since the last success.
+
+    Attributes:
+      jobs: Ids of the jobs that failed.
+      last_ms: Time of the last failure.
+      longest_ms: How long the longest of the failed runs took.
+    """
 
     jobs: set[str] = dataclasses.field(default_factory=set)
     last_ms: int = 0
+    longest_ms: int = 0
 
 
 class BatchWorkerHealth:
@@ -52,7 +66,7 @@
         if crashed:
             self._crashed_ms[worker] = self._clock.now()
         if crashed or end.outcome in _FAILURES:
-            self._record_failure(worker, end.task.job_id)
+            self._record_failure(worker, end.task.job_id, ran_ms)
 
     def has_crashed(self, worker: str) -> bool:
         """Returns whether a worker has crashed recently."""
@@ -61,11 +75,12 @@
             return False
         return self._clock.now() - crashed_ms < CRASH_MEMORY_MS
 
-    def _record_failure(self, worker: str, job_id: str) -> None:
+    def _record_failure(self, worker: str, job_id: str, ran_ms: int) -> None:
         before = self.assess(worker)
         streak = self._streaks.setdefault(worker, _FailureStreak())
         streak.jobs.add(job_id)
         streak.last_ms = self._clock.now()
+        streak.longest_ms = max(streak.longest_ms, ran_ms)
         health = self.assess(worker)
         if health != before:
             logger.info(
@@ -98,3 +113,13 @@
         if len(streak.jobs) < SUSPECT_AFTER_JOBS:
             return views.WorkerHealth.DOUBTFUL
         return views.WorkerHealth.SUSPECT
+
+    def probation(self, worker: str) -> views.Probation | None:
+        """Returns what a worker has to show if its last runs failed."""
+        streak = self._streaks.get(worker)
+        if streak is None:
+            return None
+        return views.Probation(
+            failed_ago_ms=self._clock.now() - streak.last_ms,
+            probe_ms=min(PROBE_FACTOR * streak.longest_ms, MAX_PROBE_MS),
+        )
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -156,7 +156,7 @@
         refs = tuple(self._resources.workers[name].ref for name in names)
         permits = self._resources.permits(unit)
         self._units.append(unit.to_command(refs, permits))
-        self._resources.allocate(unit, names)
+        self._resources.start(unit, names)
         return True
 
     def _find_workers(
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -7,6 +7,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import crashes as crash_model
+from bilberryroute.scheduling.batch import probing
 from bilberryroute.scheduling.batch import views
 
 RunKey = tuple[batch.TaskId, int]
@@ -73,6 +74,7 @@
             worker.health >= views.WorkerHealth.DOUBTFUL
             for worker in self.workers.values()
         )
+        self._probes = probing.Probes(state, self.workers, wall_ms)
         self.free: dict[str, batch.Resources] = {}
         self.isolated: set[str] = set()
         self._claimed: set[str] = set()
@@ -133,13 +135,21 @@
         """Returns whether a unit may run on a worker, free resources aside."""
         name = worker.ref.name
         needs_nothing = batch.task_demand(unit.step) == batch.NO_RESOURCES
-        if needs_nothing and (name in self.isolated or name in self._claimed):
+        if needs_nothing and self._is_closed_to_others(name):
             return False
         advised = unit.queue.advised
         if advised and name not in self.permits(unit):
             return False
         return worker.open and meets_constraints(unit, worker, evacuated)
 
+    def _is_closed_to_others(self, name: str) -> bool:
+        """Returns whether nothing may start beside what runs on a worker."""
+        return (
+            name in self.isolated
+            or name in self._claimed
+            or name in self._probes.under_way
+        )
+
     def isolates_enough(self) -> bool:
         """Returns whether no more suspect units should get a worker now."""
         limit = max(1, int(MAX_ISOLATED_SHARE * len(self.workers)))
@@ -204,8 +214,11 @@
 
         Backfill: a unit that is expected to end before a reservation starts
         may use the reserved resources; any other unit only what is left.
+        Beside the probe of a worker that just failed nothing is usable.
         """
         usable = dict(self.free)
+        for name in self._probes.under_way:
+            usable[name] = batch.NO_RESOURCES
         for name, reservations in self._reservations.items():
             for each in reservations:
                 if unit.step.estimate_ms > each.from_ms:
@@ -215,6 +228,14 @@
                     usable[name] = _minimum(usable[name], at_start)
         return usable
 
+    def start(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
+        """Allocates workers to a unit that starts now, one name for each task.
+
+        On a worker that just failed, it is the probe.
+        """
+        self.allocate(unit, names)
+        self._probes.note_start(names)
+
     def allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Subtracts the demand of one task for each worker name given.
 
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -31,6 +31,19 @@
     SUSPECT = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Probation:
+    """What a worker that failed a run has to show before it gets more than one.
+
+    Attributes:
+      failed_ago_ms: Time since the last failure, in milliseconds.
+      probe_ms: Time that a run which began since then must last.
+    """
+
+    failed_ago_ms: int
+    probe_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerSnapshot:
     """A worker as its agent reports it.
@@ -42,6 +55,7 @@
         for a while.
       open: Whether the worker and its agent accept new runs.
       health: What recent runs say about it; the healthiest are chosen first.
+      probation: Set if it failed a run and none has succeeded since.
       crashed: Whether the worker crashed recently. Suspect units go there last:
         a second crash would not prove that they are its cause.
     """
@@ -55,6 +69,7 @@
     largest_capacity: batch.Resources = batch.NO_RESOURCES
     open: bool = True
     health: WorkerHealth = WorkerHealth.SOUND
+    probation: Probation | None = None
     crashed: bool = False
 
 
--- a/tests/replica/test_batch_health.py
+++ b/tests/replica/test_batch_health.py
@@ -84,3 +84,20 @@
     assert health.has_crashed("w1")
     env.clock.advance(1)
     assert not health.has_crashed("w1")
+
+
+def test_worker_is_on_probation_until_a_run_succeeds(health, env):
+    assert health.probation("w1") is None
+    end_runs(health, FAILED, "j1", ran_ms=300)
+    end_runs(health, FAILED, "j2", ran_ms=100)
+    env.clock.advance(1_000)
+    assert health.probation("w1") == views.Probation(
+        failed_ago_ms=1_000, probe_ms=600
+    )
+    end_runs(health, {"outcome": batch.RunOutcome.DONE}, "j3")
+    assert health.probation("w1") is None
+
+
+def test_failure_of_a_long_run_needs_no_long_probe(health):
+    end_runs(health, FAILED, "j1", ran_ms=60_000)
+    assert health.probation("w1").probe_ms == batch_health.MAX_PROBE_MS
--- a/tests/scheduling/failing_model.py
+++ b/tests/scheduling/failing_model.py
@@ -5,8 +5,10 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute.model import batch
+from bilberryroute.model import crashes
 from bilberryroute.model import wire
 from bilberryroute.replica import batch_health
+from bilberryroute.scheduling.batch import readiness
 from tests.scheduling import crash_model
 from tests.utils import batches
 
@@ -16,11 +18,14 @@
 
     Attributes:
       failing: Names of the workers that fail what they start now.
+      lost_together: Most units without a guarantee that failed together on a
+        worker which was known to fail when they started.
     """
 
     def __init__(self, seed: int, *, jobs: int):
         super().__init__(seed, jobs=jobs, guilty_share=0)
         self.failing: set[str] = set()
+        self.lost_together = 0
         self._clock = clock_lib.ManualClock()
         self._health = batch_health.BatchWorkerHealth(self._clock)
 
@@ -38,6 +43,7 @@
                 rack=f"r{int(name[1:]) % 2}",
                 ref=batches.ref(name, born),
                 health=self._health.assess(name),
+                probation=self._health.probation(name),
             )
             for name, born in self._born.items()
         ]
@@ -53,15 +59,23 @@
 
     def _fail_runs(self) -> None:
         """Ends the runs of failing workers in the round after their start."""
-        for task_id, task, _ in list(self._placed_runs()):
+        guaranteed = readiness.guaranteed_jobs(self.log.held)
+        known = set(filter(self._health.probation, self.failing))
+        lost: dict[str, set] = {}
+        for task_id, task, record in list(self._placed_runs()):
             ran_ms = self.log.now - task.placed_ms
             if task.active and (
                 task.worker.name in self.failing
                 and ran_ms <= crash_model.ROUND_MS
             ):
+                if task_id.job_id not in guaranteed:
+                    unit = crashes.unit_key(record, task_id)
+                    lost.setdefault(task.worker.name, set()).add(unit)
                 self._report(task_id, task, batch.RunOutcome.FAILED)
                 self.log.end(task_id, task.run, batch.RunOutcome.FAILED)
                 self._break_gangs()
+        for name in known.intersection(lost):
+            self.lost_together = max(self.lost_together, len(lost[name]))
 
     def _report(self, task_id, task, outcome: batch.RunOutcome) -> None:
         end = wire.EndReport(
--- a/tests/scheduling/test_failing_exploration.py
+++ b/tests/scheduling/test_failing_exploration.py
@@ -34,3 +34,8 @@
     for seed in SEEDS:
         results = play(seed).results
         assert set(results.values()) == {jobs.JobResult.DONE}, f"seed {seed}"
+
+
+def test_worker_known_to_fail_costs_one_unit_at_a_time_an_attempt():
+    lost = {seed: play(seed).lost_together for seed in SEEDS}
+    assert {seed: count for seed, count in lost.items() if count > 1} == {}
