Log which crashes are held against a task

What on-call engineers saw: `run ended … cause=crashed` several times and then `job ended … reason=step 0 crashed its worker 2 times`, which is another number: only crashes of workers on which nothing else ran count. Nothing told which those were, nor how soon after the start a worker went down, which decides whether two crashes suffice.

Change: the line of a run that ended by a crash names the worker, the time from the start until it was down, whether the task was alone there, and the number of crashes so far, all from the replicated record.

Test: test_log_tells_which_crashes_a_job_was_given_up_for, which failed before as the fields were missing.

--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -5,6 +5,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
+from bilberryroute.model import crashes as crash_model
 from bilberryroute.scheduling.batch import views
 
 logger = logging.getLogger(__name__)
@@ -78,6 +79,28 @@
     )
 
 
+def _crash_fields(
+    end: batching.RunEnd, batch_state: batch.BatchState
+) -> dict[str, object]:
+    """Returns what is held against a task since its run crashed a worker.
+
+    Nothing is if the run had gone on for too long to be blamed.
+    """
+    record = batch_state.jobs.get(end.task.job_id)
+    if record is None or end.cause != batch.LossCause.CRASHED:
+        return {}
+    crashes = crash_model.unit_crashes(record, end.task)
+    for crash in record.task(end.task).crashes:
+        if crash.run == end.run:
+            return {
+                "worker": crash.worker.name,
+                "down_after_ms": crash.down_after_ms,
+                "alone": crash.alone,
+                "crashes": crash_model.crash_count(crashes),
+            }
+    return {}
+
+
 def log_ended(
     ends: Iterable[batching.RunEnd], batch_state: batch.BatchState
 ) -> None:
@@ -93,7 +116,8 @@
                 "run": end.run,
                 "outcome": str(end.outcome),
             }
-            | ({"cause": str(end.cause)} if end.cause else {}),
+            | ({"cause": str(end.cause)} if end.cause else {})
+            | _crash_fields(end, batch_state),
         )
     for job_id in sorted(job_ids):
         record = batch_state.jobs.get(job_id)
