--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -87,3 +87,11 @@
     failed = [row for row in rows if "outcome=failed" in row]
     assert ["task=0.0.0" in row for row in failed] == [True, True]
     assert any("result=failed" in row for row in rows)
+
+
+def test_recorded_crashes_show_which_of_them_ended_the_job():
+    rows = trace("6bc017c7d5531017", RECORDED)
+    crashed = [row for row in rows if "cause=crashed" in row]
+    alone = ["alone=True" in row for row in crashed]
+    assert alone == [False, True, True]
+    assert "crashed its worker 2 times" in rows[-1]
