Show that a crash is forgotten if the next incarnation withdraws

What callers would see: no direct effect in most cases; a task that crashes its workers is started once more than allowed if the worker that came back is taken away or restarted with notice before the leader has committed the crash.

Cause: `WorkerIncarnation.runs_ended_by_crash` returns nothing for a worker that withdrew, not even `crashed_runs` of the incarnation before it, which may not have been committed. Usually that takes some 50 ms; without a leader it takes as long as that lasts.

Proposed fix: return `dict(self.crashed_runs)` there.

Fails on: the third incarnation reports no end (the leader would say `restarted`, which counts for nobody).

--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -21,3 +21,19 @@
     await harness.until(lambda: harness.port.calls)
     await agent_tests.restart_worker(harness)
     assert await agent_tests.loss_causes(harness) == []
+
+
+async def test_crash_is_forgotten_as_the_next_incarnation_withdraws(harness):
+    """The leader has not committed the end of the run meanwhile."""
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.calls)
+    await agent_tests.restart_worker(harness)
+    assert await agent_tests.loss_causes(harness) == ["crashed"]
+    harness.agent.withdraw("w1")
+    harness.port.born = 3
+    harness.port.clock_ms = 0
+    harness.announce(born=3)
+    await harness.until(lambda: harness.board.batch.get()[0].born == 3)
+    (end,) = harness.board.batch.get()[0].ends
+    assert end.cause == "crashed"
