Show that an agent never forgets the runs that crashes ended

What operators would see: an agent's memory grows with each crash of its worker, slowly, and `worker has crashed` names more and more runs, most of them long committed: `runs` is the sum over all crashes since the agent started.

Cause: `runs_ended_by_crash` adds the runs of all earlier crashes to the new ones; nothing drops those that the leader no longer desires.

Proposed fix: in `drop_stale_progress`, which knows what is referenced, drop them from `crashed_runs` as well, once the agent has what the leader desires.

Fails on: a run that is neither desired nor listed is kept.

--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -2,8 +2,12 @@
 
 import pytest
 
+from bilberryroute.agent import worker_life
 from bilberryroute.agent import worker_port
 from tests.agent import test_batch as agent_tests
+from tests.utils import batches
+
+KEY = (batches.task(), 1)
 
 harness = agent_tests.harness
 
@@ -37,3 +41,25 @@
     await harness.until(lambda: harness.board.batch.get()[0].born == 3)
     (end,) = harness.board.batch.get()[0].ends
     assert end.cause == "crashed"
+
+
+def test_crashes_are_kept_after_the_leader_has_committed_them():
+    announced = worker_port.BatchWorkerAnnouncement(
+        name="w1",
+        born=2,
+        sequence=1,
+        clock_ms=0,
+        address="x:1",
+        pool="pool",
+        failure_domain="apapa",
+        rack="r1",
+        labels=(),
+        capacity=batches.task_need(),
+    )
+    worker = worker_life.WorkerIncarnation(
+        announced=announced,
+        listing=worker_port.Listing(born=2, clock_ms=1, running=(), ends=()),
+        crashed_runs={KEY: 10},
+    )
+    worker.drop_stale_progress(desired=())
+    assert worker.runs_ended_by_crash(now=1_000) == {}
