Compare the reported causes in the test of a forgotten crash

It failed for another reason than its message said: while the new incarnation was not reported yet, the condition itself raised. It still fails on: `assert [] == ['crashed']`.

--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -38,9 +38,11 @@
     harness.port.born = 3
     harness.port.clock_ms = 0
     harness.announce(born=3)
-    await harness.until(lambda: harness.board.batch.get()[0].born == 3)
-    (end,) = harness.board.batch.get()[0].ends
-    assert end.cause == "crashed"
+    await harness.until(
+        lambda: [report.born for report in harness.board.batch.get()] == [3]
+    )
+    causes = [end.cause for end in harness.board.batch.get()[0].ends]
+    assert causes == ["crashed"]
 
 
 def test_crashes_are_kept_after_the_leader_has_committed_them():
