Show that small guaranteed suspects keep all workers from others

What callers would see: one crash under a wide guaranteed step stops the whole site for everybody else, and other guarantees with it, until each of its tasks has outlived its crashed run or, after a second crash, has ended.

Cause: `MAX_ISOLATED_SHARE` is not applied to guaranteed suspects (`_try_place_guaranteed` does not ask `isolates_enough`), and each takes a whole worker, which no guaranteed unit may reclaim either.

Proposed fix: apply the share to guaranteed suspects as well; those beyond it start beside others if they had one crash (the bound of their guarantee goes before finding the cause), and wait for the share after two, where their job may be given up.

--- a/tests/scheduling/test_idle_beside_suspects.py
+++ b/tests/scheduling/test_idle_beside_suspects.py
@@ -80,3 +80,24 @@
     occupy_a_bit(log)
     waiting = jobs_that_wait(log, ["j1"])
     assert waiting == set() or log.held.jobs["j1"].result is not None
+
+
+def test_small_guaranteed_suspects_keep_all_workers_from_others(log):
+    """One step of single-accelerator tasks takes a whole worker for each."""
+    wide = batches.content(batches.step(len(WORKERS)))
+    log.submit("wide", wide, "urgent")
+    log.place(batches.unit("wide", *[batches.ref("gone")] * len(WORKERS)))
+    log.now += 8_000
+    ends = tuple(
+        batching.RunEnd(
+            task=batches.task("wide", index),
+            run=1,
+            outcome=batch.RunOutcome.LOST,
+            cause=batch.LossCause.CRASHED,
+        )
+        for index in range(len(WORKERS))
+    )
+    log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
+    log.place(*planner.plan(log.held, WORKERS, {}, log.now).units)
+    log.submit("j1", batches.content())
+    assert jobs_that_wait(log, ["j1"]) == set()
