--- /dev/null
+++ b/tests/agent/test_crash_reports.py
@@ -0,0 +1,67 @@
+"""Which runs an agent reports as ended by a crash of its worker."""
+
+import pytest
+
+from bilberryroute.agent import worker_life
+from bilberryroute.agent import worker_port
+from tests.agent import test_batch as agent_tests
+from tests.utils import batches
+
+KEY = (batches.task(), 1)
+
+harness = agent_tests.harness
+
+
+@pytest.mark.parametrize(
+    "verdict",
+    [worker_port.StartVerdict.BUSY, worker_port.StartVerdict.FENCED],
+)
+async def test_run_that_the_worker_refused_is_blamed_for_its_crash(
+    harness, verdict
+):
+    harness.port.verdict = verdict
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.calls)
+    await agent_tests.restart_worker(harness)
+    assert await agent_tests.loss_causes(harness) == []
+
+
+async def test_crash_is_forgotten_as_the_next_incarnation_withdraws(harness):
+    """The leader has not committed the end of the run meanwhile."""
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.calls)
+    await agent_tests.restart_worker(harness)
+    assert await agent_tests.loss_causes(harness) == ["crashed"]
+    harness.agent.withdraw("w1")
+    harness.port.born = 3
+    harness.port.clock_ms = 0
+    harness.announce(born=3)
+    await harness.until(
+        lambda: [report.born for report in harness.board.batch.get()] == [3]
+    )
+    causes = [end.cause for end in harness.board.batch.get()[0].ends]
+    assert causes == ["crashed"]
+
+
+def test_crashes_are_kept_after_the_leader_has_committed_them():
+    announced = worker_port.BatchWorkerAnnouncement(
+        name="w1",
+        born=2,
+        sequence=1,
+        clock_ms=0,
+        address="x:1",
+        pool="pool",
+        failure_domain="apapa",
+        rack="r1",
+        labels=(),
+        capacity=batches.task_need(),
+    )
+    worker = worker_life.WorkerIncarnation(
+        announced=announced,
+        listing=worker_port.Listing(born=2, clock_ms=1, running=(), ends=()),
+        crashed_runs={KEY: 10},
+    )
+    worker.drop_stale_progress(desired=())
+    assert worker.runs_ended_by_crash(now=1_000) == {}
