Let guaranteed jobs reclaim from runs that are overdue

Callers with a guarantee would have waited for good for a run that has stalled just before its end, or takes longer than forecast.

Cause: a forecast of zero counted as 'about to be freed' like a run that is being stopped, so that the guaranteed unit neither stopped it nor anything else.

--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -14,6 +14,9 @@
 
 # Lower bound of the remaining time assumed for a run without a forecast.
 MIN_REMAINING_MS = 1_000
+# Lower bound of a forecast: a run that is overdue may still last, unlike one that
+# is being stopped.
+MIN_FORECAST_MS = 1
 # Share of the workers that suspect units may occupy beyond guarantees. Nothing
 # else starts there.
 MAX_ISOLATED_SHARE = 0.25
@@ -334,7 +337,7 @@
     if step.long_running:
         return NEVER_ENDS_MS
     if forecast is not None:
-        return max(0, forecast)
+        return max(MIN_FORECAST_MS, forecast)
     ran_ms = wall_ms - task.placed_ms
     return max(MIN_REMAINING_MS, step.estimate_ms - ran_ms)
 
--- a/tests/scheduling/test_overdue_runs.py
+++ b/tests/scheduling/test_overdue_runs.py
@@ -10,7 +10,7 @@
 
 
 @pytest.mark.parametrize("left_ms", [-5_000, 0, 5_000])
-def test_guaranteed_job_waits_for_an_overdue_run_to_end(left_ms):
+def test_guaranteed_job_does_not_wait_for_an_overdue_run(left_ms):
     """The forecast of a run that has stalled stays at zero."""
     log = batches.Log()
     log.submit("busy", batches.content(batches.step(1, 8)), "nightly")
