Don't keep a replica from its worker for one that may not run a second

Callers of a service with a limit on tasks a worker would have been short of a replica for good: one that failed once waited for the others' workers, which run its siblings and may not run two.

Cause: whether other workers would suffice was asked with the whole limit of the step, not with what its running tasks leave of it. Only long-running siblings keep their places; those of other steps end.

--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -42,9 +42,9 @@
     idle = {worker.ref.name: worker.capacity for worker in others}
     may_avoid = max(1, int(MAX_AVOIDED_SHARE * len(workers)))
     few_fail = len(others) - len(sound) <= may_avoid
-    if few_fail and _would_suffice(unit, sound, idle):
+    if few_fail and _would_suffice(unit, sound, idle, resources):
         return sound
-    return others if _would_suffice(unit, others, idle) else allowed
+    return others if _would_suffice(unit, others, idle, resources) else allowed
 
 
 def _without_unproven(
@@ -66,7 +66,7 @@
     if unit.failed_recently or len(others) == len(workers):
         return workers
     free = resources.free_within(max(MIN_WAIT_MS, unit.step.estimate_ms))
-    return others if _would_suffice(unit, others, free) else workers
+    return others if _would_suffice(unit, others, free, resources) else workers
 
 
 def _is_failing(unit: views.ReadyUnit, worker: views.WorkerSnapshot) -> bool:
@@ -83,13 +83,27 @@
     unit: views.ReadyUnit,
     workers: list[views.WorkerSnapshot],
     free: Mapping[str, batch.Resources],
+    resources: room_lib.AvailableResources,
 ) -> bool:
     """Returns whether a unit fits on workers that have this much free."""
     need = batch.task_demand(unit.step)
-    spread = unit.step.spread_limit or len(unit.indexes)
     fitting = 0
     for worker in workers:
-        fitting += min(spread, free[worker.ref.name].multiple_of(need))
+        name = worker.ref.name
+        spread = _spread(unit, name, resources)
+        fitting += min(spread, free[name].multiple_of(need))
         if fitting >= len(unit.indexes):
             return True
     return False
+
+
+def _spread(
+    unit: views.ReadyUnit, name: str, resources: room_lib.AvailableResources
+) -> int:
+    """Returns how many of a unit's tasks a worker may run in time.
+
+    Long-running tasks of the same step keep their places.
+    """
+    if unit.step.long_running:
+        return max(0, resources.remaining_spread(unit, name))
+    return unit.step.spread_limit or len(unit.indexes)
--- a/tests/scheduling/test_avoiding_spread.py
+++ b/tests/scheduling/test_avoiding_spread.py
@@ -11,7 +11,7 @@
 
 
 @pytest.mark.parametrize("accelerators", [1, 4])
-def test_replica_that_failed_once_waits_for_ever_for_a_worker_of_another(
+def test_replica_that_failed_once_does_not_wait_for_the_worker_of_another(
     accelerators,
 ):
     """Its own worker is idle; the other may not run a second replica."""
