Don't let a retry wait for workers that long-running tasks fill

A retry waited for ten seconds, with its own worker idle, for workers on which long-running tasks leave no room; a replica of a service was missing for so long, and a job counted as lost after a few seconds of it.

Cause: the others' whole capacity was taken for what gets free. Now it is what long-running tasks leave.

--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -25,8 +25,9 @@
 ) -> list[views.WorkerSnapshot]:
     """Leaves out the workers on which a unit would probably fail.
 
-    They are left out only if the unit would fit on the others when they are
-    idle: it is better to wait for them than to use up an attempt.
+    They are left out only if the unit would fit on the others once all runs
+    that end by themselves have ended: it is better to wait for that than to use
+    up an attempt.
     """
     if unit.accepts_failing or not (unit.failed_on or resources.any_failing):
         return workers
@@ -39,7 +40,7 @@
     sound = [w for w in others if not _is_failing(unit, w)]
     if len(sound) == len(workers):
         return workers
-    idle = {worker.ref.name: worker.capacity for worker in others}
+    idle = resources.free_when_idle
     may_avoid = max(1, int(MAX_AVOIDED_SHARE * len(workers)))
     few_fail = len(others) - len(sound) <= may_avoid
     if few_fail and _would_suffice(unit, sound, idle, resources):
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -49,6 +49,7 @@
       workers: Workers by name.
       free: Resources that are neither in use nor allocated in this round, by
         worker.
+      free_when_idle: Resources that long-running tasks leave free, by worker.
       any_failing: Whether runs failed recently on any worker.
       isolated: Names of workers that run nothing but a suspect unit. It holds
         all of their resources, as nothing may start beside it.
@@ -79,6 +80,7 @@
         )
         self._probes = probing.Probes(state, self.workers, wall_ms)
         self.free: dict[str, batch.Resources] = {}
+        self.free_when_idle: dict[str, batch.Resources] = {}
         self.isolated: set[str] = set()
         self._claimed: set[str] = set()
         self._allocations: dict[str, list[_Allocation]] = {}
@@ -96,7 +98,7 @@
         remaining_ms: Mapping[RunKey, int],
         wall_ms: int,
     ) -> None:
-        free = worker.capacity
+        free = free_when_idle = worker.capacity
         allocations = []
         task_counts: collections.Counter[views.StepKey] = collections.Counter()
         units: set[crash_model.UnitKey] = set()
@@ -115,6 +117,8 @@
                 ),
             )
             free = free.minus(allocation.need)
+            if allocation.remaining_ms >= NEVER_ENDS_MS:
+                free_when_idle = free_when_idle.minus(allocation.need)
             allocations.append(allocation)
             task_counts[task_id.job_id, task_id.occurrence, task_id.step] += 1
             units.add(crash_model.unit_key(record, task_id))
@@ -126,6 +130,7 @@
             free = batch.NO_RESOURCES
         allocations.sort(key=lambda allocation: allocation.remaining_ms)
         self.free[name] = free
+        self.free_when_idle[name] = free_when_idle
         self._allocations[name] = allocations
         self._task_counts[name] = task_counts
 
--- a/tests/scheduling/test_avoiding_waits.py
+++ b/tests/scheduling/test_avoiding_waits.py
@@ -14,7 +14,9 @@
 
 
 @pytest.mark.parametrize("long_running", [True, False])
-def test_retry_waits_for_workers_that_long_running_tasks_fill(long_running):
+def test_retry_does_not_wait_for_workers_that_long_running_tasks_fill(
+    long_running,
+):
     """Its last worker is idle; the only other one does not get free."""
     log = batches.Log()
     filler = batches.step(1, 8, long_running=True)
