Don't search room for each task that has failed once by itself

Cause: tasks of a step share the outcome of a search for room only if they avoid the same workers, and a task was compared by all workers that ever failed it, although ten seconds later it avoids only those that have failed all since.

Change: compared are the workers that it avoids at present. Within those ten seconds tasks that failed on different workers are still searched separately.

--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -48,6 +48,24 @@
     return others if _would_suffice(unit, others, idle, resources) else allowed
 
 
+def own_failures(
+    unit: views.ReadyUnit, workers: Mapping[str, views.WorkerSnapshot]
+) -> frozenset[str]:
+    """Returns names of the workers that a unit avoids as its runs failed there.
+
+    Some time after a failure, these are only those that have failed all since.
+    """
+    return frozenset(
+        name
+        for name in unit.failed_on
+        if name in workers
+        and (
+            unit.failed_recently
+            or workers[name].health > views.WorkerHealth.SOUND
+        )
+    )
+
+
 def _without_unproven(
     unit: views.ReadyUnit,
     workers: list[views.WorkerSnapshot],
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -11,6 +11,7 @@
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.scheduling.batch import availability
+from bilberryroute.scheduling.batch import avoiding
 from bilberryroute.scheduling.batch import deadlines
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import preempting
@@ -106,12 +107,13 @@
         """Tries to place each unit, in the given order."""
         blocked: set[Hashable] = set()
         for unit in ready:
-            if unit.placement_key in blocked:
+            key = self._placement_key(unit)
+            if key in blocked:
                 self._waiting_unit_count += 1
             elif not self._try_place(unit):
                 self._waiting_unit_count += 1
                 self._waiting_jobs.setdefault(unit.record.id, unit.rank)
-                blocked.add(unit.placement_key)
+                blocked.add(key)
         return views.BatchPlan(
             units=tuple(self._units),
             stops=tuple(self._stopped_for),
@@ -121,6 +123,10 @@
             permit_candidates=self._permit_candidates,
         )
 
+    def _placement_key(self, unit: views.ReadyUnit) -> Hashable:
+        workers = self._resources.workers
+        return unit.placement_key(avoiding.own_failures(unit, workers))
+
     def _try_place(self, unit: views.ReadyUnit) -> bool:
         if unit.queue.advised:
             self._permit_candidates[unit.step_key] = (
@@ -296,7 +302,7 @@
         Computed once a round for each step and what its units avoid: what is
         placed in between changes it little.
         """
-        key = unit.placement_key
+        key = self._placement_key(unit)
         if key not in self._fits:
             self._fits[key] = self._find_earliest_fit(unit)
         return self._fits[key]
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -112,14 +112,17 @@
         """Job id, occurrence and index of the unit's step."""
         return (self.record.id, self.occurrence, self.step_number)
 
-    @property
-    def placement_key(self) -> Hashable:
-        """Equal for units of a step that may use the same workers."""
+    def placement_key(self, avoided: frozenset[str]) -> Hashable:
+        """Returns a key, equal for units of a step that may use the same workers.
+
+        Args:
+          avoided: Names of workers that the unit avoids as its runs failed there.
+        """
         return (
             self.step_key,
             self.suspect,
-            self.failed_on,
-            self.failed_recently,
+            avoided,
+            bool(avoided) and self.failed_recently,
             self.last_attempt,
         )
 
--- a/tests/scheduling/test_failed_costs.py
+++ b/tests/scheduling/test_failed_costs.py
@@ -47,7 +47,9 @@
     return len(calls)
 
 
-def test_each_task_that_failed_is_searched_room_for_in_every_round(monkeypatch):
+def test_tasks_that_failed_once_are_not_searched_room_for_one_by_one(
+    monkeypatch,
+):
     """The workers of failed runs differ, so each task is tried on its own."""
     bound = planner.MAX_RESERVATIONS * searches(monkeypatch, failed=False)
     assert searches(monkeypatch, failed=True) <= bound
