Play seeds of the capacity soak alike under every hash seed

A failing seed could only be played again under the PYTHONHASHSEED that it had failed under. Two sets of strings decided the order of calls: mode keeps the names of a service's background tasks in a set, and an agent stopped undesired runs in the order of a set. The soak now starts the tasks by name; the agent stops runs in the order of the listing.

--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -129,9 +129,14 @@
         ):
             calls.append(StartRun(run=run))
     if plan_input.covered:
-        for key in running - desired_runs.keys():
+        for report in plan_input.listing.running:
+            key = (report.task, report.run)
             state = plan_input.progress.get(key, RunProgress())
-            if not state.call_in_flight and state.phase != RunPhase.BARRED:
+            if (
+                key not in desired_runs
+                and not state.call_in_flight
+                and state.phase != RunPhase.BARRED
+            ):
                 calls.append(StopRun(key=key))
     return calls
 
--- a/tests/agent/test_capacity_soak.py
+++ b/tests/agent/test_capacity_soak.py
@@ -1,14 +1,15 @@
 """Faults around workers that don't check their capacity, in virtual time.
 
 No start may exceed the capacity, and every job must end once the faults are over.
-`CAPACITY_SEEDS=first:count` selects other seeds. A seed plays the same again
-under the same `PYTHONHASHSEED`.
+`CAPACITY_SEEDS=first:count` selects other seeds. A seed plays the same again,
+also under another `PYTHONHASHSEED`.
 """
 
 import asyncio
 import os
 import random
 
+import mode
 import pytest
 
 from bilberryroute import clock as clock_lib
@@ -156,6 +157,19 @@
         return [job.id for job in jobs if job.result is None]
 
 
+@pytest.fixture(autouse=True)
+def ordered_services(monkeypatch):
+    """Starts the tasks of services by name; `mode` keeps the names in a set."""
+    original = mode.Service._get_tasks
+    monkeypatch.setattr(
+        mode.Service,
+        "_get_tasks",
+        lambda service: sorted(
+            original(service), key=lambda task: task.fun.__name__
+        ),
+    )
+
+
 def play(seed: int) -> Soak:
     """Plays a seed and returns what it has found."""
     with asyncio.Runner(loop_factory=virtual_time.VirtualTimeLoop) as runner:
