Test that a gang leaves a worker that has shrunk as a whole

A member that was not started because its worker has shrunk is stopped, and the others as soon as that has ended; they do not wait for it until they time out.

--- a/tests/replica/test_batch.py
+++ b/tests/replica/test_batch.py
@@ -251,6 +251,21 @@
     assert stop.task == batches.task("g", 1)
 
 
+def test_gang_moves_as_a_whole_if_a_member_no_longer_fits(parts, log):
+    log.end(batches.task())
+    log.submit("g", batches.content(batches.step(2, gang=True)))
+    log.place(batches.unit("g", batches.ref("w1"), batches.ref("w1")))
+    begun, held = (batches.task("g", index) for index in range(2))
+    report_now(parts, report(running=(wire.RunReport(task=begun, run=1),)))
+    known = parts.machine.state.batch, parts.board.batch_workers.get(), {}
+    (stop,) = batch_upkeep.required_stops(*known)
+    assert stop.task == held
+    log.apply(batching.StopRuns(runs=(stop,), at_ms=1))
+    log.end(held, outcome=batch.RunOutcome.STOPPED)
+    (stop,) = batch_upkeep.required_stops(*known)
+    assert stop.task == begun
+
+
 def test_checkpointing_run_leaves_a_draining_worker_in_time(parts, log):
     saving = batches.step(1, checkpointing=True)
     log.submit("s", batches.content(saving))
