Test that accepted work survives two lost disks while all replicas are dark

The simulated schedules lose disks one by one and restart all replicas at other moments; none lost the disks of as many replicas as tolerated, of those that hold the newest entry, at the moment at which all restart. The second test shows what a group of three does then: it has no leader any more, so callers get no answer, rather than an answer that the job is gone.

--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -13,8 +13,8 @@
 require = simulation_lib.require
 
 
-def _quiet_group() -> simulation_lib.Simulation:
-    simulation = simulation_lib.Simulation(seed=0, spares=0)
+def _quiet_group(size: int = 3) -> simulation_lib.Simulation:
+    simulation = simulation_lib.Simulation(seed=0, size=size, spares=0)
     simulation.loss = simulation.duplicates = 0
     simulation.slowness = simulation.sync_ms = 5
     simulation.run_until(2_000)
@@ -106,6 +106,34 @@
     require(role is not messages.Role.LEADER, "it leads without a majority")
 
 
+def lost_disks_while_all_are_dark(size: int = 5, lost: int = 2) -> None:
+    """Disks are lost right after an entry was accepted, and all lose power."""
+    simulation = _quiet_group(size)
+    leader = simulation.leader()
+    simulation.propose(leader)
+    accepted = leader.core.log.last_index
+    while simulation.observer.last_committed < accepted:
+        simulation.run_until(simulation.now + 1)
+    # Of those that hold the entry, as many as possible lose their disks.
+    nodes = sorted(simulation.nodes.values(), key=lambda n: -_stored(n))
+    for node in nodes:
+        simulation.crash(node)
+    for node in nodes[:lost]:
+        simulation.lose_disk(node)
+    for node in nodes:
+        simulation.boot(node)
+    simulation.run_until(simulation.now + 5_000)
+    require(simulation.leader() is not None, "no leader")
+    held = simulation.leader().core.log.last_index
+    require(held >= accepted, "what was accepted is gone")
+
+
+def _stored(node: simulation_lib.Node) -> int:
+    """Returns the last index on a replica's disk."""
+    entries = node.disk.entries
+    return entries[-1].index if entries else node.disk.snapshot.index
+
+
 def _new_leader() -> core_lib.Core:
     """Returns a leader of term 3 with an uncommitted entry of term 2."""
     members = [
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -258,3 +258,12 @@
     monkeypatch.setattr(core_lib.Core, "_on_vote_request", deaf)
     with pytest.raises(simulation_lib.Violation):
         scenarios.hand_over_is_quick()
+
+
+def test_accepted_work_survives_lost_disks_while_all_are_dark():
+    scenarios.lost_disks_while_all_are_dark()
+
+
+def test_group_smaller_than_the_tolerance_has_no_leader_after_lost_disks():
+    with pytest.raises(simulation_lib.Violation, match="no leader"):
+        scenarios.lost_disks_while_all_are_dark(size=3)
