Keep what was stopped for a guarantee until it starts

What callers saw: nothing yet; found by a model. Tasks were stopped, placed again on the room that they had left, and stopped again for the same guaranteed job, which started later for it.

Cause: while runs are being stopped for a guaranteed unit, every round looks again for the workers that suit it best among all that are expected to be free within its wait. A run elsewhere that may end soon changes the choice; the room that has just been freed goes to others. When that run doesn't end as forecast, they are stopped again.

What is free or being stopped now comes before what may become free later.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -205,13 +205,16 @@
     def _reclaim(self, unit: views.ReadyUnit) -> bool:
         """Claims resources that are about to be freed, or preempts for them.
 
+        What is being stopped comes first: it may be stopped for this unit.
         Returns whether there are enough of either.
         """
         waited_ms = self._wall_ms - unit.due_since_ms
         wait_left_ms = max(0, GUARANTEE_WAIT_MS - waited_ms)
-        names = self._find_workers(
-            unit, self._resources.free_after(wait_left_ms)
-        )
+        names = self._find_workers(unit, self._resources.free_after(0))
+        if names is None:
+            names = self._find_workers(
+                unit, self._resources.free_after(wait_left_ms)
+            )
         if names is None:
             names = self._preempt(unit, self._preemption_candidates())
         if names is None:
--- a/tests/scheduling/crash_model.py
+++ b/tests/scheduling/crash_model.py
@@ -9,6 +9,7 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import jobs
 from bilberryroute.scheduling.batch import planner
+from bilberryroute.scheduling.batch import views
 from bilberryroute.state import machine as machine_lib
 from tests.utils import batches
 
@@ -76,7 +77,7 @@
             self.log.held, self._present_workers(), {}, self.log.now
         )
         if decided.stops:
-            self._stop(decided.stops)
+            self._stop(decided)
         if decided.units:
             self.log.place(*decided.units)
 
@@ -170,5 +171,6 @@
             elif self.log.now - task.placed_ms >= step.estimate_ms:
                 self.log.end(task_id, task.run, batch.RunOutcome.DONE)
 
-    def _stop(self, runs: tuple[batching.TaskRun, ...]) -> None:
-        self.log.apply(batching.StopRuns(runs=runs, at_ms=self.log.now))
+    def _stop(self, decided: views.BatchPlan) -> None:
+        command = batching.StopRuns(runs=decided.stops, at_ms=self.log.now)
+        self.log.apply(command)
