--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -25,8 +25,9 @@
 ) -> list[views.WorkerSnapshot]:
     """Leaves out the workers on which a unit would probably fail.
 
-    They are left out only if the unit would fit on the others when they are
-    idle: it is better to wait for them than to use up an attempt.
+    They are left out only if the unit would fit on the others once all runs
+    that end by themselves have ended: it is better to wait for that than to use
+    up an attempt.
     """
     if unit.accepts_failing or not (unit.failed_on or resources.any_failing):
         return workers
@@ -39,12 +40,30 @@
     sound = [w for w in others if not _is_failing(unit, w)]
     if len(sound) == len(workers):
         return workers
-    idle = {worker.ref.name: worker.capacity for worker in others}
+    idle = resources.free_when_idle
     may_avoid = max(1, int(MAX_AVOIDED_SHARE * len(workers)))
     few_fail = len(others) - len(sound) <= may_avoid
-    if few_fail and _would_suffice(unit, sound, idle):
+    if few_fail and _would_suffice(unit, sound, idle, resources):
         return sound
-    return others if _would_suffice(unit, others, idle) else allowed
+    return others if _would_suffice(unit, others, idle, resources) else allowed
+
+
+def own_failures(
+    unit: views.ReadyUnit, workers: Mapping[str, views.WorkerSnapshot]
+) -> frozenset[str]:
+    """Returns names of the workers that a unit avoids as its runs failed there.
+
+    Some time after a failure, these are only those that have failed all since.
+    """
+    return frozenset(
+        name
+        for name in unit.failed_on
+        if name in workers
+        and (
+            unit.failed_recently
+            or workers[name].health > views.WorkerHealth.SOUND
+        )
+    )
 
 
 def _without_unproven(
@@ -66,7 +85,7 @@
     if unit.failed_recently or len(others) == len(workers):
         return workers
     free = resources.free_within(max(MIN_WAIT_MS, unit.step.estimate_ms))
-    return others if _would_suffice(unit, others, free) else workers
+    return others if _would_suffice(unit, others, free, resources) else workers
 
 
 def _is_failing(unit: views.ReadyUnit, worker: views.WorkerSnapshot) -> bool:
@@ -83,13 +102,27 @@
     unit: views.ReadyUnit,
     workers: list[views.WorkerSnapshot],
     free: Mapping[str, batch.Resources],
+    resources: room_lib.AvailableResources,
 ) -> bool:
     """Returns whether a unit fits on workers that have this much free."""
     need = batch.task_demand(unit.step)
-    spread = unit.step.spread_limit or len(unit.indexes)
     fitting = 0
     for worker in workers:
-        fitting += min(spread, free[worker.ref.name].multiple_of(need))
+        name = worker.ref.name
+        spread = _spread(unit, name, resources)
+        fitting += min(spread, free[name].multiple_of(need))
         if fitting >= len(unit.indexes):
             return True
     return False
+
+
+def _spread(
+    unit: views.ReadyUnit, name: str, resources: room_lib.AvailableResources
+) -> int:
+    """Returns how many of a unit's tasks a worker may run in time.
+
+    Long-running tasks of the same step keep their places.
+    """
+    if unit.step.long_running:
+        return max(0, resources.remaining_spread(unit, name))
+    return unit.step.spread_limit or len(unit.indexes)
