Revert "Reserve workers for all tasks of a unit that they are to run"

The fault itself is true: only one task's room is kept for a gang that is to run several on a worker.

--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -267,18 +267,15 @@
     def reserve(
         self, unit: views.ReadyUnit, names: Iterable[str], from_ms: int
     ) -> None:
-        """Reserves the demand of one task for each worker name from a time on.
+        """Reserves the demand of one task on each worker from a time on.
 
         For a suspect unit, reserves the whole worker.
         """
-        demand = batch.task_demand(unit.step)
-        needs: dict[str, batch.Resources] = {}
-        for name in names:
-            if unit.suspect:
-                needs[name] = self.workers[name].capacity
-            else:
-                needs[name] = needs.get(name, batch.NO_RESOURCES).plus(demand)
-        for name, need in needs.items():
+        if unit.suspect:
+            needs = [(name, self.workers[name].capacity) for name in set(names)]
+        else:
+            needs = [(name, batch.task_demand(unit.step)) for name in names]
+        for name, need in needs:
             self._reservations.setdefault(name, []).append(
                 _UnitReservation(need=need, from_ms=from_ms)
             )
