Test over the real adapter that a crashing task is given up

The tests of crashing tasks covered the replicated state, the planner and the agent one by one.

The stand-in of the platform's worker can now crash at the start of given tasks and comes back under another name. The new test submits a job with such a task beside another job: the first is shown as failed after at most five starts, the other one completes.

--- a/extras/fakes/fake_runner.py
+++ b/extras/fakes/fake_runner.py
@@ -37,6 +37,8 @@
       starts: Every start that was carried out, in order.
       loads: What is reported of how a task does, by task; else 0.
       paced: Share at which a task works, by task, once it was ordered.
+      deadly: Tasks that crash the worker when they start.
+      crashed: Set when one of them has started.
     """
 
     def __init__(self, run_ms: int, room: int):
@@ -45,6 +47,13 @@
         self.starts: list[tuple[str, int]] = []
         self.loads: dict[str, int] = {}
         self.paced: dict[str, int] = {}
+        self.deadly: set[str] = set()
+        self.crashed = asyncio.Event()
+        self.restart()
+
+    def restart(self) -> None:
+        """Loses what a new life of the worker does not know."""
+        self.crashed.clear()
         self._running: dict[str, _Run] = {}
         self._ends: list[list] = []
         self._barred: dict[str, int] = {}
@@ -69,6 +78,8 @@
             return 409, {"clockMs": now, "reason": "room"}
         self._running[task] = _Run(run=run, began_ms=now)
         self.starts.append((task, run))
+        if task in self.deadly:
+            self.crashed.set()
         return 200, {"clockMs": now}
 
     def stop(self, order: dict, now: int) -> tuple[int, dict]:
@@ -160,17 +171,20 @@
         self._sequence = 0
 
     async def run(self) -> None:
-        """Serves, announces and ends tasks until cancelled."""
+        """Serves, announces and ends tasks until cancelled or crashed."""
         app = web.Application()
         app.router.add_post("/bilberryroute/{call}", self._order)
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         host, port = runner.addresses[0][:2]
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._announce(f"{host}:{port}"))
-                group.create_task(self._tick())
+                announcing = group.create_task(self._announce(f"{host}:{port}"))
+                ticking = group.create_task(self._tick())
+                await self.table.crashed.wait()
+                announcing.cancel()
+                ticking.cancel()
         finally:
             await runner.cleanup()
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 
 import aiohttp
@@ -22,6 +23,8 @@
 HOST = "h.example"
 KEY = "k" * 20
 DEADLINE_S = 15.0
+# How long a crashed worker is away.
+RESTART_S = 0.3
 
 CONFIG = {
     "version": 3,
@@ -71,13 +74,24 @@
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         for role in ROLES:
             await self.start_role(role, stack)
-        runner = fake_runner.FakeRunner(
-            "i1", self._addresses["worker"], "apapa", "gang-alloc", self.table
-        )
-        task = asyncio.create_task(runner.run())
+        task = asyncio.create_task(self._run_worker())
         stack.callback(task.cancel)
         self.session = await stack.enter_async_context(aiohttp.ClientSession())
 
+    async def _run_worker(self) -> None:
+        """Runs the worker, under another name after each crash."""
+        for life in itertools.count(1):
+            runner = fake_runner.FakeRunner(
+                f"i{life}",
+                self._addresses["worker"],
+                "apapa",
+                "gang-alloc",
+                self.table,
+            )
+            await runner.run()
+            await asyncio.sleep(RESTART_S)
+            self.table.restart()
+
     async def start_role(self, role, stack) -> None:
         place = self._place(role)
         env = context.Environment(rng=random.Random(7))
--- a/tests/platform/test_walk.py
+++ b/tests/platform/test_walk.py
@@ -14,6 +14,8 @@
         {"count": 3, "cpu": 500, "memRequestMb": 64, "dependsOn": [0]},
     ],
 }
+# A task is not started three times more after it has crashed three workers.
+MAX_STARTS = 5
 ID = "5c0e7a21d94b36f8"
 PATH = f"/plan/{ID}"
 
@@ -48,6 +50,21 @@
             await asyncio.sleep(0.02)
 
 
+async def test_task_that_crashes_its_worker_is_given_up_and_no_other(site):
+    deadly_id = "9a92c435af42c93e"
+    deadly_path = f"/plan/{deadly_id}"
+    deadly_task = f"{deadly_id}.0.0.0"
+    site.table.deadly = {deadly_task}
+    site.table.run_ms = 1_000
+    await site.call("POST", "callers", PATH, JOB)
+    await site.until("GET", "callers", PATH, (200, {"state": "running"}))
+    await site.call("POST", "callers", deadly_path, JOB)
+    await site.until("GET", "callers", deadly_path, (200, {"state": "failed"}))
+    starts = [task for task, _ in site.table.starts]
+    assert 2 <= starts.count(deadly_task) <= MAX_STARTS
+    await site.until("GET", "callers", PATH, (200, {"state": "completed"}))
+
+
 async def test_fill_gives_way_to_a_task_over_its_target(site):
     site.table.run_ms = 60_000
     site.table.loads[f"{ID}.0.0.0"] = 90
