Count crashes of workers whose agent restarts before they are back

What callers would see: a task that crashes its workers is started more often than it needs, and with it the jobs beside it lose their runs. Five starts are allowed.

Cause: only the agent's process remembered what ran on a worker that went down. A worker takes 3.3 s to come back, and an agent that was killed in that time knew nothing of the crash.

Why it works: a loss of power takes worker and agent at once. So a renewal without a worker that announced no end tells the leader of the crash, whether or not the agent lives to report it. Nothing is placed on a worker that is not in the newest renewal, so what is blamed was there before.

Ruled out: to count every restart of a worker once a task has crashed one. A sound task that lost power twice after one crash of a bad host would be shown as failed.

Tests: test_crash_is_not_forgotten_by_an_agent_that_restarts_after_it failed before (RESTARTED instead of CRASHED) for a worker that is back under the same name and under another; the others hold what must not count. Tests of replica, state, the platform's walk and of suspects pass.

Open: an agent that is killed before that renewal, and a change of leader in the meantime.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -214,10 +214,11 @@
 class LossCause(enum.StrEnum):
     """Why a run was lost with its worker.
 
-    `CRASHED`: the worker restarted without notice while its agent went on; only
-    the agent can tell. `WITHDRAWN`: the worker announced its end. `RESTARTED`:
-    it has restarted and no agent saw why, as after a loss of power. `SILENT`:
-    it was silent until its lease had expired.
+    `CRASHED`: the worker restarted without notice while its agent went on, as
+    the agent reports or its renewals without the worker show. `WITHDRAWN`: the
+    worker announced its end. `RESTARTED`: it has restarted and no agent saw
+    why, as after a loss of power. `SILENT`: it was silent until its lease had
+    expired.
     """
 
     CRASHED = "crashed"
--- a/bilberryroute/replica/batch_ends.py
+++ b/bilberryroute/replica/batch_ends.py
@@ -87,18 +87,57 @@
     for report in agent.renewal.batch if agent is not None else ():
         # A host runs one worker at a time: a newer one replaces the older.
         if report.born > ref.born:
-            return batch.LossCause.RESTARTED
+            return _restart_cause(ref, agent)
         if report.over and report.born == ref.born:
             return batch.LossCause.WITHDRAWN
     last_seen = board.term.get().began
     worker = board.batch_workers.get().get(ref.name)
     if worker is not None:
         if worker.report.born > ref.born:
-            return batch.LossCause.RESTARTED
+            return _restart_cause(ref, agent)
         last_seen = max(last_seen, worker.last_seen_ms)
     return batch.LossCause.SILENT if now - last_seen > fence_ms else None
 
 
+def _restart_cause(
+    ref: batch.WorkerRef, agent: board_lib.AgentRecord | None
+) -> batch.LossCause:
+    """Returns why a worker has restarted if its agent reports no crash.
+
+    An agent that was restarted while its worker was down does not know of the
+    crash.
+    """
+    down = agent.down_worker if agent is not None else None
+    if (
+        down is not None
+        and down.born == ref.born
+        and down.agent_incarnation != agent.renewal.incarnation
+    ):
+        return batch.LossCause.CRASHED
+    return batch.LossCause.RESTARTED
+
+
+def down_worker(
+    renewal: wire.Renewal, previous: board_lib.AgentRecord | None
+) -> board_lib.DownWorker | None:
+    """Returns the worker that an agent has stopped to report, or None.
+
+    That an agent goes on without its worker tells a crash from a loss of power.
+    """
+    if previous is None:
+        return None
+    reported = {report.born for report in renewal.batch}
+    if renewal.incarnation == previous.renewal.incarnation:
+        for report in previous.renewal.batch:
+            ends = report.draining or report.over or renewal.draining
+            if report.born not in reported and not ends:
+                return board_lib.DownWorker(
+                    born=report.born, agent_incarnation=renewal.incarnation
+                )
+    known = previous.down_worker
+    return None if known is not None and known.born in reported else known
+
+
 def update_committed_ends(
     batch_state: batch.BatchState, board: board_lib.ReplicaBoard
 ) -> set[str]:
--- a/bilberryroute/replica/board.py
+++ b/bilberryroute/replica/board.py
@@ -15,6 +15,19 @@
 WorkerIncarnationKey = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DownWorker:
+    """A worker that its agent stopped to report without notice of its end.
+
+    Attributes:
+      born: Identifies the incarnation of the worker.
+      agent_incarnation: Incarnation of the agent that went on without it.
+    """
+
+    born: int
+    agent_incarnation: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AgentRecord:
     """The last report of an agent to this leader.
@@ -26,6 +39,7 @@
       incarnation_since_ms: Monotonic instant of the incarnation's first
         renewal.
       tasks: Its task reports by job, attempt and worker.
+      down_worker: Its worker that was reported before and is no more, or None.
     """
 
     renewal: wire.Renewal
@@ -33,6 +47,7 @@
     last_seen_ms: clock_lib.Millis
     incarnation_since_ms: clock_lib.Millis
     tasks: dict[TaskKey, wire.TaskReport]
+    down_worker: DownWorker | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -10,6 +10,7 @@
 from bilberryroute.model import batch_commands
 from bilberryroute.model import commands
 from bilberryroute.model import wire
+from bilberryroute.replica import batch_ends
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.transport import codec
@@ -95,6 +96,7 @@
             if restarted
             else previous.incarnation_since_ms,
             tasks={(t.job_id, t.attempt, t.worker): t for t in renewal.tasks},
+            down_worker=batch_ends.down_worker(renewal, previous),
         )
         for worker in renewal.workers:
             self._board.worker_last_seen[worker.name] = now
