Mend the exploration's mutant that the split of the state's rules had broken

test_exploration_fails_without[_place_before_the_end_is_committed] ended with AttributeError since moved the transitions of runs to state/batch_runs.py: the mutant patched them where they were before. It patches them there now and is found, as before; the check itself is unchanged.

--- a/tests/scheduling/test_run_exploration.py
+++ b/tests/scheduling/test_run_exploration.py
@@ -14,7 +14,7 @@
 
 from bilberryroute.agent import run_plan
 from bilberryroute.model import batch
-from bilberryroute.state import batch as batch_rules
+from bilberryroute.state import batch_runs as run_rules
 from tests.scheduling import run_model
 from tests.utils import batches
 
@@ -264,17 +264,17 @@
 
 def _place_before_the_end_is_committed(patch):
     """Places the next run while the previous one is still being stopped."""
-    original = batch_rules._stop_runs
+    original = run_rules.stop_runs
 
     def stop(held, command):
         result = original(held, command)
         for each in command.runs:
-            task = batch_rules._active_task(held, each.task, each.run)
+            task = run_rules._active_task(held, each.task, each.run)
             if task is not None:
-                batch_rules._clear_placement(held, task, each.task)
+                run_rules._clear_placement(held, task, each.task)
         return result
 
-    patch.setattr(batch_rules, "_stop_runs", stop)
+    patch.setattr(run_rules, "stop_runs", stop)
 
 
 def _accept_a_stale_listing(patch):
