--- a/extras/fakes/fake_runner.py
+++ b/extras/fakes/fake_runner.py
@@ -55,6 +55,8 @@
       starts: Every start that was carried out, in order.
       loads: Reported load by task; 0 if missing.
       paced: Ordered share of work in percent, by task.
+      deadly: Tasks that crash the worker when they start.
+      crashed: Set when one of them has started.
     """
 
     def __init__(
@@ -69,6 +71,13 @@
         self.starts: list[tuple[str, int]] = []
         self.loads: dict[str, int] = {}
         self.paced: dict[str, int] = {}
+        self.deadly: set[str] = set()
+        self.crashed = asyncio.Event()
+        self.restart()
+
+    def restart(self) -> None:
+        """Loses what a new life of the worker does not know."""
+        self.crashed.clear()
         self._running: dict[str, _Run] = {}
         self._ends: list[list] = []
         self._barred: dict[str, int] = {}
@@ -94,6 +103,8 @@
         self._running[task] = _Run(run=run, began_ms=now)
         self.starts.append((task, run))
         self._record(RunEvent(event="start", task=task, run=run, at_ms=now))
+        if task in self.deadly:
+            self.crashed.set()
         return 200, {"clockMs": now}
 
     def stop(self, order: dict, now: int) -> tuple[int, dict]:
@@ -211,10 +222,10 @@
         self._announced = announced
 
     async def run(self) -> None:
-        """Serves, announces and ends tasks until cancelled."""
+        """Serves, announces and ends tasks until cancelled or crashed."""
         app = web.Application()
         app.router.add_post("/bilberryroute/{call}", self._order)
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
         await runner.setup()
         host, port = self._listen.rsplit(":", 1)
         await web.TCPSite(runner, host, int(port)).start()
@@ -222,8 +233,11 @@
         address = self._announced or f"{host}:{port}"
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._announce(address))
-                group.create_task(self._tick())
+                announcing = group.create_task(self._announce(address))
+                ticking = group.create_task(self._tick())
+                await self.table.crashed.wait()
+                announcing.cancel()
+                ticking.cancel()
         finally:
             await runner.cleanup()
 
