Do not blame a run that its worker refused for a crash

What callers saw: a task whose start a worker answered with "busy" or "fenced" counted as having been under the worker when it crashed. It ran apart from then on, and the task beside it, which had crashed the worker, was not recorded as alone, so it was given up one crash later.

Cause: `RunCalls.start` sets `start_sent_ms` before the call, and nothing took it back when the worker answered that it had not begun the run.

Fix: an answer other than `started` restores the value from before the call.

--- a/bilberryroute/agent/run_calls.py
+++ b/bilberryroute/agent/run_calls.py
@@ -59,6 +59,7 @@
             until_ms=until_ms,
             fence=fence,
         )
+        sent_before_ms = state.start_sent_ms
         state.start_sent_ms = self._clock.now()
         try:
             answer = await self._port.start_run(worker.announced.address, order)
@@ -70,6 +71,8 @@
         run_plan.apply_start_answer(state, answer)
         logger.info("start: %s", answer.verdict, extra=fields | {"term": fence})
         if answer.verdict != worker_port.StartVerdict.STARTED:
+            # An earlier start without an answer may still be carried out.
+            state.start_sent_ms = sent_before_ms
             self._metrics.retried(f"start_{answer.verdict}")
         return answer.verdict
 
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -45,8 +45,8 @@
       clock_ms: Worker's clock when it confirmed the start or the stop; only
         a later listing proves that the run is absent.
       call_in_flight: Whether a call on the run awaits its answer.
-      start_sent_ms: Agent's clock when the last start was sent, answered or
-        not; None before the first.
+      start_sent_ms: Agent's clock when the last start was sent that may have
+        begun the run; None if no start may have.
       outcome_if_absent: Outcome to report if the worker does not list the
         run.
     """
--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -27,6 +27,20 @@
     assert await agent_tests.loss_causes(harness) == []
 
 
+async def test_unanswered_start_is_not_blamed_as_a_later_one_was_refused(
+    harness,
+):
+    harness.port.unanswered = {"start"}
+    harness.port.verdict = worker_port.StartVerdict.BUSY
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.attempts)
+    harness.port.unanswered = set()
+    await harness.until(lambda: harness.port.calls)
+    await agent_tests.restart_worker(harness)
+    assert await agent_tests.loss_causes(harness) == ["crashed"]
+
+
 async def test_crash_is_forgotten_as_the_next_incarnation_withdraws(harness):
     """The leader has not committed the end of the run meanwhile."""
     harness.announce()
