Give up a gang only for crashes under one of its tasks

What callers saw: a gang that did no harm was shown as `failed` ("crashed its worker 2 times") after workers had crashed under two different members. Only a task under which two workers have crashed may be given up, and the wider a gang is, the more often any of its workers crashes.

Cause: `_end_job_if_decided` judged the crashes of the whole unit, which counts the crashes of all members.

Fix: it judges those of the task that ended. A guilty member crashes its own worker in each run, so the bound on its starts holds. The members stay suspects together, and `alone` is still decided by unit, as both concern what else may have caused a crash.

--- a/bilberryroute/state/batch_runs.py
+++ b/bilberryroute/state/batch_runs.py
@@ -7,7 +7,6 @@
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import commands
-from bilberryroute.model import crashes as crash_model
 from bilberryroute.model import jobs
 from bilberryroute.state import crashes as crash_rules
 
@@ -246,12 +245,12 @@
         reason = f"step {task_id.step} failed {failures} times"
         end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
-    crashes = crash_model.unit_crashes(record, task_id)
+    # Not the crashes of the whole gang: a guilty member has one in each run.
     if (
-        crash_rules.has_proved_to_crash(crashes)
+        crash_rules.has_proved_to_crash(task.crashes)
         and task.state != batch.TaskState.DONE
     ):
-        count = crash_rules.crashes_alone(crashes)
+        count = crash_rules.crashes_alone(task.crashes)
         reason = f"step {task_id.step} crashed its worker {count} times"
         end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -8,22 +8,22 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import crashes as crash_model
 
-# Runs of a unit that crashed a worker on which it was alone, after which its
-# job is given up.
+# Runs of a task that crashed a worker on which its unit was alone, after which
+# its job is given up.
 MAX_CRASHES_ALONE = 3
 # Fewer suffice if each crash came soon after a start and on another host:
-# workers that crash by themselves rarely do that to the same unit twice.
+# workers that crash by themselves rarely do that to the same task twice.
 MAX_PROMPT_CRASHES_ALONE = 2
 PROMPT_CRASH_MS = 5_000
 
 
 def crashes_alone(crashes: Iterable[batch.Crash]) -> int:
-    """Returns the number of runs of a unit that crashed a worker alone."""
+    """Returns the number of runs of a task that crashed a worker alone."""
     return crash_model.crash_count(crash for crash in crashes if crash.alone)
 
 
 def has_proved_to_crash(crashes: Iterable[batch.Crash]) -> bool:
-    """Returns whether a unit certainly crashes the workers that run it."""
+    """Returns whether a task certainly crashes the workers that run it."""
     alone = [crash for crash in crashes if crash.alone]
     prompt = [crash for crash in alone if _is_prompt(crash)]
     hosts = {crash.worker.agent for crash in prompt}
