Count one crash of a worker once for its health

What callers saw: after one task had crashed a worker on which several jobs ran, the worker was back after some 3.5 s and then got no work of anybody for up to ten seconds, while jobs waited and all others were full.

Cause: `BatchWorkerHealth.record_end` counted each run that one crash ended as a failure of another job, so two of them made the worker SUSPECT.

Fix: the runs that one crash ended are one failure, under any of their jobs. A worker is SUSPECT only if no single job was part of all its recent failures. For runs that end as failed that is the same as before (two jobs); a worker that crashes under unrelated jobs still becomes SUSPECT. Crashes are told apart by the incarnation on which the run was placed, so `record_end` takes it.

In the same dicts, names were kept for ever, and a platform may give each restart a new one: workers that are gone are forgotten after a minute.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -194,7 +194,7 @@
     ) -> batching.RunEnd:
         """Updates health, run times and permits; returns the end to commit."""
         took_ms = self._clock.wall() - task.placed_ms
-        self._health.record_end(worker, end, took_ms)
+        self._health.record_end(worker, end, took_ms, task.worker)
         if end.outcome == batch.RunOutcome.DONE and task.run == 1:
             queue = self._batch_state.jobs[end.task.job_id].queue
             self._run_times.add(queue, took_ms)
@@ -230,6 +230,7 @@
         present = batch_presence.present_workers(
             self._board, self._timing, self._clock.now()
         )
+        self._health.forget_absent({w.report.name for w in present})
         return [self._worker_snapshot(worker) for worker in present]
 
     def _worker_snapshot(
--- a/bilberryroute/replica/batch_health.py
+++ b/bilberryroute/replica/batch_health.py
@@ -2,21 +2,22 @@
 
 import dataclasses
 import logging
+from collections.abc import Collection
 
 from bilberryroute import clock as clock_lib
 from bilberryroute.model import batch
 from bilberryroute.model import wire
 from bilberryroute.scheduling.batch import views
 
-# Number of distinct jobs that must fail in a row on a worker: a single job
-# may itself be the cause.
-SUSPECT_AFTER_JOBS = 2
 # How long a failure counts as recent.
 RECENT_FAILURE_MS = 10 * clock_lib.SECOND
 
 # How long after a crash a worker is chosen last for suspect units.
 CRASH_MEMORY_MS = clock_lib.MINUTE
 
+# How long after its last failure a worker that is gone is remembered.
+ABSENT_MEMORY_MS = clock_lib.MINUTE
+
 # How many times longer than the failed runs a run must last to show that its
 # worker has recovered: runs fail, and are reported, with different delays.
 PROBE_FACTOR = 2
@@ -34,15 +35,31 @@
     """Failures on a worker since the last success.
 
     Attributes:
-      jobs: Ids of the jobs that failed.
+      failed: Ids of the jobs that failed.
+      crashed: Ids of the jobs whose runs a crash ended, by the incarnation
+        that crashed.
       last_ms: Time of the last failure.
       longest_ms: How long the longest of the failed runs took.
     """
 
-    jobs: set[str] = dataclasses.field(default_factory=set)
+    failed: set[str] = dataclasses.field(default_factory=set)
+    crashed: dict[batch.WorkerRef, set[str]] = dataclasses.field(
+        default_factory=dict
+    )
     last_ms: int = 0
     longest_ms: int = 0
 
+    @property
+    def jobs(self) -> set[str]:
+        """Ids of all jobs that failed or were hit by a crash."""
+        return self.failed.union(*self.crashed.values())
+
+    def one_job_may_be_the_cause(self) -> bool:
+        """Returns whether a single job was part of all failures."""
+        events = [{job_id} for job_id in self.failed]
+        events += self.crashed.values()
+        return bool(set.intersection(*events))
+
 
 class BatchWorkerHealth:
     """Counts consecutive failures by worker; a success resets the count."""
@@ -52,21 +69,40 @@
         self._streaks: dict[str, _FailureStreak] = {}
         self._crashed_ms: dict[str, int] = {}
 
-    def record_end(self, worker: str, end: wire.EndReport, ran_ms: int) -> None:
+    def record_end(
+        self,
+        worker: str,
+        end: wire.EndReport,
+        ran_ms: int,
+        ran_on: batch.WorkerRef,
+    ) -> None:
         """Updates a worker's failures from the end of a run.
 
         Args:
-          worker: Name of the worker.
+          worker: Name of the worker that reports the end.
           end: How the run ended.
           ran_ms: Time since the run was placed, in milliseconds.
+          ran_on: Incarnation on which the run was placed.
         """
+        job_id = end.task.job_id
         if end.outcome == batch.RunOutcome.DONE:
             self._record_success(worker, self._clock.now() - ran_ms)
-        crashed = end.cause == batch.LossCause.CRASHED
-        if crashed:
+        elif end.cause == batch.LossCause.CRASHED:
             self._crashed_ms[worker] = self._clock.now()
-        if crashed or end.outcome in _FAILURES:
-            self._record_failure(worker, end.task.job_id, ran_ms)
+            self._record_failure(worker, job_id, ran_ms, crashed=ran_on)
+        elif end.outcome in _FAILURES:
+            self._record_failure(worker, job_id, ran_ms)
+
+    def forget_absent(self, present: Collection[str]) -> None:
+        """Forgets the workers that are gone and have not failed lately."""
+        now = self._clock.now()
+        for name, streak in list(self._streaks.items()):
+            old = now - streak.last_ms >= ABSENT_MEMORY_MS
+            if old and name not in present:
+                del self._streaks[name]
+        for name in list(self._crashed_ms):
+            if not self.has_crashed(name):
+                del self._crashed_ms[name]
 
     def has_crashed(self, worker: str) -> bool:
         """Returns whether a worker has crashed recently."""
@@ -75,10 +111,19 @@
             return False
         return self._clock.now() - crashed_ms < CRASH_MEMORY_MS
 
-    def _record_failure(self, worker: str, job_id: str, ran_ms: int) -> None:
+    def _record_failure(
+        self,
+        worker: str,
+        job_id: str,
+        ran_ms: int,
+        crashed: batch.WorkerRef | None = None,
+    ) -> None:
         before = self.assess(worker)
         streak = self._streaks.setdefault(worker, _FailureStreak())
-        streak.jobs.add(job_id)
+        if crashed is None:
+            streak.failed.add(job_id)
+        else:
+            streak.crashed.setdefault(crashed, set()).add(job_id)
         streak.last_ms = self._clock.now()
         streak.longest_ms = max(streak.longest_ms, ran_ms)
         health = self.assess(worker)
@@ -110,7 +155,7 @@
             return views.WorkerHealth.SOUND
         if self._clock.now() - streak.last_ms >= RECENT_FAILURE_MS:
             return views.WorkerHealth.UNPROVEN
-        if len(streak.jobs) < SUSPECT_AFTER_JOBS:
+        if streak.one_job_may_be_the_cause():
             return views.WorkerHealth.DOUBTFUL
         return views.WorkerHealth.SUSPECT
 
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -21,8 +21,8 @@
     """What recent runs say about their worker; a higher value is worse.
 
     `UNPROVEN`: a run failed there some time ago and none has succeeded since.
-    `DOUBTFUL`: runs of one job, which may itself be the cause, failed recently.
-    `SUSPECT`: runs of several jobs failed recently.
+    `DOUBTFUL`: runs failed recently, and one job may be the cause of all.
+    `SUSPECT`: runs failed recently, and no single job can be the cause of all.
     """
 
     SOUND = 0
