Keep crashes that are not committed when a worker withdraws

What callers saw: a task that crashes its workers was started once more than allowed if the worker that came back was taken away, or restarted with notice, before the leader had committed the crash: some 50 ms as a rule, but as long as there is no leader.

Cause: `runs_ended_by_crash` returned nothing for a worker that withdrew, not even the runs that had ended by a crash of the incarnation before it.

Fix: it returns those. They end by `crashed` in the next incarnation's report, and only if the leader still desires them.

--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -72,7 +72,7 @@
       payloads: IDs of the batch jobs whose payload the agent has.
       listing: The worker's newest listing.
       progress: Progress by run.
-      crashed_runs: Runs that ended by a crash of the incarnation before, with
+      crashed_runs: Runs that ended by a crash of an earlier incarnation, with
         the time from their start until it was down, in milliseconds.
       capacity: Capacity that the worker has for certain.
     """
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -31,9 +31,9 @@
       over: Whether the incarnation has ended, and all its runs with it.
       earlier_runs_barred: Whether the runs meant for earlier incarnations
         are barred here.
-      crashed_runs: Runs of the incarnation before, if that has crashed, with
-        the time from their start until it was down, in milliseconds; None for
-        those that an earlier process of the agent had started.
+      crashed_runs: Runs of earlier incarnations that a crash has ended, with
+        the time from their start until the worker was down, in milliseconds;
+        None for those that an earlier process of the agent had started.
     """
 
     announced: worker_port.BatchWorkerAnnouncement
@@ -101,14 +101,15 @@
         """Returns the runs that end if a new incarnation takes over now.
 
         Includes those whose start was not answered: it may have crashed the
-        worker. A worker that announced its end has not crashed.
+        worker. A worker that announced its end has not crashed, but the leader
+        may not have committed the crash of an earlier incarnation yet.
 
         Returns:
           For each run the time from its start until the worker was down, as in
           `crashed_runs`.
         """
         if self.over or self.announced.draining:
-            return {}
+            return dict(self.crashed_runs)
         begun = {
             key
             for key, progress in self.progress.items()
