Forget crashed runs once the leader has committed them

What operators saw: an agent's memory grew with each crash of its worker, and `worker has crashed` counted the runs of all crashes since the agent started.

Cause: `runs_ended_by_crash` adds the runs of earlier crashes to the new ones, and nothing dropped those that the leader no longer desires.

Fix: `drop_stale_progress` drops them too. It runs only once the leader knew of the worker's incarnation when it made the desired state: the first state that an agent sees may be older than the run. Progress waits for that as well, which only keeps it a little longer.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -302,7 +302,8 @@
                     self._mark_in_flight(worker, key)
                     self.add_future(self._stop(worker, key))
         self._pace(worker)
-        worker.drop_stale_progress(self._board.desired.get().runs)
+        if plan_input.covered:
+            worker.drop_stale_progress(plan_input.desired)
         self._publish()
 
     def _note_held_starts(
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -88,8 +88,17 @@
         return self.progress.setdefault(key, run_plan.RunProgress())
 
     def drop_stale_progress(self, desired: Iterable[wire.DesiredRun]) -> None:
-        """Drops the progress of runs that are neither desired nor running."""
+        """Drops what is known of runs that have ended for the leader.
+
+        Args:
+          desired: Runs that the leader desires, and it knew of this incarnation.
+        """
         referenced = {(run.task, run.run) for run in desired}
+        self.crashed_runs = {
+            key: down_after_ms
+            for key, down_after_ms in self.crashed_runs.items()
+            if key in referenced
+        }
         referenced |= {(run.task, run.run) for run in self.listing.running}
         for key, state in list(self.progress.items()):
             if key not in referenced and not state.call_in_flight:
--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -59,6 +59,21 @@
     assert causes == ["crashed"]
 
 
+async def test_crash_is_forgotten_before_the_leader_knows_the_incarnation(
+    harness,
+):
+    """The desired state may be older than the run."""
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.calls)
+    await agent_tests.restart_worker(harness)
+    assert await agent_tests.loss_causes(harness) == ["crashed"]
+    harness.desire()
+    await harness.until(lambda: not harness.board.batch.get()[0].ends)
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.board.batch.get()[0].ends)
+
+
 def test_crashes_are_kept_after_the_leader_has_committed_them():
     announced = worker_port.BatchWorkerAnnouncement(
         name="w1",
