Log which runs a crash of a worker has ended

What operators saw: `worker has crashed` named the new incarnation of the worker beside `born` of the old one, and no job, so `bilberryroute trace` of a job that crashed its workers did not show it.

Fix: one line for each run that the crash ended, with job, task and run, the incarnation that crashed, and how many runs it ended.

Evidence: test_log_of_a_crash_names_no_job_and_the_wrong_incarnation failed before (the line had no `job_id`) and passes now.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -18,6 +18,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import crash_log
 from bilberryroute.agent import pacing
 from bilberryroute.agent import run_calls
 from bilberryroute.agent import run_plan
@@ -107,15 +108,8 @@
             if previous is not None
             else {}
         )
-        if crashed_runs:
-            logger.info(
-                "worker has crashed",
-                extra={
-                    "worker": announcement.name,
-                    "born": previous.announced.born,
-                    "runs": len(crashed_runs),
-                },
-            )
+        if previous is not None:
+            crash_log.log_crash(previous, crashed_runs)
         self._worker = life_lib.WorkerIncarnation(
             announced=announcement,
             last_answer_ms=self._clock.now(),
--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -1,5 +1,7 @@
 """Which runs an agent reports as ended by a crash of its worker."""
 
+import logging
+
 import pytest
 
 from bilberryroute.agent import worker_life
@@ -74,6 +76,26 @@
     await harness.until(lambda: harness.board.batch.get()[0].ends)
 
 
+async def test_log_of_a_crash_names_no_job_and_the_wrong_incarnation(
+    harness, caplog
+):
+    caplog.set_level(logging.INFO)
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.calls)
+    harness.port.running.clear()
+    harness.port.born = 2
+    harness.announce(name="w2", born=2)
+    # The second crash ends no run.
+    harness.announce(name="w3", born=3)
+    lines = [
+        (line.job_id, line.task, line.run, line.worker, line.born, line.runs)
+        for line in caplog.records
+        if line.message == "worker has crashed"
+    ]
+    assert lines == [("j1", "0.0.0", 1, "w1", 1, 1)]
+
+
 def test_crashes_are_kept_after_the_leader_has_committed_them():
     announced = worker_port.BatchWorkerAnnouncement(
         name="w1",
