Read all jobs once for all crashes in a command

What callers saw: if the workers of a whole site crash while their agents go on, every replica is busy for a second or more with commands that it cannot interrupt, and answers neither heartbeats nor callers.

Cause: `explain_crashes` read all tasks of all jobs for every end under which a unit was alone on its worker.

Fix: it first collects which units explain the crashes of which workers, each unit once, and then reads the jobs once. A unit still does not explain its own crashes.

The time of such a command at full size was not measured again.

--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -98,33 +98,39 @@
       batch_state: State after the ends were recorded.
       ends: Ends that were reported together.
     """
+    causes = _causes_by_worker(batch_state, ends)
+    if not causes:
+        return
+    for key, task in _tasks_with_crashes(batch_state):
+        task.crashes = [
+            dataclasses.replace(crash, explained=True)
+            if causes.get(crash.worker, set()) - {key}
+            else crash
+            for crash in task.crashes
+        ]
+
+
+def _causes_by_worker(
+    batch_state: batch.BatchState, ends: Iterable[batching.RunEnd]
+) -> dict[batch.WorkerRef, set[crash_model.UnitKey]]:
+    """Returns the units that crashed a worker alone, by all their workers."""
+    causes: dict[batch.WorkerRef, set[crash_model.UnitKey]] = {}
+    seen: set[tuple[crash_model.UnitKey, int]] = set()
     for end in ends:
         if end.cause != batch.LossCause.CRASHED:
             continue
         record = batch_state.jobs.get(end.task.job_id)
         if record is None or record.task(end.task) is None:
             continue
+        key = crash_model.unit_key(record, end.task)
+        if (key, end.run) in seen:
+            continue
+        seen.add((key, end.run))
         crashes = crash_model.unit_crashes(record, end.task)
         if any(crash.alone and crash.run == end.run for crash in crashes):
-            workers = {crash.worker for crash in crashes}
-            cause = crash_model.unit_key(record, end.task)
-            _explain(batch_state, workers, cause)
-
-
-def _explain(
-    batch_state: batch.BatchState,
-    workers: set[batch.WorkerRef],
-    cause: crash_model.UnitKey,
-) -> None:
-    """Marks all crashes of these workers, but for the cause's own."""
-    for key, task in _tasks_with_crashes(batch_state):
-        if key != cause:
-            task.crashes = [
-                dataclasses.replace(crash, explained=True)
-                if crash.worker in workers
-                else crash
-                for crash in task.crashes
-            ]
+            for crash in crashes:
+                causes.setdefault(crash.worker, set()).add(key)
+    return causes
 
 
 def _tasks_with_crashes(
