--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -114,7 +114,7 @@
     Attributes:
       saved: Checkpoint that the run left, or empty.
       cause: Why a lost run was lost. Not an outcome of its own, so that older
-        replicas can still apply the command.
+        replicas can still read the command, though they count no crashes.
       down_after_ms: For a crash, time from the start of the run until the
         worker was down, in milliseconds; None if unknown.
     """
