Log where a run ended and when a suspect is cleared

What operators saw: `run ended` named the worker, and whether the run was alone there, only for recent crashes; for a failed or otherwise lost run the `placed` line had to be found, and what ran beside it could not be. Nothing said that a job which had waited for a worker of its own was no longer suspect.

Fix: the leader reads the placements, and the suspects if a crash is among the ends, before it commits them. `run ended` has `worker` and `alone` in all cases; for a crash that counts, `alone` is still the recorded one. `no longer suspect` names the jobs that explain the crash.

Evidence: the two new tests in tests/replica/test_batch_log.py pass; they were not run on the old code, whose lines had no such fields.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -175,6 +175,7 @@
             if (end.task, end.run) not in reported
         ]
         if ends:
+            before = batch_log.before_ends(ends, self._batch_state)
             command = batching.EndRuns(ends=tuple(ends), at_ms=0)
             if await self._proposer.try_propose(command) is None:
                 return
@@ -182,7 +183,7 @@
                 self._metrics.run_ends.inc(
                     {"outcome": end.cause or end.outcome}
                 )
-            batch_log.log_ended(ends, self._batch_state)
+            batch_log.log_ended(ends, before, self._batch_state)
         agents = batch_ends.update_committed_ends(
             self._batch_state, self._board
         )
--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -1,12 +1,15 @@
 """Logs the leader's decisions on batch jobs."""
 
+import dataclasses
 import logging
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import crashes as crash_model
 from bilberryroute.scheduling.batch import views
+from bilberryroute.state import crashes as crash_rules
 
 logger = logging.getLogger(__name__)
 
@@ -79,6 +82,53 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BeforeEnds:
+    """What the end of runs removes from the state, for the log.
+
+    Attributes:
+      placements: Worker of each run, and whether no other unit was there.
+      suspects: Suspect units with the workers that crashed under them; empty
+        if no run was ended by a crash.
+    """
+
+    placements: dict[batch.TaskId, tuple[str, bool]]
+    suspects: dict[crash_model.UnitKey, set[batch.WorkerRef]]
+
+
+def before_ends(
+    ends: Collection[batching.RunEnd], batch_state: batch.BatchState
+) -> BeforeEnds:
+    """Returns what `log_ended` needs of the state before the ends."""
+    crashed = any(end.cause == batch.LossCause.CRASHED for end in ends)
+    workers = {
+        end.task: batch_state.jobs[end.task.job_id].task(end.task).worker
+        for end in ends
+    }
+    units = _units_by_worker(
+        {ref.agent for ref in workers.values()}, batch_state
+    )
+    return BeforeEnds(
+        placements={
+            task: (ref.name, len(units[ref]) == 1)
+            for task, ref in workers.items()
+        },
+        suspects=crash_rules.suspect_units(batch_state) if crashed else {},
+    )
+
+
+def _units_by_worker(
+    agents: Iterable[str], batch_state: batch.BatchState
+) -> dict[batch.WorkerRef, set[crash_model.UnitKey]]:
+    units: dict[batch.WorkerRef, set[crash_model.UnitKey]] = {}
+    for agent in agents:
+        for task_id in batch_state.placed[agent]:
+            record = batch_state.jobs[task_id.job_id]
+            key = crash_model.unit_key(record, task_id)
+            units.setdefault(record.task(task_id).worker, set()).add(key)
+    return units
+
+
 def _crash_fields(
     end: batching.RunEnd, batch_state: batch.BatchState
 ) -> dict[str, object]:
@@ -93,7 +143,6 @@
     for crash in record.task(end.task).crashes:
         if crash.run == end.run:
             return {
-                "worker": crash.worker.name,
                 "down_after_ms": crash.down_after_ms,
                 "alone": crash.alone,
                 "crashes": crash_model.crash_count(crashes),
@@ -102,12 +151,29 @@
 
 
 def log_ended(
-    ends: Iterable[batching.RunEnd], batch_state: batch.BatchState
+    ends: Collection[batching.RunEnd],
+    before: BeforeEnds,
+    batch_state: batch.BatchState,
+) -> None:
+    """Logs each run and each job that ended, and each suspect that was cleared.
+
+    Args:
+      ends: Ends that were committed together.
+      before: What they have removed from the state.
+      batch_state: State after the ends were recorded.
+    """
+    _log_runs_ended(ends, before, batch_state)
+    _log_cleared(ends, before, batch_state)
+    _log_jobs_ended({end.task.job_id for end in ends}, batch_state)
+
+
+def _log_runs_ended(
+    ends: Iterable[batching.RunEnd],
+    before: BeforeEnds,
+    batch_state: batch.BatchState,
 ) -> None:
-    """Logs each run and each job that ended."""
-    job_ids = set()
     for end in ends:
-        job_ids.add(end.task.job_id)
+        worker, alone = before.placements[end.task]
         logger.info(
             "run ended",
             extra={
@@ -115,10 +181,47 @@
                 "task": _task_label(end.task),
                 "run": end.run,
                 "outcome": str(end.outcome),
+                "worker": worker,
+                "alone": alone,
             }
             | ({"cause": str(end.cause)} if end.cause else {})
             | _crash_fields(end, batch_state),
         )
+
+
+def _log_cleared(
+    ends: Iterable[batching.RunEnd],
+    before: BeforeEnds,
+    batch_state: batch.BatchState,
+) -> None:
+    """Logs suspects whose crashes others explain, and which jobs these are."""
+    if not before.suspects:
+        return
+    causes = crash_rules.causes_by_worker(batch_state, ends)
+    suspects = crash_rules.suspect_units(batch_state)
+    for key in sorted(before.suspects.keys() - suspects.keys()):
+        job_id, occurrence, step, index = key
+        record = batch_state.jobs.get(job_id)
+        explaining = {
+            cause[0]
+            for worker in before.suspects[key]
+            for cause in causes.get(worker, set()) - {key}
+        }
+        if explaining and record is not None and record.result is None:
+            task = "*" if index < 0 else index
+            logger.info(
+                "no longer suspect",
+                extra={
+                    "job_id": job_id,
+                    "task": f"{occurrence}.{step}.{task}",
+                    "explained_by": sorted(explaining),
+                },
+            )
+
+
+def _log_jobs_ended(
+    job_ids: Iterable[str], batch_state: batch.BatchState
+) -> None:
     for job_id in sorted(job_ids):
         record = batch_state.jobs.get(job_id)
         if record is not None and record.result is not None:
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -98,7 +98,7 @@
       batch_state: State after the ends were recorded.
       ends: Ends that were reported together.
     """
-    causes = _causes_by_worker(batch_state, ends)
+    causes = causes_by_worker(batch_state, ends)
     if not causes:
         return
     for key, task in _tasks_with_crashes(batch_state):
@@ -110,10 +110,15 @@
         ]
 
 
-def _causes_by_worker(
+def causes_by_worker(
     batch_state: batch.BatchState, ends: Iterable[batching.RunEnd]
 ) -> dict[batch.WorkerRef, set[crash_model.UnitKey]]:
-    """Returns the units that crashed a worker alone, by all their workers."""
+    """Returns which units explain the crashes of which workers.
+
+    Args:
+      batch_state: State after the ends were recorded.
+      ends: Ends that were reported together.
+    """
     causes: dict[batch.WorkerRef, set[crash_model.UnitKey]] = {}
     seen: set[tuple[crash_model.UnitKey, int]] = set()
     for end in ends:
@@ -133,6 +138,21 @@
     return causes
 
 
+def suspect_units(
+    batch_state: batch.BatchState,
+) -> dict[crash_model.UnitKey, set[batch.WorkerRef]]:
+    """Returns the suspects of jobs that go on, with the workers that crashed."""
+    crashes: dict[crash_model.UnitKey, list[batch.Crash]] = {}
+    for key, task in _tasks_with_crashes(batch_state):
+        if batch_state.jobs[key[0]].result is None:
+            crashes.setdefault(key, []).extend(task.crashes)
+    return {
+        key: {crash.worker for crash in unit_crashes}
+        for key, unit_crashes in crashes.items()
+        if crash_model.is_suspect(unit_crashes)
+    }
+
+
 def _tasks_with_crashes(
     batch_state: batch.BatchState,
 ) -> Iterator[tuple[crash_model.UnitKey, batch.TaskRecord]]:
--- a/tests/replica/test_batch_log.py
+++ b/tests/replica/test_batch_log.py
@@ -19,7 +19,7 @@
 
 
 def crash(log, *job_ids, run=1):
-    """Returns the ends of runs by a crash of the one worker that they are on."""
+    """Ends runs by a crash of the one worker that they are on, and logs it."""
     for job_id in job_ids:
         unit = batches.unit(job_id, batches.ref(f"w{run}", run), run=run)
         log.place(unit)
@@ -33,15 +33,20 @@
         )
         for job_id in job_ids
     )
+    end(log, *ends)
+
+
+def end(log, *ends):
+    before = batch_log.before_ends(ends, log.held)
     log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
-    return ends
+    batch_log.log_ended(ends, before, log.held)
 
 
 def test_log_tells_which_crashes_a_job_was_given_up_for(log, caplog):
     caplog.set_level(logging.INFO)
-    batch_log.log_ended(crash(log, "j1", "j2"), log.held)
+    crash(log, "j1", "j2")
     for run in (2, 3):
-        batch_log.log_ended(crash(log, "j1", run=run), log.held)
+        crash(log, "j1", run=run)
     lines = [
         (record.worker, record.down_after_ms, record.alone, record.crashes)
         for record in caplog.records
@@ -53,3 +58,31 @@
         ("w3", 10, True, 3),
     ]
     assert caplog.records[-1].reason == "step 0 crashed its worker 2 times"
+
+
+@pytest.mark.parametrize(("other", "alone"), [("w1", False), ("w2", True)])
+def test_log_of_an_end_does_not_say_where_and_beside_what_it_ran(
+    log, caplog, other, alone
+):
+    caplog.set_level(logging.INFO)
+    log.place(batches.unit("j1"), batches.unit("j2", batches.ref(other)))
+    failed = batching.RunEnd(
+        task=batches.task("j1"), run=1, outcome=batch.RunOutcome.FAILED
+    )
+    end(log, failed)
+    (line,) = [r for r in caplog.records if r.message == "run ended"]
+    assert (line.worker, line.alone) == ("w1", alone)
+
+
+def test_log_does_not_say_that_a_suspect_was_cleared(log, caplog):
+    caplog.set_level(logging.INFO)
+    log.submit("g", batches.content(batches.step(1, gang=True)))
+    crash(log, "j1", "j2", "g")
+    for run in (2, 3):
+        crash(log, "j1", run=run)
+    lines = [
+        (line.job_id, line.task, line.explained_by)
+        for line in caplog.records
+        if line.message == "no longer suspect"
+    ]
+    assert lines == [("g", "0.0.*", ["j1"]), ("j2", "0.0.0", ["j1"])]
