Look for cleared suspects only where a unit was alone

The leader read all jobs twice for each command with a crash to log which suspects it cleared. Only a unit that was alone on a crashed worker clears others, so other commands need no reading.

--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -89,7 +89,7 @@
     Attributes:
       placements: Worker of each run, and whether no other unit was there.
       suspects: Suspect units with the workers that crashed under them; empty
-        if no run was ended by a crash.
+        if these ends can clear none.
     """
 
     placements: dict[batch.TaskId, tuple[str, bool]]
@@ -100,7 +100,8 @@
     ends: Collection[batching.RunEnd], batch_state: batch.BatchState
 ) -> BeforeEnds:
     """Returns what `log_ended` needs of the state before the ends."""
-    crashed = any(end.cause == batch.LossCause.CRASHED for end in ends)
+    # Only a unit that was alone on a crashed worker explains other crashes.
+    may_clear = crash_rules.workers_with_one_unit(batch_state, ends)
     workers = {
         end.task: batch_state.jobs[end.task.job_id].task(end.task).worker
         for end in ends
@@ -113,7 +114,7 @@
             task: (ref.name, len(units[ref]) == 1)
             for task, ref in workers.items()
         },
-        suspects=crash_rules.suspect_units(batch_state) if crashed else {},
+        suspects=crash_rules.suspect_units(batch_state) if may_clear else {},
     )
 
 
