--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -175,6 +175,7 @@
             if (end.task, end.run) not in reported
         ]
         if ends:
+            before = batch_log.before_ends(ends, self._batch_state)
             command = batching.EndRuns(ends=tuple(ends), at_ms=0)
             if await self._proposer.try_propose(command) is None:
                 return
@@ -182,7 +183,7 @@
                 self._metrics.run_ends.inc(
                     {"outcome": end.cause or end.outcome}
                 )
-            batch_log.log_ended(ends, self._batch_state)
+            batch_log.log_ended(ends, before, self._batch_state)
         agents = batch_ends.update_committed_ends(
             self._batch_state, self._board
         )
@@ -194,7 +195,7 @@
     ) -> batching.RunEnd:
         """Updates health, run times and permits; returns the end to commit."""
         took_ms = self._clock.wall() - task.placed_ms
-        self._health.record_end(worker, end, took_ms)
+        self._health.record_end(worker, end, took_ms, task.worker)
         if end.outcome == batch.RunOutcome.DONE and task.run == 1:
             queue = self._batch_state.jobs[end.task.job_id].queue
             self._run_times.add(queue, took_ms)
@@ -230,6 +231,7 @@
         present = batch_presence.present_workers(
             self._board, self._timing, self._clock.now()
         )
+        self._health.forget_absent({w.report.name for w in present})
         return [self._worker_snapshot(worker) for worker in present]
 
     def _worker_snapshot(
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -8,22 +8,22 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import crashes as crash_model
 
-# Runs of a unit that crashed a worker on which it was alone, after which its
-# job is given up.
+# Runs of a task that crashed a worker on which its unit was alone, after which
+# its job is given up.
 MAX_CRASHES_ALONE = 3
 # Fewer suffice if each crash came soon after a start and on another host:
-# workers that crash by themselves rarely do that to the same unit twice.
+# workers that crash by themselves rarely do that to the same task twice.
 MAX_PROMPT_CRASHES_ALONE = 2
 PROMPT_CRASH_MS = 5_000
 
 
 def crashes_alone(crashes: Iterable[batch.Crash]) -> int:
-    """Returns the number of runs of a unit that crashed a worker alone."""
+    """Returns the number of runs of a task that crashed a worker alone."""
     return crash_model.crash_count(crash for crash in crashes if crash.alone)
 
 
 def has_proved_to_crash(crashes: Iterable[batch.Crash]) -> bool:
-    """Returns whether a unit certainly crashes the workers that run it."""
+    """Returns whether a task certainly crashes the workers that run it."""
     alone = [crash for crash in crashes if crash.alone]
     prompt = [crash for crash in alone if _is_prompt(crash)]
     hosts = {crash.worker.agent for crash in prompt}
@@ -98,33 +98,59 @@
       batch_state: State after the ends were recorded.
       ends: Ends that were reported together.
     """
+    causes = causes_by_worker(batch_state, ends)
+    if not causes:
+        return
+    for key, task in _tasks_with_crashes(batch_state):
+        task.crashes = [
+            dataclasses.replace(crash, explained=True)
+            if causes.get(crash.worker, set()) - {key}
+            else crash
+            for crash in task.crashes
+        ]
+
+
+def causes_by_worker(
+    batch_state: batch.BatchState, ends: Iterable[batching.RunEnd]
+) -> dict[batch.WorkerRef, set[crash_model.UnitKey]]:
+    """Returns which units explain the crashes of which workers.
+
+    Args:
+      batch_state: State after the ends were recorded.
+      ends: Ends that were reported together.
+    """
+    causes: dict[batch.WorkerRef, set[crash_model.UnitKey]] = {}
+    seen: set[tuple[crash_model.UnitKey, int]] = set()
     for end in ends:
         if end.cause != batch.LossCause.CRASHED:
             continue
         record = batch_state.jobs.get(end.task.job_id)
         if record is None or record.task(end.task) is None:
             continue
+        key = crash_model.unit_key(record, end.task)
+        if (key, end.run) in seen:
+            continue
+        seen.add((key, end.run))
         crashes = crash_model.unit_crashes(record, end.task)
         if any(crash.alone and crash.run == end.run for crash in crashes):
-            workers = {crash.worker for crash in crashes}
-            cause = crash_model.unit_key(record, end.task)
-            _explain(batch_state, workers, cause)
+            for crash in crashes:
+                causes.setdefault(crash.worker, set()).add(key)
+    return causes
 
 
-def _explain(
+def suspect_units(
     batch_state: batch.BatchState,
-    workers: set[batch.WorkerRef],
-    cause: crash_model.UnitKey,
-) -> None:
-    """Marks all crashes of these workers, but for the cause's own."""
+) -> dict[crash_model.UnitKey, set[batch.WorkerRef]]:
+    """Returns the suspects of jobs that go on, with the workers that crashed."""
+    crashes: dict[crash_model.UnitKey, list[batch.Crash]] = {}
     for key, task in _tasks_with_crashes(batch_state):
-        if key != cause:
-            task.crashes = [
-                dataclasses.replace(crash, explained=True)
-                if crash.worker in workers
-                else crash
-                for crash in task.crashes
-            ]
+        if batch_state.jobs[key[0]].result is None:
+            crashes.setdefault(key, []).extend(task.crashes)
+    return {
+        key: {crash.worker for crash in unit_crashes}
+        for key, unit_crashes in crashes.items()
+        if crash_model.is_suspect(unit_crashes)
+    }
 
 
 def _tasks_with_crashes(
--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -1,5 +1,7 @@
 """Which runs an agent reports as ended by a crash of its worker."""
 
+import logging
+
 import pytest
 
 from bilberryroute.agent import worker_life
@@ -27,6 +29,20 @@
     assert await agent_tests.loss_causes(harness) == []
 
 
+async def test_unanswered_start_is_not_blamed_as_a_later_one_was_refused(
+    harness,
+):
+    harness.port.unanswered = {"start"}
+    harness.port.verdict = worker_port.StartVerdict.BUSY
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.attempts)
+    harness.port.unanswered = set()
+    await harness.until(lambda: harness.port.calls)
+    await agent_tests.restart_worker(harness)
+    assert await agent_tests.loss_causes(harness) == ["crashed"]
+
+
 async def test_crash_is_forgotten_as_the_next_incarnation_withdraws(harness):
     """The leader has not committed the end of the run meanwhile."""
     harness.announce()
@@ -45,6 +61,41 @@
     assert causes == ["crashed"]
 
 
+async def test_crash_is_forgotten_before_the_leader_knows_the_incarnation(
+    harness,
+):
+    """The desired state may be older than the run."""
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.calls)
+    await agent_tests.restart_worker(harness)
+    assert await agent_tests.loss_causes(harness) == ["crashed"]
+    harness.desire()
+    await harness.until(lambda: not harness.board.batch.get()[0].ends)
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.board.batch.get()[0].ends)
+
+
+async def test_log_of_a_crash_names_no_job_and_the_wrong_incarnation(
+    harness, caplog
+):
+    caplog.set_level(logging.INFO)
+    harness.announce()
+    harness.desire(agent_tests.desired())
+    await harness.until(lambda: harness.port.calls)
+    harness.port.running.clear()
+    harness.port.born = 2
+    harness.announce(name="w2", born=2)
+    # The second crash ends no run.
+    harness.announce(name="w3", born=3)
+    lines = [
+        (line.job_id, line.task, line.run, line.worker, line.born, line.runs)
+        for line in caplog.records
+        if line.message == "worker has crashed"
+    ]
+    assert lines == [("j1", "0.0.0", 1, "w1", 1, 1)]
+
+
 def test_crashes_are_kept_after_the_leader_has_committed_them():
     announced = worker_port.BatchWorkerAnnouncement(
         name="w1",
