Give up a job at the fifth crash of a unit in whatever company

A task that crashes its workers was given up only for crashes of workers on which it ran alone. Beside others it could crash workers without an end, so that the bound on its starts depended on the planner, which had to keep it waiting for an idle worker for good.

The fifth run of a unit that ends by a crash of its worker now ends its job.

--- a/bilberryroute/model/crashes.py
+++ b/bilberryroute/model/crashes.py
@@ -14,6 +14,11 @@
 # runs apart any more.
 BLAMED_RUN_MS = 10 * 60 * 1_000
 
+# Runs of a unit that crashed a worker, alone or not, after which its job is
+# given up: a task that crashes its workers must not hide among others for good.
+MAX_CRASHES = 5
+LAST_CHANCE_CRASHES = MAX_CRASHES - 1
+
 UnitKey = tuple[str, int, int, int]
 
 
@@ -48,6 +53,11 @@
     return unexplained or crash_count(crashes) > 1
 
 
+def has_last_chance(crashes: Iterable[batch.Crash]) -> bool:
+    """Returns whether one more crash ends the unit's job, whoever causes it."""
+    return crash_count(crashes) >= LAST_CHANCE_CRASHES
+
+
 def is_harmless_after(crashes: Iterable[batch.Crash], ran_ms: int) -> bool:
     """Returns whether a suspect that has run for a time may share its worker.
 
--- a/bilberryroute/state/batch_runs.py
+++ b/bilberryroute/state/batch_runs.py
@@ -251,7 +251,7 @@
         crash_rules.has_proved_to_crash(crashes)
         and task.state != batch.TaskState.DONE
     ):
-        count = crash_rules.crashes_alone(crashes)
+        count = crash_rules.blamed_crashes(crashes)
         reason = f"step {task_id.step} crashed its worker {count} times"
         end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
--- a/bilberryroute/state/crashes.py
+++ b/bilberryroute/state/crashes.py
@@ -22,8 +22,18 @@
     return crash_model.crash_count(crash for crash in crashes if crash.alone)
 
 
+def blamed_crashes(crashes: Iterable[batch.Crash]) -> int:
+    """Returns the number of crashes for which a unit is given up."""
+    crashes = list(crashes)
+    count = crash_model.crash_count(crashes)
+    return count if count >= crash_model.MAX_CRASHES else crashes_alone(crashes)
+
+
 def has_proved_to_crash(crashes: Iterable[batch.Crash]) -> bool:
-    """Returns whether a unit certainly crashes the workers that run it."""
+    """Returns whether a unit most likely crashes the workers that run it."""
+    crashes = list(crashes)
+    if crash_model.crash_count(crashes) >= crash_model.MAX_CRASHES:
+        return True
     alone = [crash for crash in crashes if crash.alone]
     prompt = [crash for crash in alone if _is_prompt(crash)]
     hosts = {crash.worker.agent for crash in prompt}
