Let suspects of a crash wait shortly, and keep few workers for them

Callers saw jobs with nothing running for up to 215 s while most workers were idle: suspects of one crash waited at least 15 s for a worker of their own, of two for good; guaranteed suspects took all workers; the share of workers for suspects was counted over all pools; guaranteed jobs could not start beside guaranteed suspects. And each member of a gang read the crashes of all others.

Isolation is a preference now. A quarter of each pool is kept for suspects, guaranteed ones included; workers beyond it yield to units that have waited. A suspect waits 2 s and then runs beside others if less than half of the pool is in use and nothing else of its step runs, not beside guaranteed work unless it is guaranteed. After two crashes it may stop other work to run alone, after four it runs alone for 60 s at least. Crashes are read once for each unit.

--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -107,15 +107,19 @@
 ) -> tuple[str, ...] | None:
     """Places all tasks by best fit, or returns None if any doesn't fit.
 
-    The healthiest workers that fit are chosen. Suspect units are placed only on
-    workers that nothing else uses.
+    The healthiest workers that fit are chosen.
     """
-    if unit.suspect:
+    if unit.takes_whole_workers:
         group = [w for w in group if available[w.ref.name] == w.capacity]
     need = batch.task_demand(unit.step)
     free = {worker.ref.name: available[worker.ref.name] for worker in group}
     badness = {
-        w.ref.name: (w.health, unit.suspect and w.crashed) for w in group
+        w.ref.name: (
+            w.health,
+            resources.isolation.cost(unit, w.ref.name),
+            bool(unit.suspect) and w.crashed,
+        )
+        for w in group
     }
     remaining_spread = {
         name: resources.remaining_spread(unit, name) for name in free
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -16,6 +16,7 @@
 from bilberryroute.scheduling.batch import preempting
 from bilberryroute.scheduling.batch import readiness
 from bilberryroute.scheduling.batch import room as room_lib
+from bilberryroute.scheduling.batch import suspects
 from bilberryroute.scheduling.batch import views
 
 # A unit that would fit near its data or rack only on workers that are absent
@@ -27,6 +28,9 @@
 # long for runs that are about to end; the rest is left for preemption.
 GUARANTEE_WAIT_MS = 1_400
 
+# How long a unit waits while its only room is on workers kept for suspects.
+MAX_WAIT_BESIDE_SUSPECTS_MS = GUARANTEE_WAIT_MS
+
 # Waiting units per round that get a reservation for when they are expected to
 # fit. More reservations would leave too little room for backfill.
 MAX_RESERVATIONS = 4
@@ -54,10 +58,10 @@
       permits: Permits of queues that require them, by step and worker.
       available_runs: Long-running runs that their workers report as serving.
     """
+    guaranteed = readiness.guaranteed_jobs(state)
     resources = room_lib.AvailableResources(
-        state, workers, remaining_ms, wall_ms, permits
+        state, workers, remaining_ms, wall_ms, permits, guaranteed
     )
-    guaranteed = readiness.guaranteed_jobs(state)
     job_deadlines = deadlines.Deadlines(
         state, typical_ms, remaining_ms, wall_ms
     )
@@ -106,12 +110,13 @@
         """Tries to place each unit, in the given order."""
         blocked: set[Hashable] = set()
         for unit in ready:
-            if unit.placement_key in blocked:
+            key = (unit.placement_key, unit.crash_count)
+            if key in blocked:
                 self._waiting_unit_count += 1
             elif not self._try_place(unit):
                 self._waiting_unit_count += 1
                 self._waiting_jobs.setdefault(unit.record.id, unit.rank)
-                blocked.add(unit.placement_key)
+                blocked.add(key)
         return views.BatchPlan(
             units=tuple(self._units),
             stops=tuple(self._stopped_for),
@@ -126,26 +131,48 @@
             self._permit_candidates[unit.step_key] = (
                 self._resources.permit_candidates(unit, self._state.evacuated)
             )
+        choices = suspects.choices(unit, self._resources)
         if unit.guaranteed:
-            return self._try_place_guaranteed(unit)
-        if unit.suspect and self._resources.isolates_enough():
-            return False
-        if self._place_on(unit, self._resources.unreserved_for(unit)):
+            return self._try_place_guaranteed(unit, choices)
+        for each in choices:
+            if self._place_on(each, self._resources.unreserved_for(each)):
+                return True
+        if self._join_suspect(unit):
             return True
-        self._reserve_or_preempt(unit)
+        if choices:
+            self._reserve_or_preempt(choices[-1])
         return False
 
-    def _try_place_guaranteed(self, unit: views.ReadyUnit) -> bool:
+    def _try_place_guaranteed(
+        self, unit: views.ReadyUnit, choices: list[views.ReadyUnit]
+    ) -> bool:
         """Starts or reclaims, on failing workers only if no others suffice."""
-        choices = [unit]
         if unit.failed_on or self._resources.any_failing:
-            choices.append(dataclasses.replace(unit, accepts_failing=True))
+            choices = [
+                dataclasses.replace(each, accepts_failing=accepts)
+                for each in choices
+                for accepts in (False, True)
+            ]
         for each in choices:
             if self._place_on(each, self._resources.free):
                 return True
             if self._reclaim(each):
                 return False
-        return False
+        return self._join_suspect(unit)
+
+    def _join_suspect(self, unit: views.ReadyUnit) -> bool:
+        """Starts beside a suspect for which too many workers are kept."""
+        waited_ms = self._wall_ms - unit.due_since_ms
+        return (
+            bool(self._resources.isolation.isolated)
+            and waited_ms >= MAX_WAIT_BESIDE_SUSPECTS_MS
+            and suspects.may_join_others(unit, self._resources)
+            and (
+                unit.guaranteed
+                or self._resources.is_mostly_idle(unit.queue.pool)
+            )
+            and self._place_on(unit, self._resources.free_beside_suspects(unit))
+        )
 
     def _place_on(
         self, unit: views.ReadyUnit, available: Mapping[str, batch.Resources]
@@ -228,12 +255,17 @@
             fit is None
             or fit.delay_ms > self._job_deadlines.waiting_slack_ms(unit)
         )
-        preempts = would_be_late and not unit.suspect
-        names = self._preempt_for_late(unit) if preempts else None
+        names = None
+        if unit.takes_whole_workers and unit.crash_count > 1:
+            names = self._preempt_for_suspect(unit)
+        elif would_be_late and not unit.suspect:
+            names = self._preempt_for_late(unit)
         if names is not None:
             self._resources.allocate(unit, names)
             self._reservation_count += 1
-        elif fit is not None:
+        elif fit is not None and not (
+            unit.takes_whole_workers and self._resources.isolates_enough(unit)
+        ):
             self._resources.reserve(unit, fit.names, fit.delay_ms)
             self._reservation_count += 1
 
@@ -252,6 +284,18 @@
         ]
         return self._preempt(unit, yielding)
 
+    def _preempt_for_suspect(
+        self, unit: views.ReadyUnit
+    ) -> tuple[str, ...] | None:
+        """Preempts work that would be lost if the unit crashed its worker.
+
+        Suspects keep their workers, but for a unit that must not crash again.
+        """
+        yielding = suspects.stoppable(
+            unit, self._preemption_candidates(), self._resources
+        )
+        return self._preempt(unit, yielding)
+
     def _preemption_candidates(self) -> list[preempting.PreemptibleUnit]:
         """Returns the units that may still be preempted in this round."""
         if self._preemptible is None:
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -193,9 +193,9 @@
         group: list[views.WorkerSnapshot],
     ):
         self._need = batch.task_demand(unit.step)
-        self._takes_whole_workers = unit.suspect
+        self._takes_whole_workers = unit.takes_whole_workers
         self._capacity = {w.ref.name: w.capacity for w in group}
-        self._isolated = resources.isolated
+        self._isolated = resources.isolation.isolated
         free_now = resources.free_after(0)
         self._free = {w.ref.name: free_now[w.ref.name] for w in group}
         self._remaining_spread = {
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -16,8 +16,12 @@
 # Worker that crashed last under a suspect, and whether it is within a guarantee.
 _SuspectGroup = tuple[batch.WorkerRef, bool]
 
-# How long a suspect waits for a worker of its own at least.
-MIN_ISOLATION_WAIT_MS = 15_000
+# How long a suspect waits for a worker of its own.
+ISOLATION_WAIT_MS = 2_000
+# How long it does so if its job is given up after one more crash.
+LONG_ISOLATION_WAIT_MS = 60_000
+# How long it keeps away from guaranteed work, unless it is guaranteed too.
+GUARANTEED_COMPANY_WAIT_MS = 15_000
 
 # A task avoids the workers of its failed runs for this long after its last
 # placement, and beyond that until a run has succeeded there.
@@ -173,6 +177,7 @@
             step_record = step_records[step_number]
             for indexes, run in _waiting_units(step, step_record):
                 failed_on = _failed_on(step_record, indexes)
+                crashes = step_record.crashes(indexes[0], gang=step.gang)
                 yield views.ReadyUnit(
                     record=record,
                     queue=queue,
@@ -182,7 +187,11 @@
                     indexes=indexes,
                     run=run,
                     due_since_ms=due_ms,
-                    suspect=_is_suspect(step, step_record, indexes, wall_ms),
+                    suspect=_isolation(step_record, indexes, crashes, wall_ms),
+                    crash_count=crash_model.crash_count(crashes),
+                    step_runs=any(t.active for t in step_record.tasks)
+                    if crashes
+                    else False,
                     failed_on=failed_on,
                     failed_recently=bool(failed_on)
                     and _placed_recently(step_record, indexes, wall_ms),
@@ -192,26 +201,31 @@
                 )
 
 
-def _is_suspect(
-    step: batch.Step,
+def _isolation(
     step_record: batch.StepRecord,
     indexes: tuple[int, ...],
+    crashes: list[batch.Crash],
     wall_ms: int,
-) -> bool:
-    """Returns whether a unit waits for a worker of its own.
+) -> views.Isolation:
+    """Returns how far a unit keeps away from others since a crash.
 
-    After one crash most suspects are innocent, so that they wait no longer than
-    they are going to run. After a second one they wait as long as it takes.
+    Most suspects are innocent, so that none waits for long.
     """
-    crashes = step_record.crashes(indexes[0], gang=step.gang)
     if not crash_model.is_suspect(crashes):
-        return False
-    if crash_model.crash_count(crashes) > 1:
-        return True
+        return views.Isolation.NONE
+    last = max(step_record.tasks[index].run for index in indexes)
     placed_ms = max(step_record.tasks[index].placed_ms for index in indexes)
-    ran_ms = max(crash.ran_ms for crash in crashes)
+    ran_ms = max((c.ran_ms for c in crashes if c.run == last), default=0)
     waited_ms = wall_ms - placed_ms - ran_ms
-    return waited_ms <= max(MIN_ISOLATION_WAIT_MS, step.estimate_ms)
+    if waited_ms <= (
+        LONG_ISOLATION_WAIT_MS
+        if crash_model.has_last_chance(crashes)
+        else ISOLATION_WAIT_MS
+    ):
+        return views.Isolation.WHOLE_WORKER
+    if waited_ms <= GUARANTEED_COMPANY_WAIT_MS:
+        return views.Isolation.NOT_BESIDE_GUARANTEED
+    return views.Isolation.LAST_RESORT
 
 
 def _failed_on(
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -4,9 +4,10 @@
 import dataclasses
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 
 from bilberryroute.model import batch
-from bilberryroute.model import crashes as crash_model
+from bilberryroute.scheduling.batch import isolation as isolation_lib
 from bilberryroute.scheduling.batch import probing
 from bilberryroute.scheduling.batch import views
 
@@ -14,9 +15,6 @@
 
 # Lower bound of the remaining time assumed for a run without a forecast.
 MIN_REMAINING_MS = 1_000
-# Share of the workers that suspect units may occupy beyond guarantees. Nothing
-# else starts there.
-MAX_ISOLATED_SHARE = 0.25
 # Remaining time of a long-running task, which ends only when it is stopped.
 NEVER_ENDS_MS = 1 << 40
 
@@ -47,8 +45,8 @@
       free: Resources that are neither in use nor allocated in this round, by
         worker.
       any_failing: Whether runs failed recently on any worker.
-      isolated: Names of workers that run nothing but a suspect unit. It holds
-        all of their resources, as nothing may start beside it.
+      isolation: Runs of suspect units. A unit for which a worker is kept holds
+        all of its resources, as nothing may start beside it.
     """
 
     def __init__(
@@ -58,6 +56,7 @@
         remaining_ms: Mapping[RunKey, int],
         wall_ms: int,
         permits: Mapping[views.StepKey, Mapping[str, str]],
+        guaranteed: Set[str] = frozenset(),
     ):
         """Computes the free resources.
 
@@ -67,6 +66,7 @@
           remaining_ms: Forecast remaining time of each run, in milliseconds.
           wall_ms: Unix time in milliseconds.
           permits: Permits of queues that require them, by step and worker.
+          guaranteed: Ids of the jobs within their accounts' guarantees.
         """
         self._permits = permits
         self.workers = {worker.ref.name: worker for worker in workers}
@@ -76,14 +76,18 @@
         )
         self._probes = probing.Probes(state, self.workers, wall_ms)
         self.free: dict[str, batch.Resources] = {}
-        self.isolated: set[str] = set()
-        self._claimed: set[str] = set()
+        self.isolation = isolation_lib.Isolation(guaranteed, wall_ms)
+        self._withheld: dict[str, batch.Resources] = {}
         self._allocations: dict[str, list[_Allocation]] = {}
         self._reservations: dict[str, list[_UnitReservation]] = {}
         self._free_within: dict[int, dict[str, batch.Resources]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
         for name, worker in self.workers.items():
             self._count_worker(state, name, worker, remaining_ms, wall_ms)
+        self._mostly_idle = self._mostly_idle_pools()
+        self.isolation.isolate(self.workers)
+        for name in self.isolation.isolated:
+            self._withhold_rest(name)
 
     def _count_worker(
         self,
@@ -96,8 +100,6 @@
         free = worker.capacity
         allocations = []
         task_counts: collections.Counter[views.StepKey] = collections.Counter()
-        units: set[crash_model.UnitKey] = set()
-        may_crash = False
         for task_id in state.placed.get(worker.ref.agent, ()):
             record = state.jobs[task_id.job_id]
             task = record.task(task_id)
@@ -114,18 +116,21 @@
             free = free.minus(allocation.need)
             allocations.append(allocation)
             task_counts[task_id.job_id, task_id.occurrence, task_id.step] += 1
-            units.add(crash_model.unit_key(record, task_id))
-            may_crash |= _is_unproven_suspect(record, task_id, wall_ms)
-        if may_crash and len(units) == 1:
-            self.isolated.add(name)
-            last_end_ms = max(each.remaining_ms for each in allocations)
-            allocations.append(_Allocation(need=free, remaining_ms=last_end_ms))
-            free = batch.NO_RESOURCES
+            self.isolation.note_run(name, record, task_id)
         allocations.sort(key=lambda allocation: allocation.remaining_ms)
         self.free[name] = free
         self._allocations[name] = allocations
         self._task_counts[name] = task_counts
 
+    def _withhold_rest(self, name: str) -> None:
+        """Allocates what is left of a worker until its runs end."""
+        rest = self.free[name]
+        allocations = self._allocations[name]
+        last_end_ms = allocations[-1].remaining_ms
+        allocations.append(_Allocation(need=rest, remaining_ms=last_end_ms))
+        self.free[name] = batch.NO_RESOURCES
+        self._withheld[name] = rest
+
     def is_eligible(
         self,
         unit: views.ReadyUnit,
@@ -137,6 +142,8 @@
         needs_nothing = batch.task_demand(unit.step) == batch.NO_RESOURCES
         if needs_nothing and self._is_closed_to_others(name):
             return False
+        if not self.isolation.allows(unit, name):
+            return False
         advised = unit.queue.advised
         if advised and name not in self.permits(unit):
             return False
@@ -144,16 +151,11 @@
 
     def _is_closed_to_others(self, name: str) -> bool:
         """Returns whether nothing may start beside what runs on a worker."""
-        return (
-            name in self.isolated
-            or name in self._claimed
-            or name in self._probes.under_way
-        )
+        return self.isolation.is_kept(name) or name in self._probes.under_way
 
-    def isolates_enough(self) -> bool:
-        """Returns whether no more suspect units should get a worker now."""
-        limit = max(1, int(MAX_ISOLATED_SHARE * len(self.workers)))
-        return len(self.isolated | self._claimed) >= limit
+    def isolates_enough(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether a suspect should get no worker of its own now."""
+        return self.isolation.is_exhausted(unit.queue.pool, self.workers)
 
     def permits(self, unit: views.ReadyUnit) -> Mapping[str, str]:
         """Returns the permits of a unit's step, by worker."""
@@ -228,6 +230,36 @@
                     usable[name] = _minimum(usable[name], at_start)
         return usable
 
+    def free_beside_suspects(
+        self, unit: views.ReadyUnit
+    ) -> dict[str, batch.Resources]:
+        """Returns what a unit that has waited for long may use."""
+        usable = (
+            dict(self.free) if unit.guaranteed else self.unreserved_for(unit)
+        )
+        for name, rest in self._withheld.items():
+            if self.isolation.yields_to(unit, name):
+                usable[name] = usable[name].plus(rest)
+        return usable
+
+    def is_mostly_idle(self, pool: str) -> bool:
+        """Returns whether runs use less than half of a pool."""
+        return pool in self._mostly_idle
+
+    def _mostly_idle_pools(self) -> set[str]:
+        unused: dict[str, batch.Resources] = {}
+        for name, worker in self.workers.items():
+            # Free minus used, as both add up to the capacity.
+            surplus = self.free[name].plus(self.free[name])
+            surplus = surplus.minus(worker.capacity)
+            known = unused.get(worker.pool, batch.NO_RESOURCES)
+            unused[worker.pool] = known.plus(surplus)
+        return {
+            pool
+            for pool, surplus in unused.items()
+            if surplus.holds(batch.NO_RESOURCES)
+        }
+
     def start(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Allocates workers to a unit that starts now, one name for each task.
 
@@ -239,13 +271,15 @@
     def allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Subtracts the demand of one task for each worker name given.
 
-        For a suspect unit, subtracts the whole worker.
+        Subtracts the whole worker for a unit that runs apart from others.
         """
-        if unit.suspect:
+        if unit.takes_whole_workers:
             self._claim_whole(names)
+        elif unit.suspect:
+            self.isolation.note_start(names)
         need = batch.task_demand(unit.step)
         for name in names:
-            if not unit.suspect:
+            if not unit.takes_whole_workers:
                 self.free[name] = self.free[name].minus(need)
             self._task_counts[name][unit.step_key] += 1
 
@@ -254,16 +288,16 @@
         for name in set(names):
             capacity = self.workers[name].capacity
             self.free[name] = self.free[name].minus(capacity)
-            self._claimed.add(name)
+        self.isolation.claim(set(names))
 
     def reserve(
         self, unit: views.ReadyUnit, names: Iterable[str], from_ms: int
     ) -> None:
         """Reserves the demand of one task on each worker from a time on.
 
-        For a suspect unit, reserves the whole worker.
+        Reserves the whole worker for a unit that runs apart from others.
         """
-        if unit.suspect:
+        if unit.takes_whole_workers:
             needs = [(name, self.workers[name].capacity) for name in set(names)]
         else:
             needs = [(name, batch.task_demand(unit.step)) for name in names]
@@ -277,7 +311,7 @@
 
         On an isolated worker the suspect unit is all that runs.
         """
-        if name in self.isolated:
+        if name in self.isolation.isolated:
             self._allocations[name] = [
                 dataclasses.replace(each, remaining_ms=0)
                 for each in self._allocations[name]
@@ -312,17 +346,6 @@
     )
 
 
-def _is_unproven_suspect(
-    record: batch.BatchRecord, task_id: batch.TaskId, wall_ms: int
-) -> bool:
-    """Returns whether a placed run may still crash its worker."""
-    crashes = crash_model.unit_crashes(record, task_id)
-    if not crash_model.is_suspect(crashes):
-        return False
-    ran_ms = wall_ms - record.task(task_id).placed_ms
-    return not crash_model.is_harmless_after(crashes, ran_ms)
-
-
 def _expected_remaining_ms(
     task: batch.TaskRecord,
     step: batch.Step,
--- /dev/null
+++ b/bilberryroute/scheduling/batch/suspects.py
@@ -0,0 +1,78 @@
+"""Decides what a unit that may crash its workers runs beside, without I/O.
+
+Apart from others it harms nobody and shows whether it crashes its workers. As
+most suspects are innocent, they don't wait for that while workers are idle.
+"""
+
+import dataclasses
+
+from bilberryroute.model import crashes as crash_model
+from bilberryroute.scheduling.batch import preempting
+from bilberryroute.scheduling.batch import room as room_lib
+from bilberryroute.scheduling.batch import views
+
+
+def choices(
+    unit: views.ReadyUnit, resources: room_lib.AvailableResources
+) -> list[views.ReadyUnit]:
+    """Returns a suspect apart from others, then as near as it may be.
+
+    Any other unit is returned as it is.
+    """
+    if not unit.suspect:
+        return [unit]
+    found = []
+    if (
+        unit.crash_count > 1
+        or not unit.takes_whole_workers
+        or not resources.isolates_enough(unit)
+    ):
+        apart = views.Isolation.WHOLE_WORKER
+        found.append(dataclasses.replace(unit, suspect=apart))
+    if may_join_others(unit, resources):
+        found.append(unit)
+    return found
+
+
+def may_join_others(
+    unit: views.ReadyUnit, resources: room_lib.AvailableResources
+) -> bool:
+    """Returns whether a unit may run beside other work.
+
+    A suspect waits for longer while other tasks of its step run, or while most
+    of its pool is in use.
+    """
+    if not unit.suspect:
+        return True
+    last_resort = unit.suspect == views.Isolation.LAST_RESORT
+    if unit.takes_whole_workers or (unit.step_runs and not last_resort):
+        return False
+    waits_long = unit.crash_count > 1 or not last_resort
+    return (
+        unit.guaranteed
+        or not waits_long
+        or resources.is_mostly_idle(unit.queue.pool)
+    )
+
+
+def stoppable(
+    unit: views.ReadyUnit,
+    candidates: list[preempting.PreemptibleUnit],
+    resources: room_lib.AvailableResources,
+) -> list[preempting.PreemptibleUnit]:
+    """Returns the units that may be stopped so that a suspect runs apart.
+
+    Suspects keep their workers, but for a unit that must not crash again.
+    """
+    crash_count = resources.isolation.crash_count
+    has_last_chance = unit.crash_count >= crash_model.LAST_CHANCE_CRASHES
+    most_crashes = 1 if has_last_chance else 0
+    is_idle = resources.is_mostly_idle(unit.queue.pool)
+    return [
+        candidate
+        for candidate in candidates
+        if (is_idle or candidate.priority >= unit.queue.priority)
+        and all(
+            crash_count(name) <= most_crashes for _, name in candidate.tasks
+        )
+    ]
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -31,6 +31,20 @@
     SUSPECT = 3
 
 
+class Isolation(enum.IntEnum):
+    """How far a unit that may crash its workers keeps away from others.
+
+    `NONE`: it is not suspect. `LAST_RESORT`: it has waited for so long that it
+    may run anywhere. `NOT_BESIDE_GUARANTEED`: it may run beside work that is
+    not guaranteed. `WHOLE_WORKER`: it runs on idle workers only.
+    """
+
+    NONE = 0
+    LAST_RESORT = 1
+    NOT_BESIDE_GUARANTEED = 2
+    WHOLE_WORKER = 3
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Probation:
     """What a worker that failed a run has to show before it gets more than one.
@@ -83,8 +97,10 @@
       rank: Sort key; lower keys are tried first. The second element is 0 for
         jobs within their accounts' guarantees.
       due_since_ms: Unix time at which the occurrence became due.
-      suspect: Whether it may crash its workers, so that it runs apart from
-        other work.
+      suspect: How far it keeps away from other work, as it may crash its
+        workers; false if it is not suspect.
+      crash_count: Number of its runs that ended by a crash.
+      step_runs: Whether other tasks of its step run.
       failed_on: Names of workers on which the last runs of the unit failed.
       failed_recently: Whether the unit was placed last a short time ago.
       last_attempt: Whether one more failure ends the job.
@@ -101,7 +117,9 @@
     run: int
     rank: tuple[int, ...] = ()
     due_since_ms: int = 0
-    suspect: bool = False
+    suspect: Isolation = Isolation.NONE
+    crash_count: int = 0
+    step_runs: bool = False
     failed_on: frozenset[str] = frozenset()
     failed_recently: bool = False
     last_attempt: bool = False
@@ -128,6 +146,11 @@
         """Whether its job is within its account's guarantee."""
         return self.rank[1] < FIRST_UNGUARANTEED_PRIORITY
 
+    @property
+    def takes_whole_workers(self) -> bool:
+        """Whether nothing may run beside it."""
+        return self.suspect == Isolation.WHOLE_WORKER
+
     @property
     def fragile(self) -> bool:
         """Whether the failure of one run costs the job or the work of a gang.
