--- a/bilberryroute/state/batch_runs.py
+++ b/bilberryroute/state/batch_runs.py
@@ -250,7 +250,7 @@
         crash_rules.has_proved_to_crash(task.crashes)
         and task.state != batch.TaskState.DONE
     ):
-        count = crash_rules.crashes_alone(task.crashes)
+        count = crash_rules.blamed_crashes(task.crashes)
         reason = f"step {task_id.step} crashed its worker {count} times"
         end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
