--- a/tests/agent/test_crash_reports.py
+++ b/tests/agent/test_crash_reports.py
@@ -6,50 +6,50 @@
 
 from bilberryroute.agent import worker_life
 from bilberryroute.agent import worker_port
-from tests.agent import test_batch as agent_tests
+from tests.agent import batch_harness
 from tests.utils import batches
 
 KEY = (batches.task(), 1)
 
-harness = agent_tests.harness
-
 
 @pytest.mark.parametrize(
     "verdict",
     [worker_port.StartVerdict.BUSY, worker_port.StartVerdict.FENCED],
 )
-async def test_run_that_the_worker_refused_is_blamed_for_its_crash(
+async def test_run_that_the_worker_refused_is_not_blamed_for_its_crash(
     harness, verdict
 ):
     harness.port.verdict = verdict
     harness.announce()
-    harness.desire(agent_tests.desired())
+    harness.desire(batch_harness.desired())
     await harness.until(lambda: harness.port.calls)
-    await agent_tests.restart_worker(harness)
-    assert await agent_tests.loss_causes(harness) == []
+    await batch_harness.restart_worker(harness)
+    assert await batch_harness.loss_causes(harness) == []
 
 
-async def test_unanswered_start_is_not_blamed_as_a_later_one_was_refused(
+async def test_unanswered_start_is_blamed_although_a_later_one_was_refused(
     harness,
 ):
     harness.port.unanswered = {"start"}
     harness.port.verdict = worker_port.StartVerdict.BUSY
     harness.announce()
-    harness.desire(agent_tests.desired())
+    harness.desire(batch_harness.desired())
     await harness.until(lambda: harness.port.attempts)
     harness.port.unanswered = set()
     await harness.until(lambda: harness.port.calls)
-    await agent_tests.restart_worker(harness)
-    assert await agent_tests.loss_causes(harness) == ["crashed"]
+    await batch_harness.restart_worker(harness)
+    assert await batch_harness.loss_causes(harness) == ["crashed"]
 
 
-async def test_crash_is_forgotten_as_the_next_incarnation_withdraws(harness):
+async def test_crash_is_reported_although_the_next_incarnation_withdraws(
+    harness,
+):
     """The leader has not committed the end of the run meanwhile."""
     harness.announce()
-    harness.desire(agent_tests.desired())
+    harness.desire(batch_harness.desired())
     await harness.until(lambda: harness.port.calls)
-    await agent_tests.restart_worker(harness)
-    assert await agent_tests.loss_causes(harness) == ["crashed"]
+    await batch_harness.restart_worker(harness)
+    assert await batch_harness.loss_causes(harness) == ["crashed"]
     harness.agent.withdraw("w1")
     harness.port.born = 3
     harness.port.clock_ms = 0
@@ -61,27 +61,27 @@
     assert causes == ["crashed"]
 
 
-async def test_crash_is_forgotten_before_the_leader_knows_the_incarnation(
+async def test_crash_is_reported_until_the_leader_knows_the_incarnation(
     harness,
 ):
     """The desired state may be older than the run."""
     harness.announce()
-    harness.desire(agent_tests.desired())
+    harness.desire(batch_harness.desired())
     await harness.until(lambda: harness.port.calls)
-    await agent_tests.restart_worker(harness)
-    assert await agent_tests.loss_causes(harness) == ["crashed"]
+    await batch_harness.restart_worker(harness)
+    assert await batch_harness.loss_causes(harness) == ["crashed"]
     harness.desire()
     await harness.until(lambda: not harness.board.batch.get()[0].ends)
-    harness.desire(agent_tests.desired())
+    harness.desire(batch_harness.desired())
     await harness.until(lambda: harness.board.batch.get()[0].ends)
 
 
-async def test_log_of_a_crash_names_no_job_and_the_wrong_incarnation(
+async def test_log_of_a_crash_names_the_job_and_the_incarnation(
     harness, caplog
 ):
     caplog.set_level(logging.INFO)
     harness.announce()
-    harness.desire(agent_tests.desired())
+    harness.desire(batch_harness.desired())
     await harness.until(lambda: harness.port.calls)
     harness.port.running.clear()
     harness.port.born = 2
@@ -96,7 +96,7 @@
     assert lines == [("j1", "0.0.0", 1, "w1", 1, 1)]
 
 
-def test_crashes_are_kept_after_the_leader_has_committed_them():
+def test_crashes_are_dropped_once_the_leader_has_committed_them():
     announced = worker_port.BatchWorkerAnnouncement(
         name="w1",
         born=2,
--- a/tests/replica/test_health_after_crash.py
+++ b/tests/replica/test_health_after_crash.py
@@ -35,9 +35,7 @@
 
 
 @pytest.mark.parametrize("long_running", [True, False])
-def test_worker_stays_idle_after_one_crash_while_jobs_wait(
-    health, long_running
-):
+def test_worker_is_used_again_after_one_crash(health, long_running):
     log = batches.Log()
     workers = [batches.worker("w1", health=health.assess("w1"))]
     for name in ("w2", "w3", "w4"):
--- a/tests/requests/test_stale_claims.py
+++ b/tests/requests/test_stale_claims.py
@@ -6,7 +6,7 @@
 
 
 @pytest.mark.parametrize("agents", [1, 2])
-async def test_restart_between_claim_and_dispatch_makes_the_outcome_unknown(
+async def test_restart_between_claim_and_dispatch_leaves_no_outcome_unknown(
     make_stack, agents
 ):
     """Only this entry knew the id, and had not sent the request before."""
--- a/tests/scheduling/test_crash_waits.py
+++ b/tests/scheduling/test_crash_waits.py
@@ -67,7 +67,7 @@
 
 
 @pytest.mark.parametrize("guilty_share", [0.1, 0.3])
-def test_innocent_jobs_wait_long_beside_idle_workers(guilty_share):
+def test_innocent_jobs_do_not_wait_long_beside_idle_workers(guilty_share):
     lost = []
     for seed in SEEDS:
         model = WaitingModel(seed, guilty_share)
--- a/tests/scheduling/test_gang_costs.py
+++ b/tests/scheduling/test_gang_costs.py
@@ -7,7 +7,7 @@
 WIDTH = 200
 
 
-def test_each_member_of_a_gang_reads_the_crashes_of_all_others(monkeypatch):
+def test_crashes_of_a_gang_are_read_once_for_all_members(monkeypatch):
     log = batches.Log()
     need = batches.task_need(0, 100)
     gang = batches.step(WIDTH, need=need, gang=True)
--- a/tests/scheduling/test_idle_beside_suspects.py
+++ b/tests/scheduling/test_idle_beside_suspects.py
@@ -56,7 +56,7 @@
         log.place(batches.unit(job_id, worker.ref))
 
 
-def test_suspects_wait_while_most_workers_are_idle(log):
+def test_suspects_do_not_wait_while_most_workers_are_idle(log):
     names = [f"j{number}" for number in range(5)]
     for name in names:
         log.submit(name, batches.content())
@@ -64,7 +64,7 @@
     assert jobs_that_wait(log, names) == set()
 
 
-def test_suspect_waits_while_every_worker_is_little_used(log):
+def test_suspect_does_not_wait_while_every_worker_is_little_used(log):
     for name in ("j1", "j2"):
         log.submit(name, batches.content())
     occupy_a_bit(log)
@@ -72,7 +72,7 @@
     assert jobs_that_wait(log, ["j1"]) == set()
 
 
-def test_suspect_of_two_crashes_neither_runs_nor_is_given_up(log):
+def test_suspect_of_two_crashes_runs_or_is_given_up(log):
     for name in ("j1", "j2"):
         log.submit(name, batches.content())
     crash(log, "j1", "j2")
@@ -82,7 +82,7 @@
     assert waiting == set() or log.held.jobs["j1"].result is not None
 
 
-def test_small_guaranteed_suspects_keep_all_workers_from_others(log):
+def test_small_guaranteed_suspects_leave_workers_to_others(log):
     """One step of single-accelerator tasks takes a whole worker for each."""
     wide = batches.content(batches.step(len(WORKERS)))
     log.submit("wide", wide, "urgent")
--- a/tests/scheduling/test_isolation_guarantees.py
+++ b/tests/scheduling/test_isolation_guarantees.py
@@ -47,9 +47,7 @@
 
 
 @pytest.mark.parametrize("crashes", [1, 2])
-def test_guaranteed_suspect_waits_long_beside_room_on_guaranteed_workers(
-    log, crashes
-):
+def test_guaranteed_suspect_uses_room_beside_guaranteed_work(log, crashes):
     """Each worker runs one small guaranteed job and is idle otherwise."""
     submit_guaranteed(log, "own", "first", "second")
     log.place(batches.unit("first", batches.ref("w1")))
@@ -61,7 +59,7 @@
     assert decided.units or decided.stops
 
 
-def test_guaranteed_job_waits_long_for_guaranteed_suspects_to_finish(log):
+def test_guaranteed_job_does_not_wait_for_guaranteed_suspects(log):
     """Two small suspects hold both workers, which have room for it."""
     submit_guaranteed(log, "s1", "s2")
     for job_id in ("s1", "s2"):
--- a/tests/scheduling/test_isolation_pools.py
+++ b/tests/scheduling/test_isolation_pools.py
@@ -54,13 +54,13 @@
     return [m.worker.name for unit in decided.units for m in unit.members]
 
 
-def test_suspects_occupy_a_whole_pool_as_another_is_large(log):
+def test_suspects_leave_a_small_pool_to_others(log):
     crash(log, "planned", "j1", "j2", "j3", "j4")
     workers = [*pool("pool", 4), *pool("large", 12)]
     assert len(workers_of_suspects(log, workers)) == 1
 
 
-def test_suspect_waits_for_a_suspect_of_another_pool(log):
+def test_suspect_does_not_wait_for_those_of_another_pool(log):
     crash(log, "nightly", "n1", "n2")
     log.place(batches.unit("n1", batches.ref("large-0"), run=2))
     crash(log, "planned", "j1", "j2")
--- a/tests/state/test_crash_costs.py
+++ b/tests/state/test_crash_costs.py
@@ -17,7 +17,7 @@
         return super().values()
 
 
-def test_crash_of_all_workers_reads_all_jobs_once_for_each():
+def test_crash_of_all_workers_reads_all_jobs_once():
     """Every replica applies the command, and serves nobody meanwhile."""
     log = batches.Log()
     for number in range(WORKERS):
--- a/tests/state/test_gang_crashes.py
+++ b/tests/state/test_gang_crashes.py
@@ -11,7 +11,7 @@
 
 
 @pytest.mark.parametrize("down_after_ms", [100, None])
-def test_gang_fails_although_no_task_was_in_two_crashes(down_after_ms):
+def test_gang_does_not_fail_for_single_crashes_under_its_tasks(down_after_ms):
     log = batches.Log()
     log.submit("g", batches.content(batches.step(3, 8, gang=True)))
     for run in (1, 2, 3):
--- a/tests/state/test_mixed_group.py
+++ b/tests/state/test_mixed_group.py
@@ -12,7 +12,7 @@
     return dataclasses.replace(end, cause=None, down_after_ms=None)
 
 
-def test_replicas_of_two_releases_disagree_whether_a_job_has_ended():
+def test_replicas_of_two_releases_agree_whether_a_job_has_ended():
     new, old = batches.Log(), batches.Log()
     for log in (new, old):
         log.submit("j1", batches.content())
