--- a/tests/scheduling/test_isolation_stops.py
+++ b/tests/scheduling/test_isolation_stops.py
@@ -72,9 +72,12 @@
     return stopped
 
 
-def test_work_is_stopped_again_and_again_for_suspects_that_never_start(log):
+@pytest.mark.parametrize("count", [1, 8])
+def test_work_is_stopped_again_and_again_for_suspects_that_never_start(
+    log, count
+):
     fill(log, WORKERS)
-    submit_suspects(log, 8)
+    submit_suspects(log, count)
     stopped = play(log)
     assert len(stopped) == len(set(stopped))
 
