--- a/bilberryroute/model/crashes.py
+++ b/bilberryroute/model/crashes.py
@@ -1,9 +1,9 @@
 """Which tasks are suspected of crashing their workers.
 
 A task may crash every worker that runs it. Any task that ran on a crashed
-worker is suspect at first. The planner runs suspects apart from other work,
-which shows whose runs the crashes follow. The members of a gang are suspects
-together.
+worker is suspect at first. The planner runs suspects apart from other work
+where it can, which shows whose runs the crashes follow. The members of a gang
+are suspects together.
 """
 
 from collections.abc import Iterable
@@ -17,6 +17,7 @@
 # Runs of a unit that crashed a worker, alone or not, after which its job is
 # given up: a task that crashes its workers must not hide among others for good.
 MAX_CRASHES = 4
+# Crashes of a unit whose job is given up after one more.
 LAST_CHANCE_CRASHES = MAX_CRASHES - 1
 
 UnitKey = tuple[str, int, int, int]
@@ -44,7 +45,7 @@
 
 
 def is_suspect(crashes: Iterable[batch.Crash]) -> bool:
-    """Returns whether a unit must run apart from other work.
+    """Returns whether a unit should run apart from other work.
 
     A second crash makes it suspect even if others explain both.
     """
--- a/bilberryroute/scheduling/batch/isolation.py
+++ b/bilberryroute/scheduling/batch/isolation.py
@@ -42,12 +42,12 @@
     Attributes:
       isolated: Names of workers on which nothing may start beside the suspect
         unit that runs there.
-      yielding: Those beyond the share, on which units that have waited for a
-        while may start all the same.
+      yielding: Those of them beyond the share, on which units that have waited
+        for a while may start all the same.
     """
 
     def __init__(self, guaranteed: Set[str], wall_ms: int):
-        """Starts without any runs.
+        """Starts without runs; `note_run` adds them, then `isolate` decides.
 
         Args:
           guaranteed: Ids of the jobs within their accounts' guarantees.
@@ -84,6 +84,7 @@
         """Keeps workers for the suspects that run alone there.
 
         Those of the most crashes come first, then those that were placed first.
+        A worker of a unit that must not crash again yields to nobody.
         """
         sizes = collections.Counter(w.pool for w in workers.values())
         self._limits = {
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -29,7 +29,8 @@
 # long for runs that are about to end; the rest is left for preemption.
 GUARANTEE_WAIT_MS = 1_400
 
-# How long a unit waits while its only room is on workers kept for suspects.
+# How long a unit waits, from when it was due, until it may start on a worker
+# that is kept for a suspect.
 MAX_WAIT_BESIDE_SUSPECTS_MS = GUARANTEE_WAIT_MS
 
 # Waiting units per round that get a reservation for when they are expected to
@@ -166,7 +167,10 @@
         return self._join_suspect(unit)
 
     def _join_suspect(self, unit: views.ReadyUnit) -> bool:
-        """Starts beside a suspect for which too many workers are kept."""
+        """Starts on a worker that is kept for a suspect, if that may yield.
+
+        Unless it is guaranteed, only while most of the pool is idle.
+        """
         waited_ms = self._wall_ms - unit.due_since_ms
         return (
             bool(self._resources.isolation.isolated)
@@ -295,10 +299,7 @@
     def _preempt_for_suspect(
         self, unit: views.ReadyUnit
     ) -> tuple[str, ...] | None:
-        """Preempts work that would be lost if the unit crashed its worker.
-
-        Suspects keep their workers, but for a unit that must not crash again.
-        """
+        """Preempts work that would be lost if the unit crashed its worker."""
         yielding = suspects.stoppable(
             unit, self._preemption_candidates(), self._resources
         )
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -13,9 +13,6 @@
 # milliseconds, and a run must not start early.
 DUE_MARGIN_MS = 20
 
-# Worker that crashed last under a suspect, and whether it is within a guarantee.
-_SuspectGroup = tuple[batch.WorkerRef, bool]
-
 # How long a suspect waits for a worker of its own.
 ISOLATION_WAIT_MS = 2_000
 # How long it does so if its job is given up after one more crash.
@@ -27,6 +24,9 @@
 # placement, and beyond that until a run has succeeded there.
 AVOID_FAILED_MS = 10_000
 
+# Worker that crashed last under a suspect, and whether it is within a guarantee.
+_SuspectGroup = tuple[batch.WorkerRef, bool]
+
 
 def ready_units(
     state: batch.BatchState,
@@ -209,7 +209,8 @@
 ) -> views.Isolation:
     """Returns how far a unit keeps away from others since a crash.
 
-    Most suspects are innocent, so that none waits for long.
+    Most suspects are innocent, so the wait is short, unless one more crash ends
+    the job.
     """
     if not crash_model.is_suspect(crashes):
         return views.Isolation.NONE
--- a/bilberryroute/scheduling/batch/suspects.py
+++ b/bilberryroute/scheduling/batch/suspects.py
@@ -1,7 +1,7 @@
 """Decides what a unit that may crash its workers runs beside, without I/O.
 
 Apart from others it harms nobody and shows whether it crashes its workers. As
-most suspects are innocent, they don't wait for that while workers are idle.
+most suspects are innocent, they wait for that only shortly.
 """
 
 import dataclasses
@@ -15,9 +15,10 @@
 def choices(
     unit: views.ReadyUnit, resources: room_lib.AvailableResources
 ) -> list[views.ReadyUnit]:
-    """Returns a suspect apart from others, then as near as it may be.
+    """Returns the ways in which to place a unit, the best one first.
 
-    Any other unit is returned as it is.
+    For a suspect: apart from others, then as near to others as it may be. Empty
+    if it has to wait since enough workers are kept already.
     """
     if not unit.suspect:
         return [unit]
@@ -39,7 +40,7 @@
 ) -> bool:
     """Returns whether a unit may run beside other work.
 
-    A suspect waits for longer while other tasks of its step run, or while most
+    A suspect waits for longer while other tasks of its step run, or while half
     of its pool is in use.
     """
     if not unit.suspect:
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -98,9 +98,10 @@
         jobs within their accounts' guarantees.
       due_since_ms: Unix time at which the occurrence became due.
       suspect: How far it keeps away from other work, as it may crash its
-        workers; false if it is not suspect.
+        workers; false (`NONE`) if it is not suspect.
       crash_count: Number of its runs that ended by a crash.
-      step_runs: Whether other tasks of its step run.
+      step_runs: Whether other tasks of its step run; false if no run of it
+        ended by a crash.
       failed_on: Names of workers on which the last runs of the unit failed.
       failed_recently: Whether the unit was placed last a short time ago.
       last_attempt: Whether one more failure ends the job.
