--- a/tests/scheduling/test_isolation_bounds.py
+++ b/tests/scheduling/test_isolation_bounds.py
@@ -3,7 +3,6 @@
 import pytest
 
 from bilberryroute.model import batch
-from bilberryroute.model import batch_commands as batching
 from bilberryroute.scheduling.batch import planner
 from tests.utils import batches
 
@@ -21,21 +20,6 @@
     return batches.Log()
 
 
-def crash(log, *tasks, run=1, ran_ms=CRASHED_RUN_MS):
-    """Ends runs that began together by the crash of their worker."""
-    log.now += ran_ms
-    ends = tuple(
-        batching.RunEnd(
-            task=task,
-            run=run,
-            outcome=batch.RunOutcome.LOST,
-            cause=batch.LossCause.CRASHED,
-        )
-        for task in tasks
-    )
-    log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
-
-
 def crash_beside_another(log, job_id, run=1, ran_ms=CRASHED_RUN_MS):
     """Lets a worker crash under a job and another one, which is cancelled."""
     other = f"other-{job_id}-{run}"
@@ -44,18 +28,9 @@
     log.place(batches.unit(job_id, gone, run=run))
     log.now += 1
     log.place(batches.unit(other, gone))
-    tasks = (batches.task(job_id), batches.task(other))
-    ends = tuple(
-        batching.RunEnd(
-            task=task,
-            run=number,
-            outcome=batch.RunOutcome.LOST,
-            cause=batch.LossCause.CRASHED,
-        )
-        for task, number in zip(tasks, (run, 1), strict=True)
-    )
     log.now += ran_ms
-    log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
+    task = batches.task(job_id)
+    log.crash_together(task, batches.task(other), runs={task: run})
     log.cancel(other, "nightly")
 
 
@@ -64,7 +39,8 @@
     service = batches.step(2, long_running=True, max_unavailable=1)
     log.submit("web", batches.content(service), "nightly")
     log.place(batches.unit("web", *[batches.ref("gone")] * 2))
-    crash(log, batches.task("web", 0), batches.task("web", 1))
+    log.now += CRASHED_RUN_MS
+    log.crash_together(batches.task("web", 0), batches.task("web", 1))
     log.place(batches.unit("web", batches.ref("w1"), run=2))
     log.submit("own", batches.content(), "urgent")
     log.now += LATE_MS
--- a/tests/scheduling/test_isolation_stops.py
+++ b/tests/scheduling/test_isolation_stops.py
@@ -38,16 +38,7 @@
             unit = batches.unit(task.job_id, gone, run=run, first=task.index)
             log.place(unit)
         log.now += 5_000
-        ends = tuple(
-            batching.RunEnd(
-                task=task,
-                run=run,
-                outcome=batch.RunOutcome.LOST,
-                cause=batch.LossCause.CRASHED,
-            )
-            for task in tasks
-        )
-        log.apply(batching.EndRuns(ends=ends, at_ms=log.now))
+        log.crash_together(*tasks, runs=dict.fromkeys(tasks, run))
 
 
 def submit_suspects(log, count, queue="planned"):
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -130,6 +130,19 @@
         lost = batch.RunOutcome.LOST
         return self.end(task, run, lost, cause=batch.LossCause.CRASHED)
 
+    def crash_together(self, *tasks: batch.TaskId, runs: dict | None = None):
+        """Ends runs, the first of each task by default, by crashes at once."""
+        ends = tuple(
+            batching.RunEnd(
+                task=each,
+                run=(runs or {}).get(each, 1),
+                outcome=batch.RunOutcome.LOST,
+                cause=batch.LossCause.CRASHED,
+            )
+            for each in tasks
+        )
+        return self.apply(batching.EndRuns(ends=ends, at_ms=self.now))
+
     def end(
         self,
         task: batch.TaskId,
