--- a/tests/scheduling/test_isolation_bounds.py
+++ b/tests/scheduling/test_isolation_bounds.py
@@ -4,6 +4,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import planner
+from bilberryroute.scheduling.batch import views
 from tests.utils import batches
 
 # Well beyond the time within which a guaranteed job has to start.
@@ -107,3 +108,28 @@
         log.place(batches.unit(f"own{number}", worker.ref))
     decided = planner.plan(log.held, workers, {}, log.now)
     assert decided.units == ()
+
+
+def test_innocent_job_joins_the_probe_on_a_worker_that_just_failed(log):
+    """The probe is a suspect, on a worker beyond the share for suspects."""
+    for job_id in ("s1", "s2"):
+        log.submit(job_id, batches.content())
+        crash_beside_another(log, job_id)
+    log.place(
+        batches.unit("s1", batches.ref("w1"), run=2),
+        batches.unit("s2", batches.ref("w2"), run=2),
+    )
+    log.submit("j1", batches.content())
+    log.now += 1_500
+    probation = views.Probation(failed_ago_ms=1_600, probe_ms=2_000)
+    failed = views.WorkerHealth.DOUBTFUL
+    workers = [
+        *(
+            batches.worker(name, health=failed, probation=probation)
+            for name in ("w1", "w2")
+        ),
+        # As more than a quarter of all workers are not probed.
+        *(batches.worker(f"x{number}", pool="other") for number in range(6)),
+    ]
+    decided = planner.plan(log.held, workers, {}, log.now)
+    assert decided.units == ()
