Stop no other work so that a suspect of two crashes runs alone

What callers would have seen: work stopped again and again for tasks that then do not start.

Cause: the room that was stopped for a suspect was kept for one round only, and the stopped work ranks first in the next. Nothing bounded that path, nor its searches, as suspects beyond the share neither reserve nor count.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -262,22 +262,19 @@
         """Reserves resources, or preempts work that can afford the delay."""
         if self._reservation_count >= MAX_RESERVATIONS:
             return
+        if unit.takes_whole_workers and self._resources.isolates_enough(unit):
+            return
         fit = self._earliest_fit(unit)
         would_be_late = (
             fit is None
             or fit.delay_ms > self._job_deadlines.waiting_slack_ms(unit)
         )
-        names = None
-        if unit.takes_whole_workers and unit.crash_count > 1:
-            names = self._preempt_for_suspect(unit)
-        elif would_be_late and not unit.suspect:
-            names = self._preempt_for_late(unit)
+        preempts = would_be_late and not unit.suspect
+        names = self._preempt_for_late(unit) if preempts else None
         if names is not None:
             self._resources.allocate(unit, names)
             self._reservation_count += 1
-        elif fit is not None and not (
-            unit.takes_whole_workers and self._resources.isolates_enough(unit)
-        ):
+        elif fit is not None:
             self._resources.reserve(unit, fit.names, fit.delay_ms)
             self._reservation_count += 1
 
@@ -296,15 +293,6 @@
         ]
         return self._preempt(unit, yielding)
 
-    def _preempt_for_suspect(
-        self, unit: views.ReadyUnit
-    ) -> tuple[str, ...] | None:
-        """Preempts work that would be lost if the unit crashed its worker."""
-        yielding = suspects.stoppable(
-            unit, self._preemption_candidates(), self._resources
-        )
-        return self._preempt(unit, yielding)
-
     def _preemption_candidates(self) -> list[preempting.PreemptibleUnit]:
         """Returns the units that may still be preempted in this round."""
         if self._preemptible is None:
--- a/bilberryroute/scheduling/batch/suspects.py
+++ b/bilberryroute/scheduling/batch/suspects.py
@@ -6,8 +6,6 @@
 
 import dataclasses
 
-from bilberryroute.model import crashes as crash_model
-from bilberryroute.scheduling.batch import preempting
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
@@ -54,26 +52,3 @@
         or not waits_long
         or resources.is_mostly_idle(unit.queue.pool)
     )
-
-
-def stoppable(
-    unit: views.ReadyUnit,
-    candidates: list[preempting.PreemptibleUnit],
-    resources: room_lib.AvailableResources,
-) -> list[preempting.PreemptibleUnit]:
-    """Returns the units that may be stopped so that a suspect runs apart.
-
-    Suspects keep their workers, but for a unit that must not crash again.
-    """
-    crash_count = resources.isolation.crash_count
-    has_last_chance = unit.crash_count >= crash_model.LAST_CHANCE_CRASHES
-    most_crashes = 1 if has_last_chance else 0
-    is_idle = resources.is_mostly_idle(unit.queue.pool)
-    return [
-        candidate
-        for candidate in candidates
-        if (is_idle or candidate.priority >= unit.queue.priority)
-        and all(
-            crash_count(name) <= most_crashes for _, name in candidate.tasks
-        )
-    ]
