--- a/bilberryroute/scheduling/batch/isolation.py
+++ b/bilberryroute/scheduling/batch/isolation.py
@@ -140,7 +140,7 @@
     def allows(self, unit: views.ReadyUnit, name: str) -> bool:
         """Returns whether a unit may run beside what runs on a worker."""
         return (
-            unit.suspect != views.Isolation.NOT_BESIDE_GUARANTEED
+            unit.suspect != views.Separation.NOT_BESIDE_GUARANTEED
             or unit.guaranteed
             or self.company(name) != Company.GUARANTEED
         )
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -31,7 +31,7 @@
 
 # How long a unit waits, from when it was due, until it may start on a worker
 # that is kept for a suspect.
-MAX_WAIT_BESIDE_SUSPECTS_MS = GUARANTEE_WAIT_MS
+WAIT_BESIDE_SUSPECTS_MS = GUARANTEE_WAIT_MS
 
 # Waiting units per round that get a reservation for when they are expected to
 # fit. More reservations would leave too little room for backfill.
@@ -174,7 +174,7 @@
         waited_ms = self._wall_ms - unit.due_since_ms
         return (
             bool(self._resources.isolation.isolated)
-            and waited_ms >= MAX_WAIT_BESIDE_SUSPECTS_MS
+            and waited_ms >= WAIT_BESIDE_SUSPECTS_MS
             and suspects.may_join_others(unit, self._resources)
             and (
                 unit.guaranteed
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -206,14 +206,14 @@
     indexes: tuple[int, ...],
     crashes: list[batch.Crash],
     wall_ms: int,
-) -> views.Isolation:
+) -> views.Separation:
     """Returns how far a unit keeps away from others since a crash.
 
     Most suspects are innocent, so the wait is short, unless one more crash ends
     the job.
     """
     if not crash_model.is_suspect(crashes):
-        return views.Isolation.NONE
+        return views.Separation.NONE
     last = max(step_record.tasks[index].run for index in indexes)
     placed_ms = max(step_record.tasks[index].placed_ms for index in indexes)
     ran_ms = max((c.ran_ms for c in crashes if c.run == last), default=0)
@@ -223,10 +223,10 @@
         if crash_model.has_last_chance(crashes)
         else ISOLATION_WAIT_MS
     ):
-        return views.Isolation.WHOLE_WORKER
+        return views.Separation.WHOLE_WORKER
     if waited_ms <= GUARANTEED_COMPANY_WAIT_MS:
-        return views.Isolation.NOT_BESIDE_GUARANTEED
-    return views.Isolation.LAST_RESORT
+        return views.Separation.NOT_BESIDE_GUARANTEED
+    return views.Separation.LAST_RESORT
 
 
 def _failed_on(
--- a/bilberryroute/scheduling/batch/suspects.py
+++ b/bilberryroute/scheduling/batch/suspects.py
@@ -26,7 +26,7 @@
         or not unit.takes_whole_workers
         or not resources.isolates_enough(unit)
     ):
-        apart = views.Isolation.WHOLE_WORKER
+        apart = views.Separation.WHOLE_WORKER
         found.append(dataclasses.replace(unit, suspect=apart))
     if may_join_others(unit, resources):
         found.append(unit)
@@ -43,7 +43,7 @@
     """
     if not unit.suspect:
         return True
-    last_resort = unit.suspect == views.Isolation.LAST_RESORT
+    last_resort = unit.suspect == views.Separation.LAST_RESORT
     if unit.takes_whole_workers or (unit.step_runs and not last_resort):
         return False
     waits_long = unit.crash_count > 1 or not last_resort
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -31,7 +31,7 @@
     SUSPECT = 3
 
 
-class Isolation(enum.IntEnum):
+class Separation(enum.IntEnum):
     """How far a unit that may crash its workers keeps away from others.
 
     `NONE`: it is not suspect. `LAST_RESORT`: it has waited for so long that it
@@ -118,7 +118,7 @@
     run: int
     rank: tuple[int, ...] = ()
     due_since_ms: int = 0
-    suspect: Isolation = Isolation.NONE
+    suspect: Separation = Separation.NONE
     crash_count: int = 0
     step_runs: bool = False
     failed_on: frozenset[str] = frozenset()
@@ -153,7 +153,7 @@
     @property
     def takes_whole_workers(self) -> bool:
         """Whether nothing may run beside it."""
-        return self.suspect == Isolation.WHOLE_WORKER
+        return self.suspect == Separation.WHOLE_WORKER
 
     @property
     def fragile(self) -> bool:
