Remove a method of the isolation that lost its caller

It served the stops for suspects that took away. Measured: lint, and the tests of suspects, isolation, batch planning and the exploration of crashes pass.

--- a/bilberryroute/scheduling/batch/isolation.py
+++ b/bilberryroute/scheduling/batch/isolation.py
@@ -119,11 +119,6 @@
         """Returns whether a pool has no more workers to keep for suspects."""
         return self._occupied(pool, workers) >= self._limits.get(pool, 1)
 
-    def crash_count(self, name: str) -> int:
-        """Returns the most crashes of any suspect that runs on a worker."""
-        suspects = (self._suspects[key] for key in self._units.get(name, ()))
-        return max((s.crash_count for s in suspects if s), default=0)
-
     def company(self, name: str) -> Company:
         """Returns what runs on a worker."""
         return self._companies.get(name, Company.NOBODY)
