Show that an entry without callers never finds a leader that is no seed

Only the refusal of a call names the leader, and entries that are not ready get no calls.

Both tests fail: TimeoutError after 5 s, for a replica that follows and for a host without a replica that refers others to the leader.

--- a/tests/entry/test_referrals.py
+++ b/tests/entry/test_referrals.py
@@ -88,6 +88,17 @@
     assert leader.proposals_received == 1
 
 
+async def test_entry_without_callers_finds_the_leader_through_it(referring):
+    board = board_lib.new_board()
+    env = environment.fake_environment(clock=CLOCK)
+    cfg = _settings("e1", referring.grpc)
+    async with control_lib.ControlClient(cfg, board, CLOCK, env.rng):
+        async with asyncio.timeout(5):
+            while not board.leader_seen_ms.get():
+                await asyncio.sleep(0.01)
+    assert board.leader_id.get() == "r4"
+
+
 async def test_joining_replica_learns_the_leader_and_founds_nothing(
     leader, referring
 ):
--- a/tests/replica/test_watch.py
+++ b/tests/replica/test_watch.py
@@ -1,16 +1,21 @@
 import asyncio
 import dataclasses
 
+import grpc
 import pytest
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import embedded
 from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import control as client_lib
 from bilberryroute.model import config
 from bilberryroute.model import wire
 from bilberryroute.replica import control as control_lib
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.transport import codec
+from tests.entry import test_control
 from tests.utils import environment
 
 EVENTS = codec.Decoder(wire.WatchEvent)
@@ -64,3 +69,52 @@
     assert second.configuration is not None
     assert second.configuration.revision == 1
     assert second.endpoints == (VIEW,)
+
+
+@pytest.fixture
+async def leader():
+    """A leading replica that no process's settings name."""
+    replica = test_control.FakeReplica()
+    await replica.start()
+    replica.event = wire.WatchEvent(
+        term=1,
+        leader_id="r4",
+        configuration=None,
+        endpoints=None,
+        replicas=(wire.ReplicaContact(id="r4", grpc=replica.address),),
+    )
+    replica.repeat_ms = 100
+    yield replica
+    await replica.stop()
+
+
+@pytest.fixture
+async def follower(parts, leader, monkeypatch):
+    """Returns the address of a real replica that follows the leader."""
+    monkeypatch.setattr(parts.leadership, "active", lambda: False)
+    monkeypatch.setattr(type(parts.group), "leader_id", "r4")
+    monkeypatch.setattr(type(parts.group), "leader_address", leader.address)
+    server = grpc.aio.server()
+    control_lib.ControlService(parts, query_handler=None).register(server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    yield f"127.0.0.1:{port}"
+    await server.stop(None)
+
+
+async def test_entry_without_callers_finds_a_leader_that_is_no_seed(follower):
+    cfg = settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.ProcessRole.ENTRY,),
+        replicas=(
+            settings.ReplicaAddress(id="r1", grpc=follower, datagram=""),
+        ),
+    )
+    env = environment.fake_environment(clock=clock_lib.SystemClock())
+    board = board_lib.new_board()
+    async with client_lib.ControlClient(cfg, board, env.clock, env.rng):
+        async with asyncio.timeout(5):
+            while not board.leader_seen_ms.get():
+                await asyncio.sleep(0.01)
+    assert board.leader_id.get() == "r4"
