Name the leader when a replica that does not lead ends a watch

Cause: the watch is how an entry finds the leader without being asked. It opened the stream at each replica of the settings in turn; one that does not lead ended it without a word. Only calls learned the leader's address, and an entry that is not ready gets none. So a leader that is no seed was never found after a restart of everything: the class of fault is again that the hosts that settings happen to name were taken for the group.

Change: a watch ends with the error that a call would get; it names the leader and its address, in the trailing metadata of the stream's status. Entries of earlier releases ignore it, and this release takes a stream without it as before. The same for hosts without a replica that refer others, and for a leader that steps down.

Ruled out: asking a call's worth of questions in the watch loop, which is one more round trip and the same wire; keeping addresses on disks, which entries lack.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -224,13 +224,27 @@
     async def _watch_leader(self) -> None:
         while not self.should_stop:
             # An error ends only this stream; the loop opens another one.
-            with contextlib.suppress(grpc.aio.AioRpcError, TimeoutError):
+            leader_id = None
+            try:
                 await self._watch_once()
+            except grpc.aio.AioRpcError as exc:
+                leader_id = self._leader_named(exc)
+            except TimeoutError:
+                pass
             self._log_leader_lost()
-            self._switch_leader(None)
+            self._switch_leader(leader_id)
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await self.sleep(clock_lib.seconds(pause_ms))
 
+    def _leader_named(self, exc: grpc.aio.AioRpcError) -> str | None:
+        """Returns the leader that the replica named as it ended the watch."""
+        reply = methods.watch_error(exc)
+        error = _error_from_reply(reply) if reply is not None else None
+        if not isinstance(error, errors.NotLeader):
+            return None
+        self._learn_leader(error)
+        return error.leader_id
+
     async def _watch_once(self) -> None:
         async with self._connections.use(self._leader_address()) as connection:
             open_stream = connection.channel.stream_stream(
--- a/bilberryroute/entry/referrals.py
+++ b/bilberryroute/entry/referrals.py
@@ -149,25 +149,27 @@
         self, payload: bytes, context: grpc.aio.ServicerContext
     ) -> bytes:
         del payload, context
+        return codec.encode(control.Reply(error=self._error()))
+
+    def _error(self) -> control.ErrorReply:
         exc = self._leader()
-        error = control.ErrorReply(
+        return control.ErrorReply(
             kind=exc.kind,
             message=exc.message,
             remedy=exc.remedy,
             leader_id=exc.leader_id or "",
             leader_address=exc.leader_address,
         )
-        return codec.encode(control.Reply(error=error))
 
     async def _watch(
         self,
         requests: AsyncIterator[bytes],
         context: grpc.aio.ServicerContext,
     ) -> AsyncIterator[bytes]:
-        """Ends the stream at once: only the leader has news."""
-        del requests, context
-        for event in ():
-            yield event
+        """Ends the stream at once and names the leader, which has the news."""
+        del requests
+        await methods.end_watch(context, self._error())
+        yield b""
 
     async def _hello(
         self, payload: bytes, context: grpc.aio.ServicerContext
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -83,7 +83,7 @@
                 self._check_leading()
                 encoded = await handle(payload)
             except errors.BilberryrouteError as exc:
-                return self._error(exc)
+                return codec.encode(control.Reply(error=self._error(exc)))
             return codec.encode(control.Reply(payload=encoded))
 
         return grpc.unary_unary_rpc_method_handler(answer)
@@ -122,12 +122,15 @@
 
     def _check_leading(self) -> None:
         if not self._leadership.active():
-            raise errors.NotLeader(
-                self._group.leader_id, self._group.leader_address
-            )
+            raise self._not_leader()
+
+    def _not_leader(self) -> errors.NotLeader:
+        return errors.NotLeader(
+            self._group.leader_id, self._group.leader_address
+        )
 
-    def _error(self, exc: errors.BilberryrouteError) -> bytes:
-        reply = control.ErrorReply(
+    def _error(self, exc: errors.BilberryrouteError) -> control.ErrorReply:
+        return control.ErrorReply(
             kind=exc.kind,
             message=exc.message,
             remedy=exc.remedy,
@@ -135,15 +138,17 @@
             retry_after_ms=exc.retry_after_ms,
             leader_address=self._group.leader_address,
         )
-        return codec.encode(control.Reply(error=reply))
 
     async def _watch(
         self,
         requests: AsyncIterator[bytes],
         context: grpc.aio.ServicerContext,
     ) -> AsyncIterator[bytes]:
-        """Streams the configuration and the endpoints on every change."""
-        del context
+        """Streams the configuration and the endpoints on every change.
+
+        Ends with an error that names the leader once this replica does not
+        lead: an entry that no caller asks learns it in no other way.
+        """
         first = methods.WATCH_REQUESTS.decode(await anext(aiter(requests)))
         reader = asyncio.create_task(self._read_reports(first, requests))
         revision = first.revision
@@ -158,6 +163,7 @@
                 await self._wait_for_change(revision, endpoints_version)
         finally:
             reader.cancel()
+        await methods.end_watch(context, self._error(self._not_leader()))
 
     def _event(self, revision: int, endpoints_version: int) -> wire.WatchEvent:
         cfg = self._machine.state.configuration
--- a/bilberryroute/transport/control.py
+++ b/bilberryroute/transport/control.py
@@ -1,5 +1,9 @@
 """Methods that the leading replica serves to entries over gRPC."""
 
+from typing import NoReturn
+
+import grpc
+
 from bilberryroute.model import control
 from bilberryroute.model import membership
 from bilberryroute.model import queries
@@ -46,7 +50,34 @@
 WATCH_REQUESTS = codec.Decoder(wire.WatchRequest)
 WATCH_EVENTS = codec.Decoder(wire.WatchEvent)
 
+# Trailing metadata with the `ErrorReply` that ends a watch.
+_ERROR_KEY = "bilberryroute-error-bin"
+_ERRORS = codec.Decoder(control.ErrorReply)
+
 
 def path(method: str) -> str:
     """Returns the full gRPC name of a method."""
     return f"/{SERVICE}/{method}"
+
+
+async def end_watch(
+    context: grpc.aio.ServicerContext, error: control.ErrorReply
+) -> NoReturn:
+    """Ends a watch with an error, which may name the leader."""
+    await context.abort(
+        grpc.StatusCode.FAILED_PRECONDITION,
+        error.message,
+        ((_ERROR_KEY, codec.encode(error)),),
+    )
+
+
+def watch_error(exc: grpc.aio.AioRpcError) -> control.ErrorReply | None:
+    """Returns the error that a replica sent to end a watch, if it did.
+
+    Raises:
+      errors.MalformedInput: If what it sent is no such error.
+    """
+    for key, value in exc.trailing_metadata() or ():
+        if key == _ERROR_KEY:
+            return _ERRORS.decode(value)
+    return None
--- a/tests/entry/test_referrals.py
+++ b/tests/entry/test_referrals.py
@@ -52,6 +52,7 @@
             ),
         ),
     )
+    replica.repeat_ms = 100
     yield replica
     await replica.stop()
 
