Ask a suspected leader again as soon as it is heard

Cause: an entry whose call or watch timed out avoids that replica for a fixed 3 s, since others still name a frozen leader. Nothing ended this earlier: the process that stood still may have been the entry, or only the connection was dead. While the leader was suspected, calls also asked the same follower over and over, as a named leader kept the turn from passing on.

Change: whatever is heard from a replica ends the suspicion. Calls still avoid a suspected leader, but the watch, which carries nobody's call, opens a new stream to it at once and waits 0.5 s for the first event. A leader that is suspected, or named without an address, no longer keeps the turn from passing to the next replica. The end of a watch doesn't undo what a call has learned meanwhile.

Ruled out: a shorter suspicion, which sends calls to a frozen leader again (the test that it is asked once still holds); detecting the own suspension, which leaves dead connections.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -28,6 +28,9 @@
 RETRY_MAX_MS = 120
 WATCH_TIMEOUT_MS = clock_lib.Millis(1_500)
 SUSPICION_MS = clock_lib.Millis(3_000)
+# A leader that is alive sends the first event of a watch at once. Allows for a
+# new connection to another region.
+PROBE_TIMEOUT_MS = clock_lib.Millis(500)
 # A leader sends something every 500 ms to those that watch it.
 SILENCE_MS = clock_lib.Millis(700)
 REPORT_INTERVAL_MS = clock_lib.Millis(500)
@@ -39,7 +42,9 @@
     All proposals of an entry are idempotent (tickets by number, jobs and
     claims by id), so a proposal whose reply was lost is sent again. A replica
     that did not reply is avoided for a while even if others name it as the
-    leader, because they need time to detect that it is frozen.
+    leader, because they need time to detect that it is frozen. It is asked again
+    as soon as anything is heard from it, for the one that was frozen may have
+    been this process, or only the connection is dead; the watch finds out.
     """
 
     def __init__(
@@ -156,7 +161,7 @@
                 if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
                     self._handle_timeout(connection, began_ms)
                 raise _error_from_rpc(exc) from exc
-            self._connections.record_arrival(connection)
+            self._record_arrival(connection)
         reply = methods.REPLIES.decode(answer)
         if reply.error is not None:
             raise _error_from_reply(reply.error)
@@ -167,16 +172,24 @@
 
         Suspected replicas are used only if all are suspected.
         """
-        addresses = self._addresses()
-        leader = addresses.get(self._board.leader_id.get())
+        leader = self._named_leader()
         if leader is not None and not self._is_suspected(leader):
             return leader
+        addresses = self._addresses()
         responsive = [
             a for a in addresses.values() if not self._is_suspected(a)
         ]
         candidates = responsive or list(addresses.values())
         return candidates[self._replica_index % len(candidates)]
 
+    def _watch_address(self) -> str:
+        """Returns the replica to watch: the leader, even if it is suspected."""
+        return self._named_leader() or self._leader_address()
+
+    def _named_leader(self) -> str | None:
+        """Returns the address of the leader that was named last, if known."""
+        return self._addresses().get(self._board.leader_id.get())
+
     def _addresses(self) -> dict[str, str]:
         """Returns the addresses of all known replicas; settings take precedence."""
         return self._learned_addresses | {
@@ -206,6 +219,10 @@
                 extra={"address": address, "silent_ms": silent_ms},
             )
 
+    def _record_arrival(self, connection: connection_lib.Connection) -> None:
+        self._connections.record_arrival(connection)
+        self._suspected_until.pop(connection.address, None)
+
     def _is_suspected(self, address: str) -> bool:
         return self._suspected_until.get(address, 0) > self._clock.now()
 
@@ -215,24 +232,32 @@
             self.learn_replica(exc.leader_id, exc.leader_address)
 
     def _switch_leader(self, leader_id: str | None) -> None:
-        """Switches to the given leader, or to the next replica if there is none."""
+        """Switches to the given leader, or to the next replica without one.
+
+        The next replica is also asked while the leader is suspected or its
+        address is unknown: it may know better.
+        """
         self._board.leader_id.set(leader_id or "")
-        if not leader_id:
+        leader = self._named_leader()
+        if leader is None or self._is_suspected(leader):
             self._replica_index += 1
 
     @mode.Service.task
     async def _watch_leader(self) -> None:
         while not self.should_stop:
             # An error ends only this stream; the loop opens another one.
+            address = self._watch_address()
             leader_id = None
             try:
-                await self._watch_once()
+                await self._watch_once(address)
             except grpc.aio.AioRpcError as exc:
                 leader_id = self._leader_named(exc)
             except TimeoutError:
                 pass
             self._log_leader_lost()
-            self._switch_leader(leader_id)
+            # A call may have learned of another leader meanwhile.
+            if leader_id or self._watch_address() == address:
+                self._switch_leader(leader_id)
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await self.sleep(clock_lib.seconds(pause_ms))
 
@@ -245,8 +270,8 @@
         self._learn_leader(error)
         return error.leader_id
 
-    async def _watch_once(self) -> None:
-        async with self._connections.use(self._leader_address()) as connection:
+    async def _watch_once(self, address: str) -> None:
+        async with self._connections.use(address) as connection:
             open_stream = connection.channel.stream_stream(
                 methods.path(methods.WATCH)
             )
@@ -261,15 +286,18 @@
         call: grpc.aio.StreamStreamCall,
         connection: connection_lib.Connection,
     ) -> None:
-        timeout = clock_lib.seconds(WATCH_TIMEOUT_MS)
         while not self.should_stop:
+            suspected = self._is_suspected(connection.address)
+            timeout_ms = PROBE_TIMEOUT_MS if suspected else WATCH_TIMEOUT_MS
             began_ms = self._clock.now()
             try:
-                payload = await asyncio.wait_for(call.read(), timeout)
+                payload = await asyncio.wait_for(
+                    call.read(), clock_lib.seconds(timeout_ms)
+                )
             except TimeoutError:
                 self._handle_timeout(connection, began_ms)
                 raise
-            self._connections.record_arrival(connection)
+            self._record_arrival(connection)
             if payload is grpc.aio.EOF:
                 return
             self._apply_event(methods.WATCH_EVENTS.decode(payload))
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -219,6 +219,50 @@
     assert result == commands.Changed(revision=7)
 
 
+@pytest.fixture
+async def watching_client(relayed_leader):
+    """A client that hears the leader, another replica that follows, the relay.
+
+    The leader is heard every 100 ms while the relay lets it through.
+    """
+    leader, relay = relayed_leader
+    follower = FakeReplica(leader_id="r1")
+    await follower.start()
+    leader.repeat_ms = 100
+    leader.event = wire.WatchEvent(
+        term=2, leader_id="r1", configuration=None, endpoints=None
+    )
+    cfg = settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.ProcessRole.ENTRY,),
+        replicas=tuple(
+            settings.ReplicaAddress(id=f"r{n}", grpc=each.address, datagram="")
+            for n, each in enumerate((leader, follower), start=1)
+        ),
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    board = board_lib.new_board()
+    async with control_lib.ControlClient(cfg, board, CLOCK, env.rng) as client:
+        async with asyncio.timeout(5):
+            while not board.leader_seen_ms.get():
+                await asyncio.sleep(0.01)
+        yield client, relay
+    await follower.stop()
+
+
+async def test_leader_is_asked_again_as_soon_as_it_is_heard(watching_client):
+    client, relay = watching_client
+    relay.forward.swallow = True
+    relay.backward.swallow = True
+    with pytest.raises(errors.CommitUnknown):
+        await client.propose(COMMAND, clock_lib.Millis(1_000))
+    relay.heal()
+    # Half of the time that a caller usually waits.
+    result = await client.propose(COMMAND, clock_lib.Millis(1_500))
+    assert result == commands.Changed(revision=7)
+
+
 @pytest.fixture
 async def slow_leader():
     """A leading replica, a follower, and a client of both."""
