Log why a call to the leader failed, and measure look-ups

So the logs could not tell a leader that is silent from one that is unknown, unreachable, or refuses.

Each failed call of the batch client now leaves one line: path, kind, time, the tries in order (address, failure, leader named, times, age and silence of the connection, state of its channel), the leader that the watch hears, and how long it was silent. Successes log nothing, and the rate filter bounds the rest. `look_up_ms` measures look-ups by outcome, `retries_total` counts repeated tries by reason `call_...`. `accept_ms` counted calls that were cancelled as accepted; it does no longer.

--- a/bilberryroute/entry/batch.py
+++ b/bilberryroute/entry/batch.py
@@ -1,8 +1,12 @@
 """Client for batch jobs, the catalog and evacuations; calls the leader."""
 
+import contextlib
 import logging
+from collections.abc import Iterator
 from typing import Protocol
 
+import aioprometheus
+
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
@@ -65,23 +69,18 @@
         command = batching.SubmitBatch(
             address=address, content=content, keep_ms=self._keep_ms, at_ms=0
         )
-        started_ms = self._clock.now()
-        outcome = "accepted"
-        try:
-            return await self._propose(command, address, within_ms)
-        except errors.BilberryrouteError as exc:
-            outcome = exc.kind
-            raise
-        finally:
-            took_ms = self._clock.now() - started_ms
-            self._metrics.accept_ms.add({"outcome": outcome}, took_ms)
+        with self._observed(
+            command, address.path, "accepted", self._metrics.accept_ms
+        ):
+            return await self._propose(command, within_ms)
 
     async def cancel(
         self, address: catalog_model.Address, within_ms: clock_lib.Millis
     ) -> batching.BatchAccepted:
         """Cancels a job; raises as `submit` does."""
         command = batching.CancelBatch(address=address, at_ms=0)
-        return await self._propose(command, address, within_ms)
+        with self._observed(command, address.path):
+            return await self._propose(command, within_ms)
 
     async def look_up(
         self, address: catalog_model.Address, within_ms: clock_lib.Millis
@@ -93,16 +92,19 @@
             exist.
           errors.Unavailable: If no leader answers.
         """
-        return await self._control.query(
-            queries.LookUpBatch(address=address), within_ms
-        )
+        query = queries.LookUpBatch(address=address)
+        with self._observed(
+            query, address.path, "found", self._metrics.look_up_ms
+        ):
+            return await self._control.query(query, within_ms)
 
     async def apply_catalog(
         self, catalog: catalog_model.Catalog, within_ms: clock_lib.Millis
     ) -> batching.CatalogHeld:
         """Applies a catalog, unless a higher version is in force."""
         command = batching.ApplyCatalog(catalog=catalog, at_ms=0)
-        result = await self._control.propose(command, within_ms)
+        with self._observed(command):
+            result = await self._control.propose(command, within_ms)
         logger.info(
             "catalog",
             extra={
@@ -119,7 +121,9 @@
         Raises:
           errors.Unavailable: If there is none, or no leader answers.
         """
-        return await self._control.query(queries.GetCatalog(), within_ms)
+        query = queries.GetCatalog()
+        with self._observed(query):
+            return await self._control.query(query, within_ms)
 
     async def show(
         self, job_id: str, within_ms: clock_lib.Millis
@@ -129,13 +133,15 @@
         Raises:
           errors.Gone: If the job does not exist or is no longer stored.
         """
-        return await self._control.query(
-            queries.GetBatch(job_id=job_id), within_ms
-        )
+        query = queries.GetBatch(job_id=job_id)
+        with self._observed(query, job_id):
+            return await self._control.query(query, within_ms)
 
     async def list_jobs(self, within_ms: clock_lib.Millis) -> queries.BatchList:
         """Returns all batch jobs that the leader still stores."""
-        return await self._control.query(queries.ListBatches(), within_ms)
+        query = queries.ListBatches()
+        with self._observed(query):
+            return await self._control.query(query, within_ms)
 
     async def set_evacuated(
         self,
@@ -150,36 +156,62 @@
         command = batching.SetEvacuated(
             failure_domain=failure_domain, evacuated=evacuated, at_ms=0
         )
-        await self._control.propose(command, within_ms)
+        with self._observed(command, failure_domain):
+            await self._control.propose(command, within_ms)
         logger.info(
             "evacuation",
             extra={"evacuated": evacuated, "domain": failure_domain},
         )
 
     async def _propose(
-        self,
-        command: commands.Command,
-        address: catalog_model.Address,
-        within_ms: clock_lib.Millis,
+        self, command: commands.Command, within_ms: clock_lib.Millis
     ) -> batching.BatchAccepted:
-        name = type(command).__name__
-        try:
-            result = await self._control.propose(command, within_ms)
-        except errors.BilberryrouteError as exc:
-            logger.warning(
-                "%s failed: %s", name, exc, extra={"path": address.path}
-            )
-            raise
+        result = await self._control.propose(command, within_ms)
         match result:
             case batching.BatchAccepted(job_id=job_id, first=first):
-                logger.info(name, extra={"job_id": job_id, "first": first})
-                return result
-            case batching.BatchRefused(kind=kind, message=message):
                 logger.info(
-                    "%s refused: %s",
-                    name,
-                    message,
-                    extra={"path": address.path, "kind": kind},
+                    type(command).__name__,
+                    extra={"job_id": job_id, "first": first},
                 )
+                return result
+            case batching.BatchRefused(kind=kind, message=message):
                 raise errors.by_kind(kind)(message)
         raise errors.BilberryrouteError(f"unexpected result {result!r}")
+
+    @contextlib.contextmanager
+    def _observed(
+        self,
+        request: commands.Command | queries.Query,
+        path: str = "",
+        success: str = "",
+        took_ms: aioprometheus.Histogram | None = None,
+    ) -> Iterator[None]:
+        """Logs a call to the leader if it fails, and measures its time.
+
+        Args:
+          request: The command or query.
+          path: Path or name of what it is about.
+          success: Outcome to measure if it succeeds.
+          took_ms: Where its time is measured by outcome, if anywhere.
+        """
+        name = type(request).__name__
+        began_ms = self._clock.now()
+        outcome = success
+        try:
+            yield
+        except BaseException as exc:
+            outcome = getattr(exc, "kind", type(exc).__name__)
+            fields = {
+                "path": path,
+                "kind": outcome,
+                "took_ms": self._clock.now() - began_ms,
+                **getattr(exc, "log_fields", {}),
+            }
+            if isinstance(exc, errors.Refused):
+                logger.info("%s refused: %s", name, exc.message, extra=fields)
+            else:
+                logger.warning("%s failed: %s", name, exc, extra=fields)
+            raise
+        finally:
+            if took_ms is not None:
+                took_ms.add({"outcome": outcome}, self._clock.now() - began_ms)
--- a/bilberryroute/entry/connections.py
+++ b/bilberryroute/entry/connections.py
@@ -24,12 +24,14 @@
     Attributes:
       address: Address of the replica.
       channel: The channel.
-      heard_ms: When something last arrived.
+      opened_ms: When it was created.
+      heard_ms: When something last arrived; 0 if nothing ever did.
       users: Number of calls and streams in progress.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, opened_ms: clock_lib.Millis):
         self.address = address
+        self.opened_ms = opened_ms
         self.channel = grpc.aio.insecure_channel(
             address, options=_CHANNEL_OPTIONS
         )
@@ -53,7 +55,8 @@
         """Yields the connection to a replica, for one call or stream."""
         connection = self._current.get(address)
         if connection is None:
-            connection = self._current[address] = Connection(address)
+            connection = Connection(address, self._clock.now())
+            self._current[address] = connection
         connection.users += 1
         try:
             yield connection
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -10,9 +10,11 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import connections as connection_lib
+from bilberryroute.entry import tries as tries_lib
 from bilberryroute.model import commands
 from bilberryroute.model import control
 from bilberryroute.model import membership
@@ -48,12 +50,14 @@
         board: board_lib.EntryBoard,
         clock: clock_lib.Clock,
         rng: random.Random,
+        metrics: metrics_lib.Metrics,
     ):
         super().__init__()
         self._cfg = cfg
         self._board = board
         self._clock = clock
         self._rng = rng
+        self._metrics = metrics
         self._connections = connection_lib.Connections(clock)
         self._replica_index = 0
         self._learned_addresses: dict[str, str] = {}
@@ -94,9 +98,11 @@
         try:
             answer = await self._call_leader(methods.QUERY, payload, within_ms)
         except errors.CommitUnknown as exc:
-            raise errors.Unavailable(
+            error = errors.Unavailable(
                 "the leading replica did not answer in time"
-            ) from exc
+            )
+            error.log_fields = exc.log_fields
+            raise error from exc
         return methods.ANSWERS.decode(answer)
 
     async def change_members(
@@ -118,13 +124,27 @@
         method: str,
         payload: bytes,
         within_ms: clock_lib.Millis = TOTAL_TIMEOUT_MS,
+    ) -> bytes:
+        tries = tries_lib.Tries()
+        try:
+            return await self._try_leader(method, payload, within_ms, tries)
+        except errors.BilberryrouteError as exc:
+            exc.log_fields = self._log_fields(tries)
+            raise
+
+    async def _try_leader(
+        self,
+        method: str,
+        payload: bytes,
+        within_ms: clock_lib.Millis,
+        tries: tries_lib.Tries,
     ) -> bytes:
         deadline = self._clock.now() + within_ms
         may_be_committed = False
         while (left_ms := deadline - self._clock.now()) > 0:
             timeout_ms = min(CALL_TIMEOUT_MS, left_ms)
             try:
-                return await self._call_once(method, payload, timeout_ms)
+                return await self._call_once(method, payload, timeout_ms, tries)
             except errors.NotLeader as exc:
                 self._learn_leader(exc)
                 self._switch_leader(exc.leader_id)
@@ -133,6 +153,7 @@
                 self._switch_leader(None)
             except errors.Unavailable:
                 self._switch_leader(None)
+            self._metrics.retried(f"call_{tries.last_failure}")
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await asyncio.sleep(clock_lib.seconds(pause_ms))
         if may_be_committed:
@@ -142,7 +163,11 @@
         )
 
     async def _call_once(
-        self, method: str, payload: bytes, timeout_ms: int
+        self,
+        method: str,
+        payload: bytes,
+        timeout_ms: int,
+        tries: tries_lib.Tries,
     ) -> bytes:
         address = self._leader_address()
         began_ms = self._clock.now()
@@ -153,15 +178,58 @@
                     payload, timeout=clock_lib.seconds(timeout_ms)
                 )
             except grpc.aio.AioRpcError as exc:
-                if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                failure = _failure_of_rpc(exc)
+                self._record(tries, connection, began_ms, failure)
+                if failure == tries_lib.SILENT:
                     self._handle_timeout(connection, began_ms)
                 raise _error_from_rpc(exc) from exc
             self._connections.record_arrival(connection)
         reply = methods.REPLIES.decode(answer)
         if reply.error is not None:
+            self._record(
+                tries,
+                connection,
+                began_ms,
+                reply.error.kind,
+                reply.error.leader_id,
+            )
             raise _error_from_reply(reply.error)
         return reply.payload
 
+    def _record(
+        self,
+        tries: tries_lib.Tries,
+        connection: connection_lib.Connection,
+        began_ms: int,
+        failure: str,
+        named: str = "",
+    ) -> None:
+        """Records a try that failed."""
+        now = self._clock.now()
+        heard_ms = connection.heard_ms
+        tries.add(
+            tries_lib.Try(
+                address=connection.address,
+                failure=failure,
+                named=named,
+                took_ms=now - began_ms,
+                connection_age_ms=now - connection.opened_ms,
+                silent_ms=now - heard_ms if heard_ms else None,
+                channel=connection.channel.get_state().name,
+            )
+        )
+
+    def _log_fields(self, tries: tries_lib.Tries) -> dict[str, object]:
+        """Returns what the log line of a failed call says."""
+        seen_ms = self._board.leader_seen_ms.get()
+        return {
+            "tries": tries.rows(),
+            "watched_leader": self._watched_leader,
+            "leader_silent_ms": self._clock.now() - seen_ms
+            if seen_ms
+            else None,
+        }
+
     def _leader_address(self) -> str:
         """Returns the address of the presumed leader or of another replica.
 
@@ -312,13 +380,27 @@
 
 def _error_from_rpc(exc: grpc.aio.AioRpcError) -> errors.BilberryrouteError:
     """Maps a gRPC error according to whether the call may have been executed."""
-    if exc.code() == grpc.StatusCode.UNIMPLEMENTED:
-        return errors.Unavailable("the replica does not serve this call yet")
-    if exc.code() == grpc.StatusCode.UNAVAILABLE and _never_sent(exc):
-        return errors.Unavailable("the replica cannot be reached")
+    match _failure_of_rpc(exc):
+        case tries_lib.UNSERVED:
+            return errors.Unavailable(
+                "the replica does not serve this call yet"
+            )
+        case tries_lib.UNREACHED:
+            return errors.Unavailable("the replica cannot be reached")
     return errors.CommitUnknown(f"the replica did not answer: {exc.code()}")
 
 
+def _failure_of_rpc(exc: grpc.aio.AioRpcError) -> str:
+    match exc.code():
+        case grpc.StatusCode.UNIMPLEMENTED:
+            return tries_lib.UNSERVED
+        case grpc.StatusCode.DEADLINE_EXCEEDED:
+            return tries_lib.SILENT
+        case grpc.StatusCode.UNAVAILABLE if _never_sent(exc):
+            return tries_lib.UNREACHED
+    return tries_lib.BROKEN
+
+
 def _never_sent(exc: grpc.aio.AioRpcError) -> bool:
     return "failed to connect" in (exc.details() or "").lower()
 
--- a/bilberryroute/entry/referrals.py
+++ b/bilberryroute/entry/referrals.py
@@ -51,7 +51,7 @@
         self._metrics = metrics
         self.board = board_lib.new_board()
         self.control = control_lib.ControlClient(
-            cfg, self.board, env.clock, env.rng
+            cfg, self.board, env.clock, env.rng, metrics
         )
         self._server: grpc.aio.Server | None = None
         self._transport: asyncio.DatagramTransport | None = None
--- a/bilberryroute/entry/service.py
+++ b/bilberryroute/entry/service.py
@@ -33,7 +33,7 @@
         self._clock = env.clock
         self.board = board_lib.new_board()
         self.control = control_lib.ControlClient(
-            cfg, self.board, env.clock, env.rng
+            cfg, self.board, env.clock, env.rng, metrics
         )
         self.requests = requests_lib.RequestService(
             cfg, self.board, self.control, env.clock, env.rng, metrics
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -30,6 +30,7 @@
       exit_status: Exit code of a command that ends with it.
       retry_after_ms: When a new try makes sense, in milliseconds, or None.
       extensions: More members of the problem document, by name.
+      log_fields: More fields of the log line about the error.
     """
 
     kind: ClassVar[str] = "internal"
@@ -50,6 +51,7 @@
         self.message = message
         self.retry_after_ms = retry_after_ms
         self.extensions: dict[str, object] = {}
+        self.log_fields: dict[str, object] = {}
         if remedy is not None:
             self.remedy = remedy
         if outcome is not None:
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -59,6 +59,8 @@
       draining: 1 once the process was asked to leave.
       log_lines_dropped: Log lines dropped as their reader lagged.
       accept_ms: Time of a call that submits a batch job, by `outcome`.
+      look_up_ms: Time of a call that asks for the state of a batch job or
+        queue, by `outcome`.
       first_start_ms: Time from acceptance to the first placement, by `queue`.
       run_ends: Ends of runs that this leader committed, by `outcome`; for lost
         runs that is the cause.
@@ -93,6 +95,7 @@
         )
 
         self.accept_ms = self._histogram("accept_ms", "Acceptance of jobs.")
+        self.look_up_ms = self._histogram("look_up_ms", "Look-up of jobs.")
         self.first_start_ms = self._histogram(
             "first_start_ms", "From acceptance to the first placement."
         )
--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -34,7 +34,7 @@
     A role that only refers to the leader brings the client with it.
     """
     cfg = place.settings
-    control, started = _control_client(cfg, role, env)
+    control, started = _control_client(cfg, role, env, metrics)
     client = entry_batch.BatchClient(control, cfg.timing, env.clock, metrics)
     operators_api = OperatorsApi(client, cfg.limits)
     server = http_lib.HttpServer(
@@ -47,13 +47,16 @@
 
 
 def _control_client(
-    cfg: settings.Settings, role: mode.Service, env: context.Environment
+    cfg: settings.Settings,
+    role: mode.Service,
+    env: context.Environment,
+    metrics: metrics_lib.Metrics,
 ) -> tuple[control_client.ControlClient, list[mode.Service]]:
     """Returns the client of the leader, and what has to be started for it."""
     if isinstance(role, referrals.ReferralRole):
         return role.control, []
     control = control_client.ControlClient(
-        cfg, entry_board.new_board(), env.clock, env.rng
+        cfg, entry_board.new_board(), env.clock, env.rng, metrics
     )
     return control, [control]
 
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -6,6 +6,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import control as control_lib
@@ -51,6 +52,7 @@
         """Listens on a free port."""
         handlers = {
             methods.PROPOSE: grpc.unary_unary_rpc_method_handler(self._propose),
+            methods.QUERY: grpc.unary_unary_rpc_method_handler(self._propose),
             methods.WATCH: grpc.stream_stream_rpc_method_handler(self._watch),
         }
         handler = grpc.method_handlers_generic_handler(
@@ -122,7 +124,9 @@
     env = environment.fake_environment(clock=CLOCK)
     board = board_lib.new_board()
     board.leader_id.set("r1")
-    client = control_lib.ControlClient(cfg, board, CLOCK, env.rng)
+    client = control_lib.ControlClient(
+        cfg, board, CLOCK, env.rng, metrics_lib.Metrics()
+    )
     loop = asyncio.get_running_loop()
     # The others elect a new leader while the proposal is pending.
     loop.call_later(2.0, setattr, replicas[2], "leader_id", "")
@@ -159,7 +163,9 @@
     cfg = _settings_with_seed(old)
     env = environment.fake_environment(clock=CLOCK)
     board = board_lib.new_board()
-    client = control_lib.ControlClient(cfg, board, CLOCK, env.rng)
+    client = control_lib.ControlClient(
+        cfg, board, CLOCK, env.rng, metrics_lib.Metrics()
+    )
     async with client:
         result = await client.propose(COMMAND)
     for replica in (old, new):
@@ -177,7 +183,7 @@
     env = environment.fake_environment(clock=CLOCK)
     board = board_lib.new_board()
     client = control_lib.ControlClient(
-        _settings_with_seed(seed), board, CLOCK, env.rng
+        _settings_with_seed(seed), board, CLOCK, env.rng, metrics_lib.Metrics()
     )
     try:
         result = await client.propose(COMMAND)
@@ -205,7 +211,11 @@
     leader, relay = relayed_leader
     env = environment.fake_environment(clock=CLOCK)
     client = control_lib.ControlClient(
-        _settings_with_seed(leader), board_lib.new_board(), CLOCK, env.rng
+        _settings_with_seed(leader),
+        board_lib.new_board(),
+        CLOCK,
+        env.rng,
+        metrics_lib.Metrics(),
     )
     try:
         await client.propose(COMMAND)
@@ -238,7 +248,7 @@
     )
     env = environment.fake_environment(clock=CLOCK)
     client = control_lib.ControlClient(
-        cfg, board_lib.new_board(), CLOCK, env.rng
+        cfg, board_lib.new_board(), CLOCK, env.rng, metrics_lib.Metrics()
     )
     yield leader, client
     for replica in (leader, follower):
--- a/tests/entry/test_referrals.py
+++ b/tests/entry/test_referrals.py
@@ -78,7 +78,11 @@
     board = board_lib.new_board()
     env = environment.fake_environment(clock=CLOCK)
     client = control_lib.ControlClient(
-        _settings("e1", referring.grpc), board, CLOCK, env.rng
+        _settings("e1", referring.grpc),
+        board,
+        CLOCK,
+        env.rng,
+        metrics_lib.Metrics(),
     )
     try:
         result = await client.propose(test_control.COMMAND)
