--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -253,7 +253,10 @@
     )
     env = environment.fake_environment(clock=CLOCK)
     board = board_lib.new_board()
-    async with control_lib.ControlClient(cfg, board, CLOCK, env.rng) as client:
+    client = control_lib.ControlClient(
+        cfg, board, CLOCK, env.rng, metrics_lib.Metrics()
+    )
+    async with client:
         async with asyncio.timeout(5):
             while not board.leader_seen_ms.get():
                 await asyncio.sleep(0.01)
--- a/tests/entry/test_referrals.py
+++ b/tests/entry/test_referrals.py
@@ -97,7 +97,10 @@
     board = board_lib.new_board()
     env = environment.fake_environment(clock=CLOCK)
     cfg = _settings("e1", referring.grpc)
-    async with control_lib.ControlClient(cfg, board, CLOCK, env.rng):
+    client = control_lib.ControlClient(
+        cfg, board, CLOCK, env.rng, metrics_lib.Metrics()
+    )
+    async with client:
         async with asyncio.timeout(5):
             while not board.leader_seen_ms.get():
                 await asyncio.sleep(0.01)
--- a/tests/replica/test_watch.py
+++ b/tests/replica/test_watch.py
@@ -113,7 +113,10 @@
     )
     env = environment.fake_environment(clock=clock_lib.SystemClock())
     board = board_lib.new_board()
-    async with client_lib.ControlClient(cfg, board, env.clock, env.rng):
+    client = client_lib.ControlClient(
+        cfg, board, env.clock, env.rng, metrics_lib.Metrics()
+    )
+    async with client:
         async with asyncio.timeout(5):
             while not board.leader_seen_ms.get():
                 await asyncio.sleep(0.01)
