--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -230,14 +230,20 @@
 
 
 @pytest.fixture
-async def watching_client(relayed_leader):
-    """A client that hears the leader, another replica that follows, the relay.
+async def follower():
+    replica = FakeReplica(leader_id="r1")
+    await replica.start()
+    yield replica
+    await replica.stop()
+
+
+@pytest.fixture
+async def watching_client(relayed_leader, follower):
+    """A client of a leader and a follower, and the relay before the leader.
 
     The leader is heard every 100 ms while the relay lets it through.
     """
     leader, relay = relayed_leader
-    follower = FakeReplica(leader_id="r1")
-    await follower.start()
     leader.repeat_ms = 100
     leader.event = wire.WatchEvent(
         term=2, leader_id="r1", configuration=None, endpoints=None
@@ -261,7 +267,6 @@
             while not board.leader_seen_ms.get():
                 await asyncio.sleep(0.01)
         yield client, relay
-    await follower.stop()
 
 
 async def test_leader_is_asked_again_as_soon_as_it_is_heard(watching_client):
