--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -1,4 +1,4 @@
-"""HTTP API for operators at every replica: configuration and evacuations."""
+"""HTTP API that every replica serves to operators: catalog and evacuations."""
 
 import mode
 from aiohttp import web
@@ -19,7 +19,7 @@
 from bilberryroute.replica import service as replica_service
 from bilberryroute.transport import http as http_lib
 
-# Operators try another host after a second without an answer.
+# Operators turn to another host after 1 s without an answer.
 LEADER_WAIT_MS = clock_lib.Millis(900)
 
 
@@ -29,9 +29,10 @@
     env: context.Environment,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
-    """Returns the HTTP server of a replica and the client of the leader.
+    """Returns the services behind the operators' API.
 
-    A role that only refers to the leader brings the client with it.
+    These are its HTTP server, the client of the leader unless the role already
+    runs one, and what follows changes of the seeds.
     """
     cfg = place.settings
     control, started = _control_client(cfg, role, env, metrics)
@@ -52,7 +53,7 @@
     env: context.Environment,
     metrics: metrics_lib.Metrics,
 ) -> tuple[control_client.ControlClient, list[mode.Service]]:
-    """Returns the client of the leader, and what has to be started for it."""
+    """Returns the client of the leader and the services still to be started."""
     if isinstance(role, referrals.ReferralRole):
         return role.control, []
     control = control_client.ControlClient(
@@ -76,29 +77,31 @@
         router = app.router
         router.add_put("/bilberryroute/config", self._put_config)
         router.add_get("/bilberryroute/config", self._get_config)
-        router.add_post("/bilberryroute/evacuate/{zone}", self._evacuate)
-        router.add_delete("/bilberryroute/evacuate/{zone}", self._take_back)
+        router.add_post(
+            "/bilberryroute/evacuate/{zone}", self._start_evacuation
+        )
+        router.add_delete(
+            "/bilberryroute/evacuate/{zone}", self._end_evacuation
+        )
         return app
 
     async def _put_config(self, req: web.Request) -> web.Response:
         body = await api.read_body(req, self._limits.ticket_bytes)
-        wanted = catalog.decode(body)
-        await self._client.apply_catalog(wanted, LEADER_WAIT_MS)
+        new_catalog = catalog.decode(body)
+        await self._client.apply_catalog(new_catalog, LEADER_WAIT_MS)
         return web.json_response({})
 
     async def _get_config(self, req: web.Request) -> web.Response:
         del req
-        found = await self._client.catalog(LEADER_WAIT_MS)
-        return web.Response(
-            body=found.document, content_type="application/json"
-        )
+        held = await self._client.catalog(LEADER_WAIT_MS)
+        return web.Response(body=held.document, content_type="application/json")
 
-    async def _evacuate(self, req: web.Request) -> web.Response:
+    async def _start_evacuation(self, req: web.Request) -> web.Response:
         zone = req.match_info["zone"]
         await self._client.set_evacuated(zone, True, LEADER_WAIT_MS)
         return web.json_response({})
 
-    async def _take_back(self, req: web.Request) -> web.Response:
+    async def _end_evacuation(self, req: web.Request) -> web.Response:
         zone = req.match_info["zone"]
         await self._client.set_evacuated(zone, False, LEADER_WAIT_MS)
         return web.json_response({})
--- a/bilberryroute/transport/control.py
+++ b/bilberryroute/transport/control.py
@@ -1,4 +1,4 @@
-"""Methods that the leading replica serves to entries over gRPC."""
+"""gRPC methods that replicas serve to entries, and codecs of their messages."""
 
 from typing import NoReturn
 
@@ -16,6 +16,7 @@
 WATCH = "Watch"
 CHANGE_MEMBERS = "ChangeMembers"
 
+# Queries and their answers; a `Reply` carries the answer.
 QUERIES = codec.Union(
     queries.GetTicket,
     queries.GetJob,
@@ -50,20 +51,20 @@
 WATCH_REQUESTS = codec.Decoder(wire.WatchRequest)
 WATCH_EVENTS = codec.Decoder(wire.WatchEvent)
 
-# Trailing metadata with the `ErrorReply` that ends a watch.
+# Key of the trailing metadata that holds the `ErrorReply` ending a watch.
 _ERROR_KEY = "bilberryroute-error-bin"
 _ERRORS = codec.Decoder(control.ErrorReply)
 
 
 def path(method: str) -> str:
-    """Returns the full gRPC name of a method."""
+    """Returns the path of a method, as gRPC clients name it."""
     return f"/{SERVICE}/{method}"
 
 
 async def end_watch(
     context: grpc.aio.ServicerContext, error: control.ErrorReply
 ) -> NoReturn:
-    """Ends a watch with an error, which may name the leader."""
+    """Aborts a watch stream with an error, which may name the leader."""
     await context.abort(
         grpc.StatusCode.FAILED_PRECONDITION,
         error.message,
@@ -72,10 +73,10 @@
 
 
 def watch_error(exc: grpc.aio.AioRpcError) -> control.ErrorReply | None:
-    """Returns the error that a replica sent to end a watch, if it did.
+    """Returns the error that a replica aborted a watch stream with, if any.
 
     Raises:
-      errors.MalformedInput: If what it sent is no such error.
+      errors.MalformedInput: If the metadata holds no valid `ErrorReply`.
     """
     for key, value in exc.trailing_metadata() or ():
         if key == _ERROR_KEY:
