Start daemons without reading trusted certificates

Callers saw: after a loss of power, or any restart, a host answers only once Python has loaded its code.

Cause: aiohttp.connector builds a TLS context with all trusted certificates (146 here) when it is imported. No role speaks TLS.

Avoiding the import of aiohttp's client: `aiohttp` imports it itself.

The variables that name the certificates are set while the code is imported, and restored. The new test failed before with 146 certificates.

--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -6,7 +6,10 @@
 import dataclasses
 import gc
 import logging
+import os
 import signal
+import types
+from collections.abc import Iterator
 from collections.abc import Sequence
 
 import mode
@@ -20,6 +23,9 @@
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
+# Where OpenSSL looks for trusted certificates.
+_CERTIFICATE_VARIABLES = ("SSL_CERT_FILE", "SSL_CERT_DIR")
+
 _log = logging.getLogger(__name__)
 
 
@@ -120,9 +126,7 @@
     place: platform_settings.PlatformSettings | None,
     queued: logs.BoundedQueueHandler | None = None,
 ) -> status.ExitStatus:
-    # Imported late: only here is it known which roles are needed.
-    from bilberryroute import process
-
+    process = load_process()
     with _signals() as signals:
         service = process.build(cfg, env, place)
         if queued is not None:
@@ -149,6 +153,31 @@
     return status.ExitStatus.SUCCESS
 
 
+def load_process() -> types.ModuleType:
+    """Imports `process`, late, as only a daemon needs it.
+
+    `aiohttp` reads all trusted certificates when it is imported, a sixth of a
+    role's start. No role speaks TLS.
+    """
+    with _without_certificates():
+        from bilberryroute import process
+    return process
+
+
+@contextlib.contextmanager
+def _without_certificates() -> Iterator[None]:
+    before = {name: os.environ.get(name) for name in _CERTIFICATE_VARIABLES}
+    os.environ.update(dict.fromkeys(_CERTIFICATE_VARIABLES, os.devnull))
+    try:
+        yield
+    finally:
+        for name, value in before.items():
+            if value is None:
+                del os.environ[name]
+            else:
+                os.environ[name] = value
+
+
 async def _start(service: mode.Service) -> None:
     try:
         await service.start()
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,5 +1,9 @@
 """A daemon loads only what its roles use."""
 
+import json
+import subprocess
+import sys
+
 import pytest
 
 from benchmarks import imports
@@ -10,3 +14,22 @@
     found = imports.measure_role(roles)
     assert not found["defopt"]
     assert found["grpc"] == (roles != ("agent",))
+
+
+_COUNT_CERTIFICATES = """
+from bilberryroute.cli import run
+run.load_process()
+import aiohttp.connector, json
+trusted = aiohttp.connector._SSL_CONTEXT_VERIFIED.cert_store_stats()
+print(json.dumps(trusted))
+"""
+
+
+def test_start_of_a_daemon_reads_no_trusted_certificates():
+    done = subprocess.run(
+        [sys.executable, "-c", _COUNT_CERTIFICATES],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert json.loads(done.stdout)["x509"] == 0
