Place runs as soon as a new leader has settled

Callers saw: after a loss of power, no work starts for up to 250 ms though the leader and all workers are back.

Cause: a new leader places nothing for 420 ms, and nothing woke it when that time was over.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 import mode
 
@@ -127,6 +128,9 @@
         due = readiness.next_due_ms(self._batch_state, wall)
         if due is not None:
             wait_ms = clock_lib.Millis(max(1, min(wait_ms, due - wall)))
+        settle_ms = self._settle_left_ms()
+        if settle_ms > 0:
+            wait_ms = min(wait_ms, settle_ms)
         try:
             async with asyncio.timeout(clock_lib.seconds(wait_ms)):
                 await self._wakeup.wait()
@@ -137,7 +141,7 @@
 
     async def _run_round(self) -> None:
         await self._commit_ends()
-        if not self._settled():
+        if self._settle_left_ms() > 0:
             return
         left_ms = self._forecasts.left_ms(self._clock.now())
         forced_stops = batch_upkeep.required_stops(
@@ -152,10 +156,11 @@
             *map(self._proposer.try_propose, _commands(plan, forced_stops))
         )
 
-    def _settled(self) -> bool:
-        term = self._board.term.get()
-        settle_ms = SETTLE_RENEWALS * self._timing.renewal_ms
-        return self._clock.now() - term.began >= settle_ms
+    def _settle_left_ms(self) -> clock_lib.Millis:
+        """Returns how long this leader still places nothing."""
+        settle_ms = math.ceil(SETTLE_RENEWALS * self._timing.renewal_ms)
+        led_ms = self._clock.now() - self._board.term.get().began
+        return clock_lib.Millis(max(0, settle_ms - led_ms))
 
     async def _commit_ends(self) -> None:
         """Commits the ends of runs, then allows workers to discard them."""
