Count the settling of a new leader from the first worker's report

A new leader places nothing for 420 ms, so that it chooses among most workers. That time counted from its term. A group that elects its leader earlier than today would place on the first one or two of them, and gangs and urgent work would find the room taken or wait.

It counts from the first report of a worker to this leader instead. After other changes of the leader, reports come within some tens of milliseconds.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -37,8 +37,8 @@
 IDLE_ROUND_MS = clock_lib.Millis(250)
 # Pause after a round that failed.
 FAILURE_PAUSE_MS = clock_lib.Millis(250)
-# A new leader places nothing for this fraction of a renewal interval, so that
-# it chooses among most workers and not just the first ones to report.
+# A new leader places nothing for this fraction of a renewal interval after the
+# first worker's report, so that it chooses among most workers.
 SETTLE_RENEWALS = 0.6
 # Interval at which new checkpoints are committed, all in one command: about
 # the interval at which workers make them (every 1 or 2 s of work).
@@ -69,6 +69,8 @@
         self._run_times = forecasts_lib.AverageRunTimes()
         self._logged_waiting: set[str] = set()
         self._wakeup = asyncio.Event()
+        self._first_report_ms = clock_lib.Millis(0)
+        self._first_report_term = 0
         self._permits = advice_lib.Permits(advisor, parts.clock, self._wakeup)
 
     async def on_start(self) -> None:
@@ -140,6 +142,7 @@
         self._wakeup.clear()
 
     async def _run_round(self) -> None:
+        self._note_first_report()
         await self._commit_ends()
         if self._settle_left_ms() > 0:
             return
@@ -159,8 +162,16 @@
     def _settle_left_ms(self) -> clock_lib.Millis:
         """Returns how long this leader still places nothing."""
         settle_ms = math.ceil(SETTLE_RENEWALS * self._timing.renewal_ms)
-        led_ms = self._clock.now() - self._board.term.get().began
-        return clock_lib.Millis(max(0, settle_ms - led_ms))
+        if self._first_report_term != self._board.term.get().number:
+            return clock_lib.Millis(settle_ms)
+        waited_ms = self._clock.now() - self._first_report_ms
+        return clock_lib.Millis(max(0, settle_ms - waited_ms))
+
+    def _note_first_report(self) -> None:
+        term = self._board.term.get().number
+        if self._reports and self._first_report_term != term:
+            self._first_report_term = term
+            self._first_report_ms = self._clock.now()
 
     async def _commit_ends(self) -> None:
         """Commits the ends of runs, then allows workers to discard them."""
--- a/tests/replica/test_settling.py
+++ b/tests/replica/test_settling.py
@@ -56,9 +56,10 @@
     return command_log
 
 
-@pytest.mark.parametrize("last_report_ms", [0, 90, 200, 400])
+@pytest.mark.parametrize("first_report_ms", [0, 90, 400, 1_300])
+@pytest.mark.parametrize("last_report_ms", [10, 150, 400])
 def test_new_leader_places_at_once_when_it_has_settled(
-    loop, parts, log, monkeypatch, last_report_ms
+    loop, parts, log, monkeypatch, first_report_ms, last_report_ms
 ):
     """No event wakes it then: all workers have reported, no run ends."""
     log.submit("waits", batches.content())
@@ -78,12 +79,13 @@
             await controller._run_round()
             await controller._wait_for_event()
         await reporting
-        return proposer.placed_ms - began
+        return proposer.placed_ms - began - first_report_ms
 
     async def report_late(controller: batch_lib.BatchController) -> None:
-        await asyncio.sleep(last_report_ms / 1_000)
-        test_batch.report_now(parts, test_batch.report())
-        controller._wakeup.set()
+        for delay_ms in (first_report_ms, last_report_ms):
+            await asyncio.sleep(delay_ms / 1_000)
+            test_batch.report_now(parts, test_batch.report())
+            controller._wakeup.set()
 
     settle_ms = batch_lib.SETTLE_RENEWALS * parts.cfg.timing.renewal_ms
     placed_after_ms = loop.run(lead())
