Count the silence after a restart from the lock of the data folder

Callers saw: after a loss of power of all hosts, calls are refused or find nobody for about as long as they wait (3 s).

Cause: a replica that starts grants no vote and does not stand for a whole election timeout (600 to 900 ms), as its predecessor may have answered a leader that still relies on it. That time began only once all code was loaded, which takes longer than the timeout itself on these hosts.

The predecessor ends before its lock on the data folder does. So the folder is now locked before the rest of the code is loaded, and the silence counts from then. The random delay between replicas stays as it was, so that votes split no more often. A folder that cannot be locked yet, or is opened again after its disk failed, counts from its opening as before.

Ruled out: counting from the start of the process, as its predecessor may still answer then (a restart that overlaps); letting voters answer the former leader at once, as it is not recorded on disk who led.

Tests: the exploration of schedules also runs with folders locked early; a silence that counts from before the lock breaks a lease there.

--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -19,6 +19,7 @@
 from bilberryroute import logs
 from bilberryroute import settings
 from bilberryroute import status
+from bilberryroute.consensus import reservations
 from bilberryroute.platform import settings as platform_settings
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -126,6 +127,8 @@
     place: platform_settings.PlatformSettings | None,
     queued: logs.BoundedQueueHandler | None = None,
 ) -> status.ExitStatus:
+    if cfg.data_folder and settings.ProcessRole.REPLICA in cfg.roles:
+        reservations.reserve(cfg.data_folder, env.clock.now())
     process = load_process()
     with _signals() as signals:
         service = process.build(cfg, env, place)
--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -39,6 +39,7 @@
         hard_state: records.HardState,
         rng: random.Random,
         now: int,
+        locked_ms: int | None = None,
     ):
         self.id = identity
         self.role = messages.Role.FOLLOWER
@@ -55,6 +56,7 @@
             timing=timing,
             rng=rng,
             now=now,
+            locked_ms=locked_ms,
         )
 
     @property
--- a/bilberryroute/consensus/election.py
+++ b/bilberryroute/consensus/election.py
@@ -23,6 +23,7 @@
         timing: settings.Timing,
         rng: random.Random,
         now: int,
+        locked_ms: int | None = None,
     ):
         self._id = own_id
         self._journal = journal
@@ -33,8 +34,11 @@
         self.deadline_ms = now
         if journal.term:
             # A leader lease may rest on a reply sent before the restart, so
-            # no vote is granted until that lease must have expired.
-            self.record_leader_contact(now)
+            # no vote is granted until that lease must have expired. Since the
+            # data folder is locked, only this process has replied.
+            self._heard_ms = now if locked_ms is None else min(now, locked_ms)
+            quiet_until = self._heard_ms + timing.election_ms
+            self.deadline_ms = max(now, quiet_until) + self._random_delay()
 
     def record_leader_contact(self, now: int) -> None:
         """Records a message from the leader and resets the timer."""
@@ -48,8 +52,10 @@
     def reset_election_timer(self, now: int) -> None:
         """Restarts the timer: the election timeout plus a random delay."""
         timeout = self._timing.election_ms
-        spread = self._rng.randrange(max(1, timeout // 2))
-        self.deadline_ms = now + timeout + spread
+        self.deadline_ms = now + timeout + self._random_delay()
+
+    def _random_delay(self) -> int:
+        return self._rng.randrange(max(1, self._timing.election_ms // 2))
 
     def schedule_pre_vote_retry(self, now: int) -> None:
         """Sets the timer for the next pre-vote.
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -248,6 +248,7 @@
             hard_state=recovered.hard_state,
             rng=self._rng,
             now=self._clock.now(),
+            locked_ms=recovered.locked_ms,
         )
 
     async def on_stop(self) -> None:
--- a/bilberryroute/consensus/storage.py
+++ b/bilberryroute/consensus/storage.py
@@ -14,9 +14,9 @@
 from bilberryroute.consensus import frames
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import records
+from bilberryroute.consensus import reservations
 from bilberryroute.transport import codec
 
-_LOCK = "lock"
 _IDENTITY = "identity"
 _SEGMENT = "log-"
 _SNAPSHOT = "snapshot-"
@@ -51,12 +51,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class Recovered:
-    """State recovered from the folder when it was opened."""
+    """State recovered from the folder when it was opened.
+
+    Attributes:
+      locked_ms: When the folder was locked, if that was before it was opened.
+    """
 
     id: str
     hard_state: records.HardState
     snapshot: records.Snapshot
     entries: list[records.Entry]
+    locked_ms: int | None = None
 
 
 _record_decoder = codec.Decoder(SegmentRecord)
@@ -88,10 +93,18 @@
           errors.StorageError: If the folder cannot be used.
         """
         try:
-            self._lock = self._files.lock(_LOCK)
+            reserved = reservations.take(self._files.folder)
+            self._lock = (
+                reserved.descriptor
+                if reserved is not None
+                else self._files.lock(reservations.LOCK)
+            )
             if _IDENTITY not in self._files.names():
                 self._create(replica)
-            return self._recover()
+            recovered = self._recover()
+            if reserved is not None:
+                recovered.locked_ms = reserved.since_ms
+            return recovered
         except errors.LogDamaged:
             self.close()
             raise
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -42,7 +42,7 @@
     require(leader.core.term == term, "the term was raised")
 
 
-def restart_under_lease() -> None:
+def restart_under_lease(down_ms: int = 0, *, early_lock: bool = False) -> None:
     """A follower that restarts does not vote within the leader's lease."""
     simulation = _quiet_group()
     leader = simulation.leader()
@@ -50,7 +50,9 @@
     _cut_both(simulation, cut.name, [leader.name])
     simulation.run_until(simulation.now + 2_000)
     _cut_both(simulation, leader.name, [bounced.name])
+    simulation.early_lock = early_lock
     simulation.crash(bounced)
+    simulation.run_until(simulation.now + down_ms)
     simulation.boot(bounced)
     simulation.run_until(simulation.now + 3_000)
     require(simulation.leader() is not leader, "the lease did not end")
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -74,6 +74,7 @@
         self.epoch = 0
         self.incarnation = 0
         self.frozen_until = 0.0
+        self.ended_at: float | None = None
         self.timer_at: float | None = None
         self.state = 0
         self.applied = 0
@@ -139,8 +140,11 @@
 
     Attributes:
       log: What happened, for the report of a failure.
+      early_lock: Whether a replica that starts has locked its data folder as
+        soon as its predecessor ended.
     """
 
+    early_lock = False
     amnesia = False  # Whether a lost disk comes back under its old identity.
 
     def __init__(self, seed: int, size: int = 3, spares: int = 1):
@@ -218,15 +222,22 @@
             hard_state=disk.hard_state,
             rng=self.rng,
             now=node.local(self.now),
+            locked_ms=self._locked_ms(node),
         )
         self._set_timer(node)
 
+    def _locked_ms(self, node: Node) -> int | None:
+        if not self.early_lock or node.ended_at is None:
+            return None
+        return node.local(node.ended_at)
+
     def crash(self, node: Node) -> None:
         """Ends a replica; a part of what it was writing survives."""
         survives = self.rng.randint(0, len(node.pending))
         for write in node.pending[:survives]:
             node.disk.write(write)
         node.core = None
+        node.ended_at = self.now
         node.epoch += 1
 
     def lose_disk(self, node: Node) -> None:
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -26,10 +26,13 @@
     monkeypatch.setattr(leading_lib, "CHUNK_BYTES", 3)
 
 
-def _explore(seed: int, *, handing_over: bool = False) -> None:
+def _explore(
+    seed: int, *, handing_over: bool = False, early_lock: bool = False
+) -> None:
     simulation = simulation_lib.Simulation(
         seed, size=3 + seed % 3, spares=1 + seed % 2
     )
+    simulation.early_lock = early_lock
     try:
         faults.explore(simulation, handing_over=handing_over)
     except Exception as exc:
@@ -49,6 +52,12 @@
         _explore(seed, handing_over=True)
 
 
+@pytest.mark.parametrize("chunk", range(_CHUNKS))
+def test_invariants_hold_if_data_folders_are_locked_early(chunk):
+    for seed in range(_FIRST + chunk, _FIRST + _COUNT // 3, _CHUNKS):
+        _explore(seed, early_lock=True)
+
+
 def _forget_vote(patch):
     """Term and vote are not written."""
 
@@ -243,6 +252,23 @@
         SCENARIO_MUTANTS[mutant]()
 
 
+@pytest.mark.parametrize("down_ms", [0, 300, 450])
+def test_lease_outlasts_a_restart_with_an_early_lock(down_ms):
+    scenarios.restart_under_lease(down_ms=down_ms, early_lock=True)
+
+
+def test_lease_fails_if_silence_counts_from_before_the_lock(monkeypatch):
+    locked_ms = simulation_lib.Simulation._locked_ms
+
+    def too_early(self, node):
+        at_ms = locked_ms(self, node)
+        return None if at_ms is None else at_ms - 600
+
+    monkeypatch.setattr(simulation_lib.Simulation, "_locked_ms", too_early)
+    with pytest.raises(simulation_lib.Violation):
+        scenarios.restart_under_lease(early_lock=True)
+
+
 def test_hand_over_is_quick():
     scenarios.hand_over_is_quick()
 
