Extend the leases of runs as soon as the agent regains its own

The agents' leases end at 4.1 s, so the last extension of the runs ends at 10.1 s. The agent side-tincan-1 is leased again at 9.797 s, but its runs lapse all the same, and are reported at 10.064 s (8 of 8, job, placed again at 10.064 s, done at 43.8 s).

Cause: a long poll that is sent without a lease extends nothing and lasts up to 1 s, and only its end lets the next one extend the leases. A renewal wakes the planning, not the polling. Now a renewal after a lapse polls at once.

Ruled out: the last poll before the agent's lease ends, which was sent (the runs lapse 6.0 s after the agent's lease); a worker that was away (it announced itself throughout).

Test: test_regained_lease_is_passed_on_to_the_runs_at_once failed before (no extension within 500 ms of the renewal). test_renewed_lease_does_not_cut_polls_short passed before and keeps ordinary renewals from polling.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -136,7 +136,19 @@
 
     @mode.Service.task
     async def _watch_lease(self) -> None:
-        await blackboard.forward(self._board.lease, self._wake)
+        """Plans after each renewal; extends run leases after a lapse.
+
+        A long poll that was sent without a lease extends nothing, and the runs
+        may have less time left than it waits.
+        """
+        cell = self._board.lease
+        seen = cell.version
+        while True:
+            previous = cell.get()
+            seen = await cell.changed(seen)
+            if previous.left(self._clock.now()) == 0:
+                self._poll_soon.set()
+            self._wake.set()
 
     @mode.Service.task
     async def _watch_committed(self) -> None:
--- a/tests/agent/batch_harness.py
+++ b/tests/agent/batch_harness.py
@@ -30,6 +30,7 @@
       lease_orders: Long polls answered, oldest first.
       unanswered: Names of the calls that get no answer.
       down: Whether connections are refused.
+      holds_polls: Whether each long poll lasts for as long as it may.
     """
 
     def __init__(self):
@@ -43,6 +44,7 @@
         self.verdict = worker_port.StartVerdict.STARTED
         self.unanswered: set[str] = set()
         self.down = False
+        self.holds_polls = False
         self.refused = 0
         self.loads: dict = {}
 
@@ -64,6 +66,8 @@
 
     async def extend_lease(self, address, order):
         await asyncio.sleep(0.005)
+        if self.holds_polls:
+            await asyncio.sleep(clock_lib.seconds(order.wait_ms))
         if self.down:
             self.refused += 1
             raise worker_port.WorkerDown("refused")
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -76,6 +76,31 @@
     )
 
 
+async def test_regained_lease_is_passed_on_to_the_runs_at_once(harness):
+    """Runs whose lease ends within the next long poll would be lost."""
+    harness.lease(0)
+    harness.announce()
+    harness.port.holds_polls = True
+    await harness.until(lambda: harness.port.lease_orders)
+    await asyncio.sleep(0.1)  # By now a long poll without a lease waits.
+    harness.lease(batch_harness.FAR_FUTURE)
+    async with asyncio.timeout(clock_lib.seconds(batch_lib.POLL_WAIT_MS) / 2):
+        await harness.until(
+            lambda: harness.port.lease_orders[-1].until_ms is not None
+        )
+
+
+async def test_renewed_lease_does_not_cut_polls_short(harness):
+    harness.announce()
+    harness.port.holds_polls = True
+    await harness.until(lambda: harness.port.lease_orders)
+    await asyncio.sleep(0.1)  # By now a long poll waits.
+    count = len(harness.port.lease_orders)
+    harness.lease(batch_harness.FAR_FUTURE + 1)
+    await asyncio.sleep(0.1)
+    assert len(harness.port.lease_orders) == count
+
+
 async def test_nothing_starts_in_an_evacuated_domain(harness):
     harness.announce()
     harness.desire(batch_harness.desired(), evacuated=("apapa",))
