Read the clock once the lock on the data folder is held

The silence after a restart counted from a reading taken just before the lock, while the predecessor could still reply to a leader for as long as taking the lock takes.

Test: test_silence_counts_from_after_the_lock_was_taken; the old signature took the reading from its caller, who had none after the lock.

--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -128,7 +128,7 @@
     queued: logs.BoundedQueueHandler | None = None,
 ) -> status.ExitStatus:
     if cfg.data_folder and settings.ProcessRole.REPLICA in cfg.roles:
-        reservations.reserve(cfg.data_folder, env.clock.now())
+        reservations.reserve(cfg.data_folder, env.clock)
     process = load_process()
     with _signals() as signals:
         service = process.build(cfg, env, place)
--- a/bilberryroute/consensus/reservations.py
+++ b/bilberryroute/consensus/reservations.py
@@ -8,6 +8,7 @@
 import dataclasses
 import pathlib
 
+from bilberryroute import clock as clock_lib
 from bilberryroute.consensus import files as files_lib
 
 LOCK = "lock"
@@ -28,10 +29,11 @@
     since_ms: int
 
 
-def reserve(folder: str, now: int) -> None:
+def reserve(folder: str, clock: clock_lib.Clock) -> None:
     """Locks a data folder for this process, if nothing prevents it.
 
-    What prevents it is reported when the folder is opened.
+    What prevents it is reported when the folder is opened. The clock is read
+    once the lock is held: until then the predecessor may reply.
     """
     path = pathlib.Path(folder)
     if path in _reserved:
@@ -40,7 +42,7 @@
         descriptor = files_lib.Files(path).lock(LOCK)
     except OSError:
         return
-    _reserved[path] = Reservation(descriptor=descriptor, since_ms=now)
+    _reserved[path] = Reservation(descriptor=descriptor, since_ms=clock.now())
 
 
 def take(folder: pathlib.Path) -> Reservation | None:
--- a/tests/consensus/test_reservations.py
+++ b/tests/consensus/test_reservations.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bilberryroute import clock as clock_lib
 from bilberryroute import settings
 from bilberryroute.consensus import core as core_lib
 from bilberryroute.consensus import files
@@ -18,6 +19,7 @@
 # Time that a replica's code takes to load on a busy host.
 LOAD_MS = 750
 NOW_MS = 50_000
+LOCKED_MS = clock_lib.Millis(7)
 
 
 def restarted(locked_ms: int | None, seed: int = 0) -> core_lib.Core:
@@ -78,16 +80,23 @@
     assert core.deadline_ms >= NOW_MS + TIMING.election_ms
 
 
+class StoppedClock(clock_lib.SystemClock):
+    """A clock that stands still."""
+
+    def now(self):
+        return LOCKED_MS
+
+
 def opened(folder: pathlib.Path) -> storage.LogStorage:
     return storage.LogStorage(files.Files(folder), segment_bytes=100_000)
 
 
 def test_folder_opened_after_it_was_reserved_was_locked_all_the_while(tmp_path):
-    reservations.reserve(str(tmp_path), 7)
+    reservations.reserve(str(tmp_path), StoppedClock())
     with pytest.raises(BlockingIOError):
         files.Files(tmp_path).lock(reservations.LOCK)
     log = opened(tmp_path)
-    assert log.open("r").locked_ms == 7
+    assert log.open("r").locked_ms == LOCKED_MS
     with pytest.raises(BlockingIOError):
         files.Files(tmp_path).lock(reservations.LOCK)
     log.close()
@@ -95,10 +104,28 @@
     log.close()
 
 
+def test_silence_counts_from_after_the_lock_was_taken(tmp_path, monkeypatch):
+    """Until then the predecessor may reply to a leader."""
+    calls = []
+    lock = files.Files.lock
+    monkeypatch.setattr(
+        files.Files,
+        "lock",
+        lambda self, name: (calls.append("lock"), lock(self, name))[1],
+    )
+    clock = StoppedClock()
+    monkeypatch.setattr(
+        clock, "now", lambda: (calls.append("now"), LOCKED_MS)[1]
+    )
+    reservations.reserve(str(tmp_path), clock)
+    opened(tmp_path).open("r")
+    assert calls[:2] == ["lock", "now"]
+
+
 def test_folder_of_a_live_predecessor_is_not_reserved(tmp_path):
     predecessor = opened(tmp_path)
     predecessor.open("r")
-    reservations.reserve(str(tmp_path), 7)
+    reservations.reserve(str(tmp_path), StoppedClock())
     predecessor.close()
     log = opened(tmp_path)
     assert log.open("r").locked_ms is None
