--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 import mode
 
@@ -36,8 +37,8 @@
 IDLE_ROUND_MS = clock_lib.Millis(250)
 # Pause after a round that failed.
 FAILURE_PAUSE_MS = clock_lib.Millis(250)
-# A new leader places nothing for this fraction of a renewal interval, so that
-# it chooses among most workers and not just the first ones to report.
+# A new leader places nothing for this fraction of a renewal interval after the
+# first worker's report, so that it chooses among most workers.
 SETTLE_RENEWALS = 0.6
 # Interval at which new checkpoints are committed, all in one command: about
 # the interval at which workers make them (every 1 or 2 s of work).
@@ -68,6 +69,8 @@
         self._run_times = forecasts_lib.AverageRunTimes()
         self._logged_waiting: set[str] = set()
         self._wakeup = asyncio.Event()
+        self._first_report_ms = clock_lib.Millis(0)
+        self._first_report_term = 0
         self._permits = advice_lib.Permits(advisor, parts.clock, self._wakeup)
 
     async def on_start(self) -> None:
@@ -127,6 +130,9 @@
         due = readiness.next_due_ms(self._batch_state, wall)
         if due is not None:
             wait_ms = clock_lib.Millis(max(1, min(wait_ms, due - wall)))
+        settle_ms = self._settle_left_ms()
+        if settle_ms > 0:
+            wait_ms = min(wait_ms, settle_ms)
         try:
             async with asyncio.timeout(clock_lib.seconds(wait_ms)):
                 await self._wakeup.wait()
@@ -136,8 +142,9 @@
         self._wakeup.clear()
 
     async def _run_round(self) -> None:
+        self._note_first_report()
         await self._commit_ends()
-        if not self._settled():
+        if self._settle_left_ms() > 0:
             return
         left_ms = self._forecasts.left_ms(self._clock.now())
         forced_stops = batch_upkeep.required_stops(
@@ -152,10 +159,19 @@
             *map(self._proposer.try_propose, _commands(plan, forced_stops))
         )
 
-    def _settled(self) -> bool:
-        term = self._board.term.get()
-        settle_ms = SETTLE_RENEWALS * self._timing.renewal_ms
-        return self._clock.now() - term.began >= settle_ms
+    def _settle_left_ms(self) -> clock_lib.Millis:
+        """Returns how long this leader still places nothing."""
+        settle_ms = math.ceil(SETTLE_RENEWALS * self._timing.renewal_ms)
+        if self._first_report_term != self._board.term.get().number:
+            return clock_lib.Millis(settle_ms)
+        waited_ms = self._clock.now() - self._first_report_ms
+        return clock_lib.Millis(max(0, settle_ms - waited_ms))
+
+    def _note_first_report(self) -> None:
+        term = self._board.term.get().number
+        if self._reports and self._first_report_term != term:
+            self._first_report_term = term
+            self._first_report_ms = self._clock.now()
 
     async def _commit_ends(self) -> None:
         """Commits the ends of runs, then allows workers to discard them."""
