--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -32,7 +32,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Daemon:
-    """What `run` was asked for.
+    """The command line of `run`.
 
     Attributes:
       settings: Settings file; empty for the embedded system.
@@ -47,9 +47,9 @@
 def parse(args: Sequence[str]) -> Daemon | None:
     """Returns the daemon asked for, or None for anything else.
 
-    This parser knows `run --settings FILE` only, so that a daemon does not
-    carry the modules of the whole command line. What it does not understand
-    is left to `cli.parser`, which prints help and errors.
+    Parses only `run` with its two options, so that a daemon need not import the
+    modules of the whole command line. `cli.parser` handles everything else and
+    prints help and errors.
     """
     if list(args[:1]) != ["run"]:
         return None
@@ -76,23 +76,23 @@
       errors.SettingsError: If the settings cannot be used.
       errors.BilberryrouteError: If a service fails.
     """
-    place = _place(daemon, env)
-    cfg = place.settings if place is not None else _load(daemon)
+    node = _load_node(daemon, env)
+    cfg = node.settings if node is not None else _load(daemon)
     mode.Service.mundane_level = "debug"
     queued = logs.configure(
-        stream=env.stderr if place is None else env.stdout,
+        stream=env.stderr if node is None else env.stdout,
         level=cfg.log_level,
         role="+".join(cfg.roles),
         host=cfg.host,
         failure_domain=cfg.failure_domain,
-        in_background=place is not None,
+        in_background=node is not None,
     )
     try:
-        return asyncio.run(_serve(cfg, env, place, queued))
+        return asyncio.run(_serve(cfg, env, node, queued))
     except errors.BilberryrouteError:
         raise
     except Exception as exc:
-        raise _typed(exc) from exc
+        raise _as_typed_error(exc) from exc
     finally:
         logs.flush()
 
@@ -111,10 +111,10 @@
     return cfg
 
 
-def _place(
+def _load_node(
     daemon: Daemon, env: context.Environment
 ) -> platform_settings.PlatformSettings | None:
-    """Reads what the users' platform tells this process, if it runs there."""
+    """Loads the settings file of the users' platform, if it runs there."""
     if not daemon.platform:
         return None
     path = env.variables.get(platform_settings.VARIABLE, "")
@@ -124,34 +124,34 @@
 async def _serve(
     cfg: settings.Settings,
     env: context.Environment,
-    place: platform_settings.PlatformSettings | None,
+    node: platform_settings.PlatformSettings | None,
     queued: logs.BoundedQueueHandler | None = None,
 ) -> status.ExitStatus:
     if cfg.data_folder and settings.ProcessRole.REPLICA in cfg.roles:
         reservations.reserve(cfg.data_folder, env.clock)
     process = load_process()
     with _signals() as signals:
-        service = process.build(cfg, env, place)
+        service = process.build(cfg, env, node)
         if queued is not None:
             service.metrics.refresh_with(
                 lambda m: m.log_lines_dropped.set({}, queued.dropped)
             )
-        # What start-up has built stays; a full collection need not walk it.
+        # Objects built at start-up are kept, so later collections skip them.
         gc.collect()
         gc.freeze()
         logs.set_position_source(service.position)
         await _start(service)
         _log.info("started", extra={"http": cfg.listen.http})
         try:
-            await _first(service.wait_until_stopped(), signals.get())
+            await _wait_for_first(service.wait_until_stopped(), signals.get())
             if service.crash_reason is None:
                 _log.info("draining")
                 # A second signal ends the wait.
-                await _first(service.drain(), signals.get())
+                await _wait_for_first(service.drain(), signals.get())
         finally:
             await service.stop()
     if service.crash_reason is not None:
-        raise _typed(service.crash_reason)
+        raise _as_typed_error(service.crash_reason)
     _log.info("stopped")
     return status.ExitStatus.SUCCESS
 
@@ -195,7 +195,7 @@
 
 @contextlib.contextmanager
 def _signals():
-    """Yields a queue of the signals that ask the process to leave."""
+    """Yields a queue of the signals that ask the process to stop."""
     loop = asyncio.get_running_loop()
     received: asyncio.Queue[signal.Signals] = asyncio.Queue()
     for each in _SIGNALS:
@@ -209,13 +209,13 @@
 
 
 def _note_reload() -> None:
-    """Settings hold from the next start on; what runs needs none of them."""
+    """Logs a SIGHUP; settings are only read at start."""
     _log.info("told that the settings changed; they hold from the next start")
 
 
-async def _first(*waits) -> None:
-    """Waits for the first of some coroutines and cancels the others."""
-    tasks = [asyncio.ensure_future(wait) for wait in waits]
+async def _wait_for_first(*coroutines) -> None:
+    """Waits for the first coroutine to end and cancels the others."""
+    tasks = [asyncio.ensure_future(each) for each in coroutines]
     try:
         done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
@@ -226,7 +226,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _typed(exc: BaseException) -> errors.BilberryrouteError:
+def _as_typed_error(exc: BaseException) -> errors.BilberryrouteError:
     if isinstance(exc, errors.BilberryrouteError):
         return exc
     _log.error("service failed", exc_info=exc)
