Log no look-up of a queue that is not there

Callers ask for places that a change has just removed or that never were, and 404 is the right answer; `look_up_ms` counts it.

test_look_up_of_an_unknown_queue_is_measured_and_not_logged failed before.

--- a/bilberryroute/entry/batch.py
+++ b/bilberryroute/entry/batch.py
@@ -188,6 +188,8 @@
     ) -> Iterator[None]:
         """Logs a call to the leader if it fails, and measures its time.
 
+        That an unknown place was looked up is no failure.
+
         Args:
           request: The command or query.
           path: Path or name of what it is about.
@@ -207,6 +209,10 @@
                 "took_ms": self._clock.now() - began_ms,
                 **getattr(exc, "log_fields", {}),
             }
+            if isinstance(exc, errors.NotFound) and isinstance(
+                request, queries.LookUpBatch
+            ):
+                raise
             if isinstance(exc, errors.Refused):
                 logger.info("%s refused: %s", name, exc.message, extra=fields)
             else:
--- a/tests/entry/test_call_failures.py
+++ b/tests/entry/test_call_failures.py
@@ -182,6 +182,25 @@
     assert "retries_total{" not in site.rendered()
 
 
+async def test_look_up_of_an_unknown_queue_is_measured_and_not_logged(
+    build, lines
+):
+    site = await build(r1=Replica())
+    site.replicas["r1"].reply = control.Reply(
+        error=control.ErrorReply(
+            kind="not_found",
+            message="no such queue",
+            remedy="",
+            leader_id="r1",
+            retry_after_ms=None,
+        )
+    )
+    with pytest.raises(errors.NotFound):
+        await site.client.look_up(ADDRESS, WITHIN_MS)
+    assert not lines()
+    assert 'look_up_ms_count{outcome="not_found"} 1' in site.rendered()
+
+
 async def test_line_says_how_long_the_watched_leader_was_silent(build, lines):
     leader = Replica(silent=True)
     leader.event = wire.WatchEvent(
