Show that a host that is named as the leader itself never finds it

A host that refers others to the leader is one of the replicas of its own settings. If a replica led there before, the others name that host until they have elected another one. Its own client then asks this very process, which names what the client knows: itself. Before the end of the watch passed the turn on, so the new leader was found; now the watch follows the name, and neither it nor a call ever asks another replica. Whoever asks that host is sent back to it.

--- a/tests/entry/test_referrals.py
+++ b/tests/entry/test_referrals.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import founding
@@ -100,6 +101,50 @@
     assert board.leader_id.get() == "r4"
 
 
+@pytest.fixture
+async def other():
+    """A replica that names r1 as the leader."""
+    replica = test_control.FakeReplica(leader_id="r1")
+    await replica.start()
+    yield replica
+    replica.repeat_ms = 0
+    await replica.stop()
+
+
+async def test_host_that_is_named_as_leader_itself_finds_the_leader(other):
+    """A replica led there before, and the others still named it for a while."""
+    listen = settings.Listen(
+        grpc=ports.free_address(), datagram=ports.free_address()
+    )
+    cfg = settings.Settings(
+        host="h1",
+        failure_domain="apapa",
+        roles=(settings.ProcessRole.REPLICA,),
+        replica_id="r1",
+        listen=listen,
+        replicas=(
+            settings.ReplicaAddress(id="r1", grpc=listen.grpc, datagram=""),
+            settings.ReplicaAddress(id="r2", grpc=other.address, datagram=""),
+        ),
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    role = referrals.ReferralRole(cfg, env, metrics_lib.Metrics())
+    async with role:
+        with pytest.raises(errors.Unavailable):
+            await role.control.propose(
+                test_control.COMMAND, clock_lib.Millis(300)
+            )
+        other.leader_id = ""
+        other.event = wire.WatchEvent(
+            term=2, leader_id="r2", configuration=None, endpoints=None
+        )
+        other.repeat_ms = 100
+        async with asyncio.timeout(5):
+            while not role.board.leader_seen_ms.get():
+                await asyncio.sleep(0.01)
+    assert role.board.leader_id.get() == "r2"
+
+
 async def test_joining_replica_learns_the_leader_and_founds_nothing(
     leader, referring
 ):
