Follow no replica that refuses and names itself

Callers would see: an entry that finds no leader for good, if its seeds are hosts that keep no replica and one of them is named as the leader.

Cause: since the watch follows the name that ends it, and a named leader keeps the turn from passing on. A process that names itself was thus asked for ever.

Change: whoever refuses and names its own address counts as naming nobody, for watches and calls; the next replica is asked, and names the leader if it knows it.

Ruled out: not to follow names from hosts without a replica, which are how entries find the leader there; to have such a host leave itself out of its own settings, which leaves its visitors in the loop.

Test: test_host_that_is_named_as_leader_itself_finds_the_leader failed before and passes; tests/entry/test_control.py, test_referrals.py and tests/replica/test_watch.py pass.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -128,11 +128,13 @@
         may_be_committed = False
         while (left_ms := deadline - self._clock.now()) > 0:
             timeout_ms = min(CALL_TIMEOUT_MS, left_ms)
+            address = self._leader_address()
             try:
-                return await self._call_once(method, payload, timeout_ms)
+                return await self._call_once(
+                    address, method, payload, timeout_ms
+                )
             except errors.NotLeader as exc:
-                self._learn_leader(exc)
-                self._switch_leader(exc.leader_id)
+                self._switch_leader(self._leader_named(exc, address))
             except errors.CommitUnknown:
                 may_be_committed = True
                 self._switch_leader(None)
@@ -147,9 +149,8 @@
         )
 
     async def _call_once(
-        self, method: str, payload: bytes, timeout_ms: int
+        self, address: str, method: str, payload: bytes, timeout_ms: int
     ) -> bytes:
-        address = self._leader_address()
         began_ms = self._clock.now()
         async with self._connections.use(address) as connection:
             call = connection.channel.unary_unary(methods.path(method))
@@ -226,10 +227,18 @@
     def _is_suspected(self, address: str) -> bool:
         return self._suspected_until.get(address, 0) > self._clock.now()
 
-    def _learn_leader(self, exc: errors.NotLeader) -> None:
-        """Records the address of a leader that the settings may not name."""
+    def _leader_named(self, exc: errors.NotLeader, address: str) -> str | None:
+        """Returns the leader that the replica at `address` named, if another.
+
+        Records its address, as the settings may not name it. What refuses and
+        names itself does not lead yet or any more, or keeps no replica now;
+        others may know better.
+        """
         if exc.leader_id and exc.leader_address:
             self.learn_replica(exc.leader_id, exc.leader_address)
+        if self._addresses().get(exc.leader_id) == address:
+            return None
+        return exc.leader_id
 
     def _switch_leader(self, leader_id: str | None) -> None:
         """Switches to the given leader, or to the next replica without one.
@@ -251,7 +260,7 @@
             try:
                 await self._watch_once(address)
             except grpc.aio.AioRpcError as exc:
-                leader_id = self._leader_named(exc)
+                leader_id = self._leader_named_in(exc, address)
             except TimeoutError:
                 pass
             self._log_leader_lost()
@@ -261,14 +270,15 @@
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await self.sleep(clock_lib.seconds(pause_ms))
 
-    def _leader_named(self, exc: grpc.aio.AioRpcError) -> str | None:
+    def _leader_named_in(
+        self, exc: grpc.aio.AioRpcError, address: str
+    ) -> str | None:
         """Returns the leader that the replica named as it ended the watch."""
         reply = methods.watch_error(exc)
         error = _error_from_reply(reply) if reply is not None else None
         if not isinstance(error, errors.NotLeader):
             return None
-        self._learn_leader(error)
-        return error.leader_id
+        return self._leader_named(error, address)
 
     async def _watch_once(self, address: str) -> None:
         async with self._connections.use(address) as connection:
