Go on to another replica when a watch cannot be read

Callers would see: an entry that ends, with all its calls, because one replica or whatever else listens at a seed's address answers a watch in another form.

Cause: MalformedInput from an event, and since from the error that ends a watch, left the task of the watch. mode takes that for a crash of the service and of all its parents, so the process stops; it starts again beside the same replica. The catch is one-sided: a call that cannot be read fails alone.

Change: such a watch counts as ended; a line names the replica.

Test: both cases of test_malformed_watch_does_not_end_the_search_for_the_leader failed before (Crashed reason=MalformedInput, TimeoutError) and pass.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -261,6 +261,8 @@
                 await self._watch_once(address)
             except grpc.aio.AioRpcError as exc:
                 leader_id = self._leader_named_in(exc, address)
+            except errors.MalformedInput as exc:
+                self._log_malformed(address, exc)
             except TimeoutError:
                 pass
             self._log_leader_lost()
@@ -274,12 +276,19 @@
         self, exc: grpc.aio.AioRpcError, address: str
     ) -> str | None:
         """Returns the leader that the replica named as it ended the watch."""
-        reply = methods.watch_error(exc)
+        try:
+            reply = methods.watch_error(exc)
+        except errors.MalformedInput as malformed:
+            self._log_malformed(address, malformed)
+            return None
         error = _error_from_reply(reply) if reply is not None else None
         if not isinstance(error, errors.NotLeader):
             return None
         return self._leader_named(error, address)
 
+    def _log_malformed(self, address: str, exc: errors.MalformedInput) -> None:
+        self.log.warning("cannot read the watch of %s: %s", address, exc)
+
     async def _watch_once(self, address: str) -> None:
         async with self._connections.use(address) as connection:
             open_stream = connection.channel.stream_stream(
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -263,6 +263,55 @@
     assert result == commands.Changed(revision=7)
 
 
+class MalformedReplica(FakeReplica):
+    """Fake replica of another release, whose watches cannot be decoded."""
+
+    def __init__(self, ends_at_once: bool):
+        super().__init__()
+        self._ends_at_once = ends_at_once
+
+    async def _watch(self, reports: object, context: grpc.aio.ServicerContext):
+        if self._ends_at_once:
+            await context.abort(
+                grpc.StatusCode.FAILED_PRECONDITION,
+                "",
+                (("bilberryroute-error-bin", b"malformed"),),
+            )
+        yield b"malformed"
+
+
+@pytest.mark.parametrize("ends_at_once", [False, True])
+async def test_malformed_watch_does_not_end_the_search_for_the_leader(
+    ends_at_once, relayed_leader
+):
+    leader, _ = relayed_leader
+    leader.event = wire.WatchEvent(
+        term=2, leader_id="r2", configuration=None, endpoints=None
+    )
+    leader.repeat_ms = 100
+    malformed = MalformedReplica(ends_at_once)
+    await malformed.start()
+    cfg = settings.Settings(
+        host="e1",
+        failure_domain="apapa",
+        roles=(settings.ProcessRole.ENTRY,),
+        replicas=tuple(
+            settings.ReplicaAddress(id=f"r{n}", grpc=each.address, datagram="")
+            for n, each in enumerate((malformed, leader), start=1)
+        ),
+    )
+    env = environment.fake_environment(clock=CLOCK)
+    board = board_lib.new_board()
+    client = control_lib.ControlClient(cfg, board, CLOCK, env.rng)
+    try:
+        async with client, asyncio.timeout(3):
+            while not board.leader_seen_ms.get():
+                await asyncio.sleep(0.01)
+    finally:
+        await malformed.stop()
+    assert board.leader_id.get() == "r2"
+
+
 @pytest.fixture
 async def slow_leader():
     """A leading replica, a follower, and a client of both."""
