Look for the group at seeds that the settings name later

Callers would see: nothing at once; a replica that is to replace a lost one never joins, so the next loss may stop the group.

Cause: the platform's file names up to three seeds, may be out of date, and changes at any time, also without a signal. A replica reads it once a second, but only to introduce itself to hosts that keep no replica. One that is in no group yet, or was removed while it was silent, greets the seeds of its start only. If all of those are gone, it waits for good beside a file that names living ones.

Change: it greets the new seeds too, and the leader that they name. New seeds never found a group: the founders stay those of the start, and one that hears of a group from a new seed founds none.

Test: test_new_replica_joins_once_its_settings_name_other_seeds failed before (TimeoutError after 10 s) and passes; tests/consensus/test_rejoining.py, test_founding.py and tests/entry/test_referrals.py pass. The same for a removed replica was changed along without a failing test: it also knows its last members, all of whom would have to be gone.

--- a/bilberryroute/consensus/founding.py
+++ b/bilberryroute/consensus/founding.py
@@ -48,33 +48,42 @@
 
 
 async def first_membership(
-    own: greeting.Hello, cfg: config.GroupConfig
+    own: greeting.Hello,
+    cfg: config.GroupConfig,
+    new_seeds: Sequence[str] = (),
 ) -> records.Membership | None:
     """Greets the replicas of the settings while in no group.
 
+    Args:
+      own: This replica.
+      cfg: Its settings at the start.
+      new_seeds: Addresses that the settings have named since then. They found
+        no group, but may know one.
+
     Returns:
       The membership to found the group with, or None: then either a leader
       that was greeted adds this replica, or the caller tries again.
     """
     others = [m for m in cfg.members if m.id != cfg.replica_id]
     addresses = [cfg.route(m.id, m.grpc) for m in others]
-    answers = await greet_with_leader(own, addresses)
-    if not cfg.policy.may_found:
+    answers = await greet_with_leader(own, [*addresses, *new_seeds])
+    if not cfg.policy.may_found or any(a and a.group for a in answers):
         return None
-    return founders(own, cfg.members, answers)
+    return founders(own, cfg.members, answers[: len(others)])
 
 
 async def ask_to_rejoin(
     own: greeting.Hello,
     cfg: config.GroupConfig,
     membership: records.Membership,
+    new_seeds: Sequence[str] = (),
 ) -> None:
     """Greets all known replicas, so that a leader can admit this one again."""
     known = {m.id: m.grpc for m in cfg.members}
     known |= {m.replica_id: m.address.grpc for m in membership.members}
     known.pop(cfg.replica_id, None)
     addresses = [cfg.route(name, address) for name, address in known.items()]
-    await greet_with_leader(own, addresses)
+    await greet_with_leader(own, list(dict.fromkeys([*addresses, *new_seeds])))
 
 
 def founders(
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -143,6 +143,10 @@
         """Sets the gRPC addresses at which new processes look for a replica."""
         self._seeds = frozenset(addresses)
 
+    def _new_seeds(self) -> list[str]:
+        """Returns the seeds that this replica did not start with."""
+        return sorted(self._seeds - {m.grpc for m in self._cfg.members})
+
     async def read_barrier(self) -> None:
         """Waits until this leader has applied an entry of its own term.
 
@@ -286,7 +290,7 @@
                 await self.sleep(clock_lib.seconds(founding.RETRY_MS))
                 continue
             membership = await founding.first_membership(
-                self._hello(), self._cfg
+                self._hello(), self._cfg, self._new_seeds()
             )
             if membership is not None and not self._group:
                 self._handle(self._core.found(membership, self._clock.now()))
@@ -322,7 +326,10 @@
                 self._clock.now()
             ):
                 await founding.ask_to_rejoin(
-                    self._hello(), self._cfg, self._core.membership
+                    self._hello(),
+                    self._cfg,
+                    self._core.membership,
+                    self._new_seeds(),
                 )
 
     @Service.task
--- a/tests/consensus/test_rejoining.py
+++ b/tests/consensus/test_rejoining.py
@@ -12,6 +12,7 @@
 from bilberryroute.consensus import changes
 from bilberryroute.consensus import group as group_lib
 from tests.consensus import conftest as cluster_lib
+from tests.utils import ports
 
 CLOCK = clock_lib.SystemClock()
 REPAIRS = settings.Group(repairs_itself=True)
@@ -137,3 +138,21 @@
     await _until(lambda: joining.group.id in _ids(leader))
     await leader.group.propose(b"first")
     await _until(lambda: joining.group._applier.items == [b"first"])
+
+
+async def test_new_replica_joins_once_its_settings_name_other_seeds(
+    make_replica,
+):
+    """The seeds that it started with are gone, as lists may be out of date."""
+    replicas = await _found(make_replica, 3)
+    leader = _leader(replicas)
+    joining = make_replica("r9")
+    gone = settings.ReplicaAddress(
+        id="r8", grpc=ports.free_address(), datagram=""
+    )
+    await joining.start(
+        (gone, joining.address),
+        settings.Group(may_found=False, repairs_itself=True),
+    )
+    joining.group.set_seeds([r.address.grpc for r in replicas])
+    await _until(lambda: joining.group.id in _ids(leader))
