Have entries and referring hosts read seeds that change while they run

Callers would see: an entry that answers 503 for good after its three seeds were replaced while it knew no leader.

Cause: only processes with a replica read the platform's file again, and only to introduce their replica. Entries, hosts that only refer, and the operators' API of a replica asked the seeds of their start.

Change: they read the file once a second, as replicas do, and also ask the seeds that it names by then. Those of the start stay, and what a leader or a refusal named keeps its id. The role's own settings are read, so that an entry does not take its own host for a seed.

Test: both cases of test_process_without_living_seeds_finds_the_leader_at_new_ones failed before (TimeoutError after 5 s) and pass. That of agents still fails.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 
 import grpc
 import mode
@@ -62,6 +63,7 @@
         self._connections = connection_lib.Connections(clock)
         self._replica_index = 0
         self._learned_addresses: dict[str, str] = {}
+        self._seeds: frozenset[str] = frozenset()
         self._suspected_until: dict[str, int] = {}
         self._watched_leader = ""
 
@@ -193,9 +195,15 @@
 
     def _addresses(self) -> dict[str, str]:
         """Returns the addresses of all known replicas; settings take precedence."""
-        return self._learned_addresses | {
+        addresses = self._learned_addresses | {
             r.id: r.grpc for r in self._cfg.replicas
         }
+        strangers = sorted(self._seeds.difference(addresses.values()))
+        return addresses | {address: address for address in strangers}
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Sets seeds that the settings name since the start, by address."""
+        self._seeds = frozenset(addresses)
 
     def learn_replica(self, replica_id: str, address: str) -> None:
         """Records a replica that the settings may not name."""
--- a/bilberryroute/platform/callers.py
+++ b/bilberryroute/platform/callers.py
@@ -15,6 +15,7 @@
 from bilberryroute.model import queries
 from bilberryroute.platform import applications
 from bilberryroute.platform import jobs
+from bilberryroute.platform import seeds
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
 
@@ -35,7 +36,11 @@
     limits = place.settings.limits
     callers_api = CallersApi(role.batch, limits, role.board.draining.get)
     probe = readiness(role.ready_for_batch)
+    watchers = []
+    if place.path:
+        watchers.append(seeds.SeedWatcher(place, role.control.set_seeds))
     return [
+        *watchers,
         http_lib.HttpServer(
             callers_api.application(metrics), place.addresses.callers, limits
         ),
--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -43,6 +43,8 @@
     if isinstance(role, replica_service.ReplicaRole) and place.path:
         group = role.parts.group
         started.append(seeds.SeedWatcher(place, group.set_seeds))
+    if place.path:
+        started.append(seeds.SeedWatcher(place, control.set_seeds))
     return [*started, server]
 
 
--- a/bilberryroute/platform/seeds.py
+++ b/bilberryroute/platform/seeds.py
@@ -1,5 +1,6 @@
 """Watches the platform's settings file for other seeds."""
 
+import operator
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -12,6 +13,8 @@
 
 READ_INTERVAL_MS = clock_lib.Millis(1_000)
 
+Address = Callable[[settings.ReplicaAddress], str]
+
 
 class SeedWatcher(mode.Service):
     """Passes on the seeds whenever the file names others.
@@ -23,10 +26,20 @@
         self,
         place: platform_settings.PlatformSettings,
         on_change: Callable[[Iterable[str]], None],
+        address: Address = operator.attrgetter("grpc"),
     ):
+        """Initializes the watcher.
+
+        Args:
+          place: What the file said at the start.
+          on_change: Called with the addresses of all seeds.
+          address: Selects the address of a seed to pass on.
+        """
         super().__init__()
         self._path = place.path
-        self._known = _addresses(place.settings)
+        self._role = place.settings.roles[0]
+        self._address = address
+        self._known = self._addresses(place)
         self._on_change = on_change
 
     @mode.Service.task
@@ -38,18 +51,17 @@
     def check(self) -> None:
         """Reads the file once."""
         try:
-            place = platform_settings.load(
-                self._path, settings.ProcessRole.REPLICA
-            )
+            place = platform_settings.load(self._path, self._role)
         except errors.SettingsError as exc:
             self.log.warning("seeds are unchanged: %s", exc)
             return
-        addresses = _addresses(place.settings)
+        addresses = self._addresses(place)
         if addresses != self._known:
             self._known = addresses
             self.log.info("seeds changed", extra={"seeds": sorted(addresses)})
             self._on_change(addresses)
 
-
-def _addresses(cfg: settings.Settings) -> frozenset[str]:
-    return frozenset(replica.grpc for replica in cfg.replicas)
+    def _addresses(
+        self, place: platform_settings.PlatformSettings
+    ) -> frozenset[str]:
+        return frozenset(map(self._address, place.settings.replicas))
