Have agents read seeds that change while they run

Callers would see: a worker that stays empty for good after the three seeds of its agent were replaced while that agent knew no leader.

Change: agents read the platform's file once a second and also renew at the seeds that it names by then.

--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -8,6 +8,7 @@
 import dataclasses
 import logging
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import TypeVar
 
 from mode import Service
@@ -102,6 +103,8 @@
         )
         self._decoder = codec.Decoder(wire.Grant)
         self._configured = {r.id: r.datagram for r in cfg.replicas}
+        self._reported: dict[str, str] = {}
+        self._seeds: frozenset[str] = frozenset()
         self._addresses = self._configured
         self._ids = sorted(self._configured)
         self._target = 0
@@ -306,13 +309,23 @@
 
     def _update_replicas(self, replicas: dict[str, str]) -> None:
         """Updates the replicas; configured addresses take precedence."""
-        if not replicas:
-            return
+        if replicas:
+            self._reported = replicas
+            self._update_addresses()
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Sets seeds that the settings name since the start, by address."""
+        self._seeds = frozenset(addresses)
+        self._update_addresses()
+
+    def _update_addresses(self) -> None:
         current = self._target_id()
-        reported = {**replicas, **self._configured}
-        self._addresses = reported
-        self._ids = sorted(reported)
-        self._target = self._ids.index(current) if current in reported else 0
+        known = {**self._reported, **self._configured}
+        strangers = self._seeds.difference(known.values())
+        known |= {address: address for address in strangers}
+        self._addresses = known
+        self._ids = sorted(known)
+        self._target = self._ids.index(current) if current in known else 0
 
     def _target_id(self) -> str:
         return self._ids[self._target % len(self._ids)]
--- a/bilberryroute/platform/announcements.py
+++ b/bilberryroute/platform/announcements.py
@@ -1,5 +1,7 @@
 """HTTP API of an agent for the worker on the same host."""
 
+import operator
+
 import mode
 from aiohttp import web
 
@@ -8,6 +10,7 @@
 from bilberryroute.agent import batch as agent_batch
 from bilberryroute.agent import service as agent_service
 from bilberryroute.platform import applications
+from bilberryroute.platform import seeds
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.platform import workers
 from bilberryroute.transport import http as http_lib
@@ -24,7 +27,12 @@
     """Returns the HTTP server of an agent."""
     app = WorkerApi(role.batch).application(metrics)
     limits = place.settings.limits
-    return [http_lib.HttpServer(app, place.addresses.control, limits)]
+    server = http_lib.HttpServer(app, place.addresses.control, limits)
+    if not place.path:
+        return [server]
+    by_datagram = operator.attrgetter("datagram")
+    set_seeds = role.renewal.set_seeds
+    return [server, seeds.SeedWatcher(place, set_seeds, by_datagram)]
 
 
 class WorkerApi:
