--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -1,5 +1,7 @@
 """HTTP API for operators at every replica: configuration and evacuations."""
 
+from collections.abc import Iterable
+
 import mode
 from aiohttp import web
 
@@ -40,11 +42,16 @@
     server = http_lib.HttpServer(
         operators_api.application(metrics), place.addresses.control, cfg.limits
     )
-    if isinstance(role, replica_service.ReplicaRole) and place.path:
-        group = role.parts.group
-        started.append(seeds.SeedWatcher(place, group.set_seeds))
+    receivers = [control.set_seeds]
+    if isinstance(role, replica_service.ReplicaRole):
+        receivers.append(role.parts.group.set_seeds)
+
+    def pass_on(addresses: Iterable[str]) -> None:
+        for set_seeds in receivers:
+            set_seeds(addresses)
+
     if place.path:
-        started.append(seeds.SeedWatcher(place, control.set_seeds))
+        started.append(seeds.SeedWatcher(place, pass_on))
     return [*started, server]
 
 
