--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 
 import grpc
 import mode
@@ -66,6 +67,7 @@
         self._connections = connection_lib.Connections(clock)
         self._replica_index = 0
         self._learned_addresses: dict[str, str] = {}
+        self._seeds: frozenset[str] = frozenset()
         self._suspected_until: dict[str, int] = {}
         self._watched_leader = ""
 
@@ -148,11 +150,13 @@
         may_be_committed = False
         while (left_ms := deadline - self._clock.now()) > 0:
             timeout_ms = min(CALL_TIMEOUT_MS, left_ms)
+            address = self._leader_address()
             try:
-                return await self._call_once(method, payload, timeout_ms, tries)
+                return await self._call_once(
+                    address, method, payload, timeout_ms, tries
+                )
             except errors.NotLeader as exc:
-                self._learn_leader(exc)
-                self._switch_leader(exc.leader_id)
+                self._switch_leader(self._leader_named(exc, address))
             except errors.CommitUnknown:
                 may_be_committed = True
                 self._switch_leader(None)
@@ -169,12 +173,12 @@
 
     async def _call_once(
         self,
+        address: str,
         method: str,
         payload: bytes,
         timeout_ms: int,
         tries: tries_lib.Tries,
     ) -> bytes:
-        address = self._leader_address()
         began_ms = self._clock.now()
         async with self._connections.use(address) as connection:
             call = connection.channel.unary_unary(methods.path(method))
@@ -260,9 +264,15 @@
 
     def _addresses(self) -> dict[str, str]:
         """Returns the addresses of all known replicas; settings take precedence."""
-        return self._learned_addresses | {
+        addresses = self._learned_addresses | {
             r.id: r.grpc for r in self._cfg.replicas
         }
+        strangers = sorted(self._seeds.difference(addresses.values()))
+        return addresses | {address: address for address in strangers}
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Sets seeds that the settings name since the start, by address."""
+        self._seeds = frozenset(addresses)
 
     def learn_replica(self, replica_id: str, address: str) -> None:
         """Records a replica that the settings may not name."""
@@ -294,10 +304,18 @@
     def _is_suspected(self, address: str) -> bool:
         return self._suspected_until.get(address, 0) > self._clock.now()
 
-    def _learn_leader(self, exc: errors.NotLeader) -> None:
-        """Records the address of a leader that the settings may not name."""
+    def _leader_named(self, exc: errors.NotLeader, address: str) -> str | None:
+        """Returns the leader that the replica at `address` named, if another.
+
+        Records its address, as the settings may not name it. What refuses and
+        names itself does not lead yet or any more, or keeps no replica now;
+        others may know better.
+        """
         if exc.leader_id and exc.leader_address:
             self.learn_replica(exc.leader_id, exc.leader_address)
+        if self._addresses().get(exc.leader_id) == address:
+            return None
+        return exc.leader_id
 
     def _switch_leader(self, leader_id: str | None) -> None:
         """Switches to the given leader, or to the next replica without one.
@@ -319,7 +337,9 @@
             try:
                 await self._watch_once(address)
             except grpc.aio.AioRpcError as exc:
-                leader_id = self._leader_named(exc)
+                leader_id = self._leader_named_in(exc, address)
+            except errors.MalformedInput as exc:
+                self._log_malformed(address, exc)
             except TimeoutError:
                 pass
             self._log_leader_lost()
@@ -329,14 +349,22 @@
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await self.sleep(clock_lib.seconds(pause_ms))
 
-    def _leader_named(self, exc: grpc.aio.AioRpcError) -> str | None:
+    def _leader_named_in(
+        self, exc: grpc.aio.AioRpcError, address: str
+    ) -> str | None:
         """Returns the leader that the replica named as it ended the watch."""
-        reply = methods.watch_error(exc)
+        try:
+            reply = methods.watch_error(exc)
+        except errors.MalformedInput as malformed:
+            self._log_malformed(address, malformed)
+            return None
         error = _error_from_reply(reply) if reply is not None else None
         if not isinstance(error, errors.NotLeader):
             return None
-        self._learn_leader(error)
-        return error.leader_id
+        return self._leader_named(error, address)
+
+    def _log_malformed(self, address: str, exc: errors.MalformedInput) -> None:
+        self.log.warning("cannot read the watch of %s: %s", address, exc)
 
     async def _watch_once(self, address: str) -> None:
         async with self._connections.use(address) as connection:
--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -1,5 +1,7 @@
 """HTTP API that every replica serves to operators: catalog and evacuations."""
 
+from collections.abc import Iterable
+
 import mode
 from aiohttp import web
 
@@ -41,9 +43,16 @@
     server = http_lib.HttpServer(
         operators_api.application(metrics), place.addresses.control, cfg.limits
     )
-    if isinstance(role, replica_service.ReplicaRole) and place.path:
-        group = role.parts.group
-        started.append(seeds.SeedWatcher(place, group.set_seeds))
+    receivers = [control.set_seeds]
+    if isinstance(role, replica_service.ReplicaRole):
+        receivers.append(role.parts.group.set_seeds)
+
+    def pass_on(addresses: Iterable[str]) -> None:
+        for set_seeds in receivers:
+            set_seeds(addresses)
+
+    if place.path:
+        started.append(seeds.SeedWatcher(place, pass_on))
     return [*started, server]
 
 
