--- a/bilberryroute/platform/announcements.py
+++ b/bilberryroute/platform/announcements.py
@@ -1,4 +1,4 @@
-"""HTTP API of an agent for the worker on the same host."""
+"""HTTP API at which the worker on the same host announces itself to its agent."""
 
 import operator
 
@@ -15,7 +15,7 @@
 from bilberryroute.platform import workers
 from bilberryroute.transport import http as http_lib
 
-# The platform's limit for one announcement.
+# Maximum size of an announcement on the platform.
 ANNOUNCEMENT_BYTES = 4 * 1_024 * 1_024
 
 
@@ -24,7 +24,7 @@
     role: agent_service.AgentRole,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
-    """Returns the HTTP server of an agent."""
+    """Returns the agent's HTTP server and what follows changes of the seeds."""
     app = WorkerApi(role.batch).application(metrics)
     limits = place.settings.limits
     server = http_lib.HttpServer(app, place.addresses.control, limits)
@@ -36,7 +36,7 @@
 
 
 class WorkerApi:
-    """Serves the worker on an agent's host."""
+    """Handles announcements of the worker on the agent's host."""
 
     def __init__(self, agent: agent_batch.BatchAgent):
         self._agent = agent
--- a/bilberryroute/platform/callers.py
+++ b/bilberryroute/platform/callers.py
@@ -19,11 +19,11 @@
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
 
-# How long a caller waits if it sends no deadline.
+# Deadline of a call that carries none.
 DEFAULT_DEADLINE_MS = 3_000
 DEADLINE_HEADER = "X-Deadline-Ms"
-# Share of the deadline after which a call without a leader fails, so that the
-# caller still has time to try another entry. An election takes about a second.
+# Share of the deadline after which a call fails for want of a leader. The rest
+# lets the caller try another entry; an election takes about a second.
 LEADER_WAIT_SHARE = 0.5
 
 
@@ -32,7 +32,7 @@
     role: entry_service.EntryRole,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
-    """Returns the HTTP servers of an entry."""
+    """Returns the HTTP servers of an entry and what follows changes of the seeds."""
     limits = place.settings.limits
     callers_api = CallersApi(role.batch, limits, role.board.draining.get)
     probe = readiness(role.ready_for_batch)
--- a/bilberryroute/platform/seeds.py
+++ b/bilberryroute/platform/seeds.py
@@ -1,4 +1,4 @@
-"""Watches the platform's settings file for other seeds."""
+"""Watches the platform's settings file for changes of the seeds."""
 
 import operator
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 
 
 class SeedWatcher(mode.Service):
-    """Passes on the seeds whenever the file names others.
+    """Reports the seeds whenever those in the file change.
 
     The platform may replace the file at any time, with or without a signal.
     """
@@ -31,9 +31,9 @@
         """Initializes the watcher.
 
         Args:
-          place: What the file said at the start.
+          place: The settings read at start.
           on_change: Called with the addresses of all seeds.
-          address: Selects the address of a seed to pass on.
+          address: Returns the address of a seed to report.
         """
         super().__init__()
         self._path = place.path
@@ -49,7 +49,7 @@
             self.check()
 
     def check(self) -> None:
-        """Reads the file once."""
+        """Reads the file once and reports the seeds if they changed."""
         try:
             place = platform_settings.load(self._path, self._role)
         except errors.SettingsError as exc:
