--- a/bilberryroute/cli/run.py
+++ b/bilberryroute/cli/run.py
@@ -209,8 +209,8 @@
 
 
 def _note_reload() -> None:
-    """Logs a SIGHUP; settings are only read at start."""
-    _log.info("told that the settings changed; they hold from the next start")
+    """Logs a SIGHUP; settings but the seeds are only read at start."""
+    _log.info("the settings changed; all but the seeds apply at the next start")
 
 
 async def _wait_for_first(*coroutines) -> None:
