Show that an entry never reaches a leader that is slow to connect

Cause: `grpc.min_reconnect_backoff_ms` is the time-out of an attempt to connect, not a pause. Entries set 100 ms, and gRPC grants an attempt the larger of this and the present backoff, at most 500 ms and some jitter. Calls fail fast meanwhile (`unreached`). Senders between replicas grant 1,000 ms (`CONNECT_TIMEOUT_MS` of consensus.peers). A connection that is open works at the same delay, so only entries that need a new one are struck: after a restart, or after they dropped one as silent.

The connection has to be waited for by itself, and silence counted from then on. The test of the frozen leader, which is to be asked once, rules out forgiving the first silence.

--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -229,6 +229,24 @@
     assert result == commands.Changed(revision=7)
 
 
+async def test_leader_whose_first_answer_is_slow_is_reached(relayed_leader):
+    leader, relay = relayed_leader
+    relay.backward.delay_ms = 600
+    env = environment.fake_environment(clock=CLOCK)
+    client = control_lib.ControlClient(
+        _settings_with_seed(leader),
+        board_lib.new_board(),
+        CLOCK,
+        env.rng,
+        metrics_lib.Metrics(),
+    )
+    try:
+        result = await client.propose(COMMAND, clock_lib.Millis(5_000))
+    finally:
+        await client.on_stop()
+    assert result == commands.Changed(revision=7)
+
+
 @pytest.fixture
 async def slow_leader():
     """A leading replica, a follower, and a client of both."""
