Split the choice of the replica and the errors of calls from the client

Which replica is asked (addresses, suspicions, turns) is now entry/choice.py; how errors of gRPC and replies become ours is entry/call_errors.py. No behaviour changes; one test reads the addresses where they are now.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -14,10 +14,11 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import call_errors
+from bilberryroute.entry import choice as choice_lib
 from bilberryroute.entry import connections as connection_lib
 from bilberryroute.entry import tries as tries_lib
 from bilberryroute.model import commands
-from bilberryroute.model import control
 from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.model import wire
@@ -30,7 +31,6 @@
 RETRY_MIN_MS = 20
 RETRY_MAX_MS = 120
 WATCH_TIMEOUT_MS = clock_lib.Millis(1_500)
-SUSPICION_MS = clock_lib.Millis(3_000)
 # A leader that is alive sends the first event of a watch at once. Allows for a
 # new connection to another region.
 PROBE_TIMEOUT_MS = clock_lib.Millis(500)
@@ -65,10 +65,7 @@
         self._rng = rng
         self._metrics = metrics
         self._connections = connection_lib.Connections(clock)
-        self._replica_index = 0
-        self._learned_addresses: dict[str, str] = {}
-        self._seeds: frozenset[str] = frozenset()
-        self._suspected_until: dict[str, int] = {}
+        self._choice = choice_lib.ReplicaChoice(cfg.replicas, board, clock)
         self._watched_leader = ""
 
     async def on_stop(self) -> None:
@@ -150,18 +147,20 @@
         may_be_committed = False
         while (left_ms := deadline - self._clock.now()) > 0:
             timeout_ms = min(CALL_TIMEOUT_MS, left_ms)
-            address = self._leader_address()
+            address = self._choice.address_to_call()
             try:
                 return await self._call_once(
                     address, method, payload, timeout_ms, tries
                 )
             except errors.NotLeader as exc:
-                self._switch_leader(self._leader_named(exc, address))
+                self._choice.switch_leader(
+                    self._choice.leader_named(exc, address)
+                )
             except errors.CommitUnknown:
                 may_be_committed = True
-                self._switch_leader(None)
+                self._choice.switch_leader(None)
             except errors.Unavailable:
-                self._switch_leader(None)
+                self._choice.switch_leader(None)
             self._metrics.retried(f"call_{tries.last_failure}")
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await asyncio.sleep(clock_lib.seconds(pause_ms))
@@ -187,11 +186,11 @@
                     payload, timeout=clock_lib.seconds(timeout_ms)
                 )
             except grpc.aio.AioRpcError as exc:
-                failure = _failure_of_rpc(exc)
+                failure = call_errors.failure(exc)
                 self._record(tries, connection, began_ms, failure)
                 if failure == tries_lib.SILENT:
                     self._handle_timeout(connection, began_ms)
-                raise _error_from_rpc(exc) from exc
+                raise call_errors.from_rpc(exc) from exc
             self._record_arrival(connection)
         reply = methods.REPLIES.decode(answer)
         if reply.error is not None:
@@ -202,7 +201,7 @@
                 reply.error.kind,
                 reply.error.leader_id,
             )
-            raise _error_from_reply(reply.error)
+            raise call_errors.from_reply(reply.error)
         return reply.payload
 
     def _record(
@@ -239,49 +238,18 @@
             else None,
         }
 
-    def _leader_address(self) -> str:
-        """Returns the address of the presumed leader or of another replica.
-
-        Suspected replicas are used only if all are suspected.
-        """
-        leader = self._named_leader()
-        if leader is not None and not self._is_suspected(leader):
-            return leader
-        addresses = self._addresses()
-        responsive = [
-            a for a in addresses.values() if not self._is_suspected(a)
-        ]
-        candidates = responsive or list(addresses.values())
-        return candidates[self._replica_index % len(candidates)]
-
-    def _watch_address(self) -> str:
-        """Returns the replica to watch: the leader, even if it is suspected."""
-        return self._named_leader() or self._leader_address()
-
-    def _named_leader(self) -> str | None:
-        """Returns the address of the leader that was named last, if known."""
-        return self._addresses().get(self._board.leader_id.get())
-
-    def _addresses(self) -> dict[str, str]:
-        """Returns the addresses of all known replicas; settings take precedence."""
-        addresses = self._learned_addresses | {
-            r.id: r.grpc for r in self._cfg.replicas
-        }
-        strangers = sorted(self._seeds.difference(addresses.values()))
-        return addresses | {address: address for address in strangers}
-
     def set_seeds(self, addresses: Iterable[str]) -> None:
         """Sets seeds that the settings name since the start, by address."""
-        self._seeds = frozenset(addresses)
+        self._choice.set_seeds(addresses)
 
     def learn_replica(self, replica_id: str, address: str) -> None:
         """Records a replica that the settings may not name."""
-        self._learned_addresses[replica_id] = address
+        self._choice.learn(replica_id, address)
 
     def _handle_timeout(
         self, connection: connection_lib.Connection, began_ms: int
     ) -> None:
-        """Avoids a silent replica for `SUSPICION_MS`, and its connection.
+        """Suspects a silent replica, and replaces its connection.
 
         A replica that was heard meanwhile is slow, or had little time left.
         """
@@ -290,7 +258,7 @@
         if silent_ms < SILENCE_MS:
             return
         address = connection.address
-        self._suspected_until[address] = now + SUSPICION_MS
+        self._choice.suspect(address)
         if self._connections.drop(connection):
             self.log.info(
                 "connection is silent; dropped it",
@@ -299,57 +267,30 @@
 
     def _record_arrival(self, connection: connection_lib.Connection) -> None:
         self._connections.record_arrival(connection)
-        self._suspected_until.pop(connection.address, None)
-
-    def _is_suspected(self, address: str) -> bool:
-        return self._suspected_until.get(address, 0) > self._clock.now()
-
-    def _leader_named(self, exc: errors.NotLeader, address: str) -> str | None:
-        """Returns the leader that the replica at `address` named, if another.
-
-        Records its address, as the settings may not name it. What refuses and
-        names itself does not lead yet or any more, or keeps no replica now;
-        others may know better.
-        """
-        if exc.leader_id and exc.leader_address:
-            self.learn_replica(exc.leader_id, exc.leader_address)
-        if self._addresses().get(exc.leader_id) == address:
-            return None
-        return exc.leader_id
-
-    def _switch_leader(self, leader_id: str | None) -> None:
-        """Switches to the given leader, or to the next replica without one.
-
-        The next replica is also asked while the leader is suspected or its
-        address is unknown: it may know better.
-        """
-        self._board.leader_id.set(leader_id or "")
-        leader = self._named_leader()
-        if leader is None or self._is_suspected(leader):
-            self._replica_index += 1
+        self._choice.record_arrival(connection.address)
 
     @mode.Service.task
     async def _watch_leader(self) -> None:
         while not self.should_stop:
             # An error ends only this stream; the loop opens another one.
-            address = self._watch_address()
+            address = self._choice.address_to_watch()
             leader_id = None
             try:
                 await self._watch_once(address)
             except grpc.aio.AioRpcError as exc:
-                leader_id = self._leader_named_in(exc, address)
+                leader_id = self._leader_named_by(exc, address)
             except errors.MalformedInput as exc:
                 self._log_malformed(address, exc)
             except TimeoutError:
                 pass
             self._log_leader_lost()
             # A call may have learned of another leader meanwhile.
-            if leader_id or self._watch_address() == address:
-                self._switch_leader(leader_id)
+            if leader_id or self._choice.address_to_watch() == address:
+                self._choice.switch_leader(leader_id)
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await self.sleep(clock_lib.seconds(pause_ms))
 
-    def _leader_named_in(
+    def _leader_named_by(
         self, exc: grpc.aio.AioRpcError, address: str
     ) -> str | None:
         """Returns the leader that the replica named as it ended the watch."""
@@ -358,10 +299,10 @@
         except errors.MalformedInput as malformed:
             self._log_malformed(address, malformed)
             return None
-        error = _error_from_reply(reply) if reply is not None else None
+        error = call_errors.from_reply(reply) if reply is not None else None
         if not isinstance(error, errors.NotLeader):
             return None
-        return self._leader_named(error, address)
+        return self._choice.leader_named(error, address)
 
     def _log_malformed(self, address: str, exc: errors.MalformedInput) -> None:
         self.log.warning("cannot read the watch of %s: %s", address, exc)
@@ -383,7 +324,7 @@
         connection: connection_lib.Connection,
     ) -> None:
         while not self.should_stop:
-            suspected = self._is_suspected(connection.address)
+            suspected = self._choice.is_suspected(connection.address)
             timeout_ms = PROBE_TIMEOUT_MS if suspected else WATCH_TIMEOUT_MS
             began_ms = self._clock.now()
             try:
@@ -433,7 +374,7 @@
         self._log_leader_found(event.leader_id)
         self._board.term.set(event.term)
         self._board.leader_seen_ms.set(self._clock.now())
-        self._learned_addresses = {r.id: r.grpc for r in event.replicas}
+        self._choice.learn_group(event.replicas)
         self._board.replicas.set(event.replicas)
         if self._board.leader_id.get() != event.leader_id:
             self._board.leader_id.set(event.leader_id)
@@ -446,39 +387,3 @@
             self._board.configuration.set(new_configuration)
         if event.endpoints is not None:
             self._board.endpoints.set(event.endpoints)
-
-
-def _error_from_rpc(exc: grpc.aio.AioRpcError) -> errors.BilberryrouteError:
-    """Maps a gRPC error according to whether the call may have been executed."""
-    match _failure_of_rpc(exc):
-        case tries_lib.UNSERVED:
-            return errors.Unavailable(
-                "the replica does not serve this call yet"
-            )
-        case tries_lib.UNREACHED:
-            return errors.Unavailable("the replica cannot be reached")
-    return errors.CommitUnknown(f"the replica did not answer: {exc.code()}")
-
-
-def _failure_of_rpc(exc: grpc.aio.AioRpcError) -> str:
-    match exc.code():
-        case grpc.StatusCode.UNIMPLEMENTED:
-            return tries_lib.UNSERVED
-        case grpc.StatusCode.DEADLINE_EXCEEDED:
-            return tries_lib.SILENT
-        case grpc.StatusCode.UNAVAILABLE if _never_sent(exc):
-            return tries_lib.UNREACHED
-    return tries_lib.BROKEN
-
-
-def _never_sent(exc: grpc.aio.AioRpcError) -> bool:
-    return "failed to connect" in (exc.details() or "").lower()
-
-
-def _error_from_reply(reply: control.ErrorReply) -> errors.BilberryrouteError:
-    if reply.kind == errors.NotLeader.kind:
-        return errors.NotLeader(reply.leader_id or None, reply.leader_address)
-    kind = errors.by_kind(reply.kind)
-    return kind(
-        reply.message, remedy=reply.remedy, retry_after_ms=reply.retry_after_ms
-    )
--- a/tests/entry/test_referrals.py
+++ b/tests/entry/test_referrals.py
@@ -208,7 +208,7 @@
             await replica.stop()
     known = wire.ReplicaContact(id="r4", grpc=replica.address.grpc)
     assert seed.board.replicas.get() == (known,)
-    assert seed.control._addresses()["r4"] == replica.address.grpc
+    assert seed.control._choice.addresses()["r4"] == replica.address.grpc
 
 
 class _Receiver(asyncio.DatagramProtocol):
