--- a/bilberryroute/entry/referrals.py
+++ b/bilberryroute/entry/referrals.py
@@ -169,7 +169,7 @@
         """Ends the stream at once and names the leader, which has the news."""
         del requests
         await methods.end_watch(context, self._error())
-        yield b""
+        yield b""  # Never reached; makes this a generator, as gRPC expects.
 
     async def _hello(
         self, payload: bytes, context: grpc.aio.ServicerContext
