--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -321,8 +321,8 @@
     def _update_addresses(self) -> None:
         current = self._target_id()
         known = {**self._reported, **self._configured}
-        strangers = self._seeds.difference(known.values())
-        known |= {address: address for address in strangers}
+        new_seeds = self._seeds.difference(known.values())
+        known |= {address: address for address in new_seeds}
         self._addresses = known
         self._ids = sorted(known)
         self._target = self._ids.index(current) if current in known else 0
--- a/bilberryroute/consensus/election.py
+++ b/bilberryroute/consensus/election.py
@@ -7,6 +7,9 @@
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import progress
 
+# Heartbeat intervals in which a candidate collects pre-votes and then stands.
+HEARTBEATS_TO_STAND = 2
+
 
 class Election:
     """Election timer and votes of one replica.
@@ -75,7 +78,9 @@
         """
         if not self._yielded:
             self._yielded = True
-            earliest_ms = now + 2 * self._timing.raft_heartbeat_ms
+            earliest_ms = (
+                now + HEARTBEATS_TO_STAND * self._timing.raft_heartbeat_ms
+            )
             self.deadline_ms = max(self.deadline_ms, earliest_ms)
 
     def may_campaign(self) -> bool:
--- a/bilberryroute/consensus/reservations.py
+++ b/bilberryroute/consensus/reservations.py
@@ -13,6 +13,7 @@
 
 LOCK = "lock"
 
+# The storage that takes a reservation is built only after the code has loaded.
 _reserved: dict[pathlib.Path, "Reservation"] = {}
 
 
