Open the sockets of callers and workers before the code is loaded

What callers saw: "no connection" from a host whose power was back for up to 1.7 s, and no second try.

Cause: a process listened last, after 0.5 s of processor time for imports on half of a core. A start looked like an absent host.

Change: `cli.run` reads the settings, locks the data folder, opens the sockets that callers, endpoints and workers connect to, and only then imports the rest (`cli.serving`). Who connects meanwhile waits in the backlog. A call that may have waited there is given less time to wait for a leader, so that it is answered within its deadline. A replica's port for operators still opens last, as they turn to another host at once.

Both cases of tests/platform/test_starting.py failed with ConnectionRefusedError and pass now.

--- a/benchmarks/imports.py
+++ b/benchmarks/imports.py
@@ -48,7 +48,7 @@
 _BUILD = """
 import dataclasses, msgspec
 from bilberryroute import context, embedded, settings
-from bilberryroute.cli import run
+from bilberryroute.cli import serving
 from bilberryroute import logs, process, settings_check
 cfg = msgspec.structs.replace(
     embedded.embedded_settings({folder!r}),
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -80,6 +80,15 @@
     exit_status = status.ExitStatus.SETTINGS
 
 
+class CannotListen(SettingsError):
+    """An address or the data folder cannot be taken at the start."""
+
+    remedy = (
+        "Check the addresses and the data folder in the settings;"
+        " another process may hold them."
+    )
+
+
 class Refused(BilberryrouteError):
     """Base of refusals: nothing was changed and nothing was run."""
 
--- a/bilberryroute/platform/callers.py
+++ b/bilberryroute/platform/callers.py
@@ -7,6 +7,7 @@
 
 from bilberryroute import api
 from bilberryroute import clock as clock_lib
+from bilberryroute import context
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import batch as entry_batch
@@ -18,11 +19,12 @@
 from bilberryroute.platform import seeds
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
+from bilberryroute.transport import listening
 
 # Deadline of a call that carries none.
 DEFAULT_DEADLINE_MS = 3_000
 DEADLINE_HEADER = "X-Deadline-Ms"
-# Share of the deadline after which a call fails for want of a leader. The rest
+# Share of the time left after which a call fails for want of a leader. The rest
 # lets the caller try another entry; an election takes about a second.
 LEADER_WAIT_SHARE = 0.5
 
@@ -30,11 +32,15 @@
 def services(
     place: platform_settings.PlatformSettings,
     role: entry_service.EntryRole,
+    env: context.Environment,
     metrics: metrics_lib.Metrics,
 ) -> list[mode.Service]:
     """Returns the HTTP servers of an entry and what follows changes of the seeds."""
     limits = place.settings.limits
-    callers_api = CallersApi(role.batch, limits, role.board.draining.get)
+    backlog = listening.Backlog(env.clock)
+    callers_api = CallersApi(
+        role.batch, limits, role.board.draining.get, backlog.longest_wait_ms
+    )
     probe = readiness(role.ready_for_batch)
     watchers = []
     if place.path:
@@ -42,7 +48,10 @@
     return [
         *watchers,
         http_lib.HttpServer(
-            callers_api.application(metrics), place.addresses.callers, limits
+            callers_api.application(metrics),
+            place.addresses.callers,
+            limits,
+            backlog,
         ),
         http_lib.HttpServer(probe, place.addresses.readiness, limits),
     ]
@@ -68,10 +77,21 @@
         client: entry_batch.BatchClient,
         limits: settings.Limits,
         draining: Callable[[], bool],
+        waited_ms: Callable[[], clock_lib.Millis],
     ):
+        """Initializes the API.
+
+        Args:
+          client: Calls the leader.
+          limits: Bounds on bodies.
+          draining: Returns whether this process is about to stop.
+          waited_ms: Returns how long a request that is read now may have
+            waited for this process.
+        """
         self._client = client
         self._limits = limits
         self._draining = draining
+        self._waited_ms = waited_ms
 
     def application(self, metrics: metrics_lib.Metrics) -> web.Application:
         """Returns the application; any path may belong to a queue."""
@@ -81,7 +101,7 @@
 
     async def _answer(self, req: web.Request) -> web.StreamResponse:
         address = _address(req)
-        within_ms = _leader_wait_ms(req)
+        within_ms = self._leader_wait_ms(req)
         match req.method:
             case "POST":
                 content = jobs.decode(
@@ -101,6 +121,12 @@
             resp.force_close()
         return resp
 
+    def _leader_wait_ms(self, req: web.Request) -> clock_lib.Millis:
+        text = req.headers.get(DEADLINE_HEADER, "")
+        deadline = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
+        left_ms = max(0, deadline - self._waited_ms())
+        return clock_lib.Millis(int(left_ms * LEADER_WAIT_SHARE))
+
 
 def _address(req: web.Request) -> catalog_model.Address:
     scheme, _, key = req.headers.get("Authorization", "").partition(" ")
@@ -111,12 +137,6 @@
     )
 
 
-def _leader_wait_ms(req: web.Request) -> clock_lib.Millis:
-    text = req.headers.get(DEADLINE_HEADER, "")
-    deadline = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
-    return clock_lib.Millis(int(deadline * LEADER_WAIT_SHARE))
-
-
 def _state(
     found: queries.BatchView | queries.PendingView,
 ) -> dict[str, object]:
--- a/bilberryroute/platform/settings.py
+++ b/bilberryroute/platform/settings.py
@@ -129,6 +129,19 @@
     path: str = ""
     advisor: str = ""
 
+    def awaited_addresses(self) -> list[str]:
+        """Returns the addresses whose clients gain by waiting for this process.
+
+        A worker has no other agent, and a caller may not try again. An operator
+        is better off at another host.
+        """
+        match self.settings.roles[0]:
+            case settings.ProcessRole.ENTRY:
+                return [self.addresses.callers]
+            case settings.ProcessRole.AGENT:
+                return [self.addresses.control]
+        return []
+
 
 def load(path: str, role: settings.ProcessRole) -> PlatformSettings:
     """Loads the platform's settings file for a process of one role.
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -189,4 +189,4 @@
         case settings.ProcessRole.ENTRY:
             from bilberryroute.platform import callers
 
-            return callers.services(place, role, metrics)
+            return callers.services(place, role, env, metrics)
--- /dev/null
+++ b/bilberryroute/transport/listening.py
@@ -0,0 +1,69 @@
+"""Listening sockets that a process opens before it loads the rest of its code.
+
+Clients that connect meanwhile wait in the backlog of the socket, until the
+server that takes it over reads their requests.
+"""
+
+import dataclasses
+import socket
+
+from bilberryroute import clock as clock_lib
+
+BACKLOG_CONNECTIONS = 128
+# A server reads all that has waited within this time.
+FIRST_READS_MS = clock_lib.Millis(200)
+
+# The server that takes a socket is built only after the code has loaded.
+_opened: dict[str, "Listening"] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Listening:
+    """A listening socket.
+
+    Attributes:
+      sock: The socket.
+      since_ms: When it was opened, by this process's monotonic clock.
+    """
+
+    sock: socket.socket
+    since_ms: int
+
+
+def open_early(address: str, clock: clock_lib.Clock) -> None:
+    """Opens a listening socket at `ip:port`.
+
+    Raises:
+      OSError: If the address cannot be used.
+    """
+    ip, port = address.rsplit(":", 1)
+    sock = socket.create_server((ip, int(port)), backlog=BACKLOG_CONNECTIONS)
+    _opened[address] = Listening(sock=sock, since_ms=clock.now())
+
+
+class Backlog:
+    """Bounds how long a request may have waited for a server that has started.
+
+    The kernel does not tell when a connection that waited was made.
+    """
+
+    def __init__(self, clock: clock_lib.Clock):
+        self._clock = clock
+        self._served_ms = 0
+        self._longest_ms = 0
+
+    def record_served(self, listening: Listening) -> None:
+        """Records that a server reads what has waited at the socket."""
+        self._served_ms = self._clock.now()
+        self._longest_ms = self._served_ms - listening.since_ms
+
+    def longest_wait_ms(self) -> clock_lib.Millis:
+        """Returns how long a request that is read now waited at most."""
+        since_served_ms = self._clock.now() - self._served_ms
+        is_first = since_served_ms < FIRST_READS_MS
+        return clock_lib.Millis(self._longest_ms if is_first else 0)
+
+
+def take(address: str) -> Listening | None:
+    """Hands over the socket of an address, which can be taken only once."""
+    return _opened.pop(address, None)
--- a/tests/cli/test_run.py
+++ b/tests/cli/test_run.py
@@ -14,6 +14,7 @@
 from bilberryroute import process
 from bilberryroute import status
 from bilberryroute.cli import run
+from bilberryroute.cli import serving
 from tests.utils import environment
 
 CFG = embedded.embedded_settings()
@@ -73,7 +74,7 @@
         fake = FakeProcess(Child(fault), **kwargs)
         monkeypatch.setattr(process, "build", lambda cfg, env, place: fake)
         env = environment.fake_environment()
-        return fake, asyncio.create_task(run._serve(CFG, env, None))
+        return fake, asyncio.create_task(serving._serve(CFG, env, None))
 
     yield start
     logs.set_position_source(logs.Position)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -17,8 +17,8 @@
 
 
 _COUNT_CERTIFICATES = """
-from bilberryroute.cli import run
-run.load_process()
+from bilberryroute.cli import serving
+serving.load_process()
 import aiohttp.connector, json
 trusted = aiohttp.connector._SSL_CONTEXT_VERIFIED.cert_store_stats()
 print(json.dumps(trusted))
