Test how long a call waits for a leader after it waited for the process

Fails if CallersApi ignores the wait (1,500 ms instead of 1,000), or if all calls count as having waited.

--- /dev/null
+++ b/tests/platform/test_waits.py
@@ -0,0 +1,60 @@
+"""How long a call waits for a leader, by the time that its caller has left."""
+
+import pytest
+from aiohttp import test_utils
+
+from bilberryroute import clock as clock_lib
+from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
+from bilberryroute import settings
+from bilberryroute.platform import callers
+from bilberryroute.transport import listening
+from tests.utils import ports
+
+LOAD_MS = 1_200
+
+
+class LeaderlessClient:
+    """Client that notes how long each call would have waited for a leader."""
+
+    def __init__(self):
+        self.waits = []
+
+    async def look_up(self, address, within_ms):
+        del address
+        self.waits.append(within_ms)
+        raise errors.Unavailable("no replica leads at present")
+
+
+@pytest.mark.parametrize(
+    ("waited_ms", "leader_wait_ms"), [(0, 1_500), (1_000, 1_000), (4_000, 0)]
+)
+async def test_call_that_waited_for_the_process_is_refused_within_its_deadline(
+    waited_ms, leader_wait_ms
+):
+    client = LeaderlessClient()
+    api = callers.CallersApi(
+        client, settings.Limits(), lambda: False, lambda: waited_ms
+    )
+    app = api.application(metrics_lib.Metrics())
+    async with test_utils.TestClient(test_utils.TestServer(app)) as caller:
+        headers = {callers.DEADLINE_HEADER: "3000"}
+        async with caller.get(
+            "/plan/5c0e7a21d94b36f8", headers=headers
+        ) as resp:
+            assert resp.status == 503
+    assert client.waits == [leader_wait_ms]
+
+
+def test_only_what_is_read_first_counts_as_having_waited():
+    clock = clock_lib.ManualClock()
+    backlog = listening.Backlog(clock)
+    address = ports.free_address()
+    listening.open_early(address, clock)
+    opened = listening.take(address)
+    with opened.sock:
+        clock.advance(LOAD_MS)
+        backlog.record_served(opened)
+        assert backlog.longest_wait_ms() == LOAD_MS
+        clock.advance(listening.FIRST_READS_MS)
+        assert backlog.longest_wait_ms() == 0
