Let an entry start without the state machine and the scheduling

Part of a start's processor time went into modules that an entry never uses.

They now stand in transport.proposals, beside the codecs of queries.

Ruled out: trusted certificates, which are not read since load_process.

The test failed before: the entry had bilberryroute.scheduling loaded.

--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -16,6 +16,7 @@
 from bilberryroute.state import records
 from bilberryroute.state import tickets as ticket_rules
 from bilberryroute.transport import codec
+from bilberryroute.transport import proposals
 
 SIZES = (100, 200, 400, 800)
 TASK_SIZES = (1, 2, 4, 8, 16)
@@ -178,7 +179,7 @@
         ),
     }
     return {
-        name: len(machine_lib.COMMANDS.encode(command))
+        name: len(proposals.COMMANDS.encode(command))
         for name, command in found.items()
     }
 
--- a/benchmarks/imports.py
+++ b/benchmarks/imports.py
@@ -42,6 +42,7 @@
 found["modules"] = len(sys.modules)
 found["grpc"] = "grpc" in sys.modules
 found["defopt"] = "defopt" in sys.modules or "docutils" in sys.modules
+found["scheduling"] = "bilberryroute.scheduling" in sys.modules
 print(json.dumps(found))
 """
 
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -22,9 +22,9 @@
 from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.model import wire
-from bilberryroute.state import machine as machine_lib
 from bilberryroute.transport import codec
 from bilberryroute.transport import control as methods
+from bilberryroute.transport import proposals
 
 CALL_TIMEOUT_MS = clock_lib.Millis(800)
 TOTAL_TIMEOUT_MS = clock_lib.Millis(8_000)
@@ -83,9 +83,9 @@
           errors.Unavailable: If no leader accepted it; nothing changed.
           errors.CommitUnknown: If it may or may not have been committed.
         """
-        payload = machine_lib.COMMANDS.encode(command)
+        payload = proposals.COMMANDS.encode(command)
         answer = await self._call_leader(methods.PROPOSE, payload, within_ms)
-        return machine_lib.RESULTS.decode(answer)
+        return proposals.RESULTS.decode(answer)
 
     async def query(
         self,
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -20,9 +20,9 @@
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.replica import queries as query_lib
-from bilberryroute.state import machine as machine_lib
 from bilberryroute.transport import codec
 from bilberryroute.transport import control as methods
+from bilberryroute.transport import proposals
 
 WATCH_KEEPALIVE_MS = clock_lib.Millis(500)
 
@@ -89,11 +89,11 @@
         return grpc.unary_unary_rpc_method_handler(answer)
 
     async def _propose(self, payload: bytes) -> bytes:
-        command = machine_lib.COMMANDS.decode(payload)
+        command = proposals.COMMANDS.decode(payload)
         self._check_allowed(command)
         self._check_possible(command)
         result = await self._proposer.propose(command)
-        return machine_lib.RESULTS.encode(result)
+        return proposals.RESULTS.encode(result)
 
     async def _query(self, payload: bytes) -> bytes:
         query = methods.QUERIES.decode(payload)
--- a/bilberryroute/replica/proposer.py
+++ b/bilberryroute/replica/proposer.py
@@ -8,7 +8,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute.consensus import group as group_lib
 from bilberryroute.model import commands
-from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import proposals
 
 logger = logging.getLogger(__name__)
 
@@ -36,7 +36,7 @@
           errors.StorageError: If the data folder cannot be written.
         """
         stamped = dataclasses.replace(command, at_ms=self._clock.wall())
-        payload = machine_lib.COMMANDS.encode(stamped)
+        payload = proposals.COMMANDS.encode(stamped)
         began = self._clock.now()
         applied = await self._group.propose(payload)
         took_ms = self._clock.now() - began
--- a/bilberryroute/state/machine.py
+++ b/bilberryroute/state/machine.py
@@ -17,33 +17,7 @@
 from bilberryroute.state import records
 from bilberryroute.state import tickets
 from bilberryroute.transport import codec
-
-COMMANDS = codec.Union(
-    commands.ApplyTicket,
-    commands.SubmitJob,
-    commands.CancelJobs,
-    commands.RefuseJob,
-    commands.PlaceJob,
-    commands.StartJob,
-    commands.StopJob,
-    commands.ReleaseJob,
-    commands.JoinWorker,
-    commands.LoseWorker,
-    commands.ClaimRequest,
-    *batch_commands.COMMANDS,
-)
-
-RESULTS = codec.Union(
-    commands.TicketAccepted,
-    commands.TicketRefused,
-    commands.ClaimHeld,
-    commands.ClaimRefused,
-    commands.JobAccepted,
-    commands.JobRefused,
-    commands.Changed,
-    commands.Unchanged,
-    *batch_commands.RESULTS,
-)
+from bilberryroute.transport import proposals
 
 Listener = Callable[[commands.Command, commands.Result], None]
 
@@ -65,7 +39,7 @@
     def apply(self, index: int, term: int, payload: bytes) -> commands.Result:
         """Applies one committed command and returns its result."""
         del term
-        command = COMMANDS.decode(payload)
+        command = proposals.COMMANDS.decode(payload)
         self.state.at_ms = max(self.state.at_ms, command.at_ms)
         result = self._dispatch(command)
         self.state.index = index
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -13,15 +13,15 @@
 from bilberryroute.model import commands
 from bilberryroute.model import control
 from bilberryroute.model import wire
-from bilberryroute.state import machine as machine_lib
 from bilberryroute.transport import codec
 from bilberryroute.transport import control as methods
+from bilberryroute.transport import proposals
 from tests.utils import environment
 from tests.utils import relay as relay_lib
 
 CLOCK = clock_lib.SystemClock()
 COMMAND = commands.CancelJobs(job_ids=("j1",), at_ms=0)
-DONE = machine_lib.RESULTS.encode(commands.Changed(revision=7))
+DONE = proposals.RESULTS.encode(commands.Changed(revision=7))
 
 
 class FakeReplica:
--- a/tests/replica/test_events.py
+++ b/tests/replica/test_events.py
@@ -6,6 +6,7 @@
 from bilberryroute.replica import events as event_rules
 from bilberryroute.scheduling import events
 from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import proposals
 
 ASSIGNMENT = jobs.Assignment(worker="w1", accelerators=(0,))
 
@@ -58,7 +59,7 @@
 
 
 def _apply(machine, command, index: int = 9) -> list[events.Event]:
-    payload = machine_lib.COMMANDS.encode(command)
+    payload = proposals.COMMANDS.encode(command)
     result = machine.apply(index, 1, payload)
     return event_rules.scheduler_events(command, result, machine.state)
 
--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -7,6 +7,7 @@
 from bilberryroute.model import jobs
 from bilberryroute.state import claims
 from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import proposals
 
 
 class CommandLog:
@@ -18,7 +19,7 @@
 
     def apply(self, command: commands.Command) -> commands.Result:
         self.index += 1
-        payload = machine_lib.COMMANDS.encode(command)
+        payload = proposals.COMMANDS.encode(command)
         return self.machine.apply(self.index, 1, payload)
 
     @property
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,6 +16,11 @@
     assert found["grpc"] == (roles != ("agent",))
 
 
+@pytest.mark.parametrize("role", ["agent", "entry"])
+def test_only_replicas_load_the_scheduling(role):
+    assert not imports.measure_role((role,))["scheduling"]
+
+
 _COUNT_CERTIFICATES = """
 from bilberryroute.cli import run
 run.load_process()
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -8,6 +8,7 @@
 from bilberryroute.model import commands
 from bilberryroute.scheduling.batch import views
 from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import proposals
 
 KEY = "k" * 20
 HOST = "h.example"
@@ -104,7 +105,7 @@
 
     def apply(self, command: commands.Command) -> commands.Result:
         self.index += 1
-        payload = machine_lib.COMMANDS.encode(command)
+        payload = proposals.COMMANDS.encode(command)
         return self.machine.apply(self.index, 1, payload)
 
     def submit(self, job_id: str, what: batch.Content, queue: str = "planned"):
--- a/tests/utils/control.py
+++ b/tests/utils/control.py
@@ -7,6 +7,7 @@
 from bilberryroute.model import membership
 from bilberryroute.model import queries
 from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import proposals
 
 WORKER = jobs.Worker(
     name="w1",
@@ -55,7 +56,7 @@
         if self.fault is not None:
             raise self.fault
         self.proposed.append(command)
-        payload = machine_lib.COMMANDS.encode(command)
+        payload = proposals.COMMANDS.encode(command)
         result = self.machine.apply(len(self.proposed), 1, payload)
         self._board.configuration.set(self.machine.state.configuration)
         return result
