Build a decoder when its first message comes

Cause: each module built the decoders of all its messages when it was loaded: 73 of them in a process of all roles, though an entry receives no command and no query, and a replica that follows no answer. The type hints of a whole tree of data classes are resolved for each first one.

Ruled out: a type that cannot be decoded would now show late; a test decodes with all decoders of all roles.

The test failed before: 73 decoders stood ready in a process of all roles.

--- a/benchmarks/imports.py
+++ b/benchmarks/imports.py
@@ -43,6 +43,11 @@
 found["grpc"] = "grpc" in sys.modules
 found["defopt"] = "defopt" in sys.modules or "docutils" in sys.modules
 found["scheduling"] = "bilberryroute.scheduling" in sys.modules
+if "msgspec" in sys.modules:
+    import gc, msgspec
+    found["decoders"] = sum(
+        type(each) is msgspec.msgpack.Decoder for each in gc.get_objects()
+    )
 print(json.dumps(found))
 """
 
--- a/bilberryroute/transport/codec.py
+++ b/bilberryroute/transport/codec.py
@@ -1,5 +1,6 @@
 """Binary form of typed messages: msgpack with validation, by `msgspec`."""
 
+import functools
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -25,19 +26,23 @@
     body: msgspec.Raw
 
 
-_tagged_decoder = msgspec.msgpack.Decoder(Tagged)
-
-
 def encode(message: object) -> bytes:
     """Returns the msgpack form of a data class."""
     return _encoder.encode(message)
 
 
 class Decoder(Generic[T]):
-    """Validating decoder of one type."""
+    """Validating decoder of one type.
+
+    Built with the first message, as no role receives all types.
+    """
 
     def __init__(self, kind: type[T]):
-        self._decoder = msgspec.msgpack.Decoder(kind)
+        self._kind = kind
+
+    @functools.cached_property
+    def _decoder(self) -> msgspec.msgpack.Decoder:
+        return msgspec.msgpack.Decoder(self._kind)
 
     def decode(self, payload: bytes) -> T:
         """Returns the message.
@@ -51,6 +56,9 @@
             raise errors.MalformedInput(f"malformed message: {exc}") from exc
 
 
+_tagged_decoder = Decoder(Tagged)
+
+
 class Union:
     """Codec of a closed set of data classes, told apart by class name."""
 
@@ -70,10 +78,7 @@
         Raises:
           errors.MalformedInput: If the payload is no message of these kinds.
         """
-        try:
-            tagged = _tagged_decoder.decode(payload)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            raise errors.MalformedInput(f"malformed message: {exc}") from exc
+        tagged = _tagged_decoder.decode(payload)
         decoder = self._decoders.get(tagged.kind)
         if decoder is None:
             raise errors.MalformedInput(f"unknown message {tagged.kind!r}")
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,5 +1,6 @@
 """A daemon loads only what its roles use."""
 
+import gc
 import json
 import subprocess
 import sys
@@ -7,6 +8,11 @@
 import pytest
 
 from benchmarks import imports
+from bilberryroute import errors
+from bilberryroute.agent import service as agent_service
+from bilberryroute.entry import service as entry_service
+from bilberryroute.replica import service as replica_service
+from bilberryroute.transport import codec
 
 
 @pytest.mark.parametrize("roles", imports.ROLES, ids="+".join)
@@ -16,6 +22,20 @@
     assert found["grpc"] == (roles != ("agent",))
 
 
+@pytest.mark.parametrize("roles", imports.ROLES, ids="+".join)
+def test_start_builds_no_decoder_before_a_message_needs_it(roles):
+    assert imports.measure_role(roles)["decoders"] == 0
+
+
+def test_types_of_all_decoders_can_be_decoded():
+    assert all((agent_service, entry_service, replica_service))
+    decoders = [e for e in gc.get_objects() if isinstance(e, codec.Decoder)]
+    assert len(decoders) > 50
+    for decoder in decoders:
+        with pytest.raises(errors.MalformedInput, match="Expected"):
+            decoder.decode(b"\xc0")
+
+
 @pytest.mark.parametrize("role", ["agent", "entry"])
 def test_only_replicas_load_the_scheduling(role):
     assert not imports.measure_role((role,))["scheduling"]
