End the silence after a restart once nobody can hold a lease

Calls that found a listener before that wait or fail.

Cause: a restarted replica grants no vote for an election timeout (600 ms from the lock of its folder), as a leader's lease may rest on a reply of its earlier life, and stands after a random delay of up to 300 ms. After a loss of all power nobody holds that lease.

Now the replica asks all that may lead, with a number drawn for this life; once each of them has denied, in this life, that it leads, the silence ends. Requests for votes that arrive in the silence are answered at its end, and the delay after an early end is up to one heartbeat.

Replicas of the release before end a stream at an unknown kind of message, so both messages travel beside a StandNow of term 0, which those ignore.

--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -18,6 +18,7 @@
 from bilberryroute.consensus import outbox as outbox_lib
 from bilberryroute.consensus import progress
 from bilberryroute.consensus import records
+from bilberryroute.consensus import silence as silence_lib
 
 
 class Core:
@@ -58,6 +59,16 @@
             now=now,
             locked_ms=locked_ms,
         )
+        self._silence: silence_lib.Silence | None = None
+        if self._election.hears_leader(now):
+            self._silence = silence_lib.Silence(
+                own_id=identity,
+                journal=self.journal,
+                timing=timing,
+                rng=rng,
+                now=now,
+                until_ms=self._election.quiet_until_ms,
+            )
 
     @property
     def term(self) -> int:
@@ -82,6 +93,13 @@
     @property
     def deadline_ms(self) -> int:
         """When `tick` has to be called next."""
+        if self._silence is not None:
+            return min(self._silence.next_ms, self._timer_ms)
+        return self._timer_ms
+
+    @property
+    def _timer_ms(self) -> int:
+        """When the heartbeat or election timer expires."""
         if self._leading is not None:
             return self._leading.deadline_ms
         return self._election.deadline_ms
@@ -123,6 +141,7 @@
     def tick(self, now: int) -> list[messages.Output]:
         """Handles expired election and heartbeat timers."""
         if self.role is not messages.Role.HALTED:
+            self._keep_silence(now)
             self._tick(now, stalled=self._was_stalled(now))
         return self._outbox.drain()
 
@@ -222,6 +241,7 @@
         )
 
     def _become_follower(self, term: int, leader: str, now: int) -> None:
+        self._silence = None
         if term > self.term:
             self.journal.set_term(term, "")
         if self._leading is not None:
@@ -256,12 +276,47 @@
         After a stall, messages that arrived meanwhile are still unread, so the
         silence of the others proves nothing. True at most once in a row.
         """
-        late_ms = now - self.deadline_ms
+        late_ms = now - self._timer_ms
         self._stalled = (
             not self._stalled and late_ms >= self._timing.raft_heartbeat_ms
         )
         return self._stalled
 
+    def _keep_silence(self, now: int) -> None:
+        """Asks whether a lease may rest on replies of an earlier life."""
+        if self._silence is None:
+            return
+        if self._silence.may_end():
+            self._election.end_silence(now)
+        elif not self._silence.expired(now):
+            for receiver, request in self._silence.ask(now).items():
+                self._send(receiver, request)
+            return
+        held = self._silence.held()
+        self._silence = None
+        for candidate, request in held.items():
+            self._on_vote_request(candidate, request, now)
+
+    def _on_lease_request(
+        self, sender: str, req: messages.LeaseRequest
+    ) -> None:
+        reply = messages.LeaseReply(
+            life=req.life,
+            leads=self._leading is not None,
+            known=silence_lib.known(self.journal, self.leader),
+        )
+        self._send(sender, reply)
+        question = self._silence and self._silence.ask_back(sender)
+        if question:
+            self._send(sender, question)
+
+    def _on_lease_reply(
+        self, sender: str, reply: messages.LeaseReply, now: int
+    ) -> None:
+        if self._silence is not None:
+            self._silence.record(sender, reply)
+            self._keep_silence(now)
+
     def _tick(self, now: int, *, stalled: bool) -> None:
         if self._leading is not None:
             self._tick_leader(now, stalled=stalled)
@@ -296,6 +351,8 @@
         self, sender: str, req: messages.VoteRequest, now: int
     ) -> None:
         if self.has_leader_contact(now) and not req.handed_over:
+            if self._silence is not None:
+                self._silence.hold(sender, req)
             return
         if not req.pre and req.term > self.term:
             self._become_follower(req.term, "", now)
@@ -425,6 +482,10 @@
                 self._on_vote_reply(sender, body, now)
             case messages.StandNow():
                 self._on_stand_now(sender, body, now)
+            case messages.LeaseRequest():
+                self._on_lease_request(sender, body)
+            case messages.LeaseReply():
+                self._on_lease_reply(sender, body, now)
             case messages.AppendRequest():
                 self._on_append_request(sender, body, now)
             case messages.SnapshotChunk():
--- a/bilberryroute/consensus/election.py
+++ b/bilberryroute/consensus/election.py
@@ -41,17 +41,28 @@
             # no vote is granted until that lease must have expired. Since the
             # data folder is locked, only this process has replied.
             self._heard_ms = now if locked_ms is None else min(now, locked_ms)
-            quiet_until = self._heard_ms + timing.election_ms
-            self.deadline_ms = max(now, quiet_until) + self._random_delay()
+            earliest_ms = max(now, self.quiet_until_ms)
+            self.deadline_ms = earliest_ms + self._random_delay()
 
     def record_leader_contact(self, now: int) -> None:
         """Records a message from the leader and resets the timer."""
         self._heard_ms = now
         self.reset_election_timer(now)
 
+    def end_silence(self, now: int) -> None:
+        """Votes again, as no lease rests on replies of an earlier life."""
+        self._heard_ms = progress.NEVER_MS
+        delay_ms = self._rng.randrange(self._timing.raft_heartbeat_ms)
+        self.deadline_ms = min(self.deadline_ms, now + delay_ms)
+
     def hears_leader(self, now: int) -> bool:
         """Returns whether a leader lease may still rely on a reply from here."""
-        return now < self._heard_ms + self._timing.election_ms
+        return now < self.quiet_until_ms
+
+    @property
+    def quiet_until_ms(self) -> int:
+        """When leases must have ended that rely on replies from here."""
+        return self._heard_ms + self._timing.election_ms
 
     def reset_election_timer(self, now: int) -> None:
         """Restarts the timer: the election timeout plus a random delay."""
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -474,7 +474,10 @@
         if self._core is None:
             return
         self._senders.learn(received.envelope.sender, received.address)
+        due_ms = self._core.deadline_ms
         self._handle(self._core.step(received.envelope, self._clock.now()))
+        if self._core.deadline_ms < due_ms:
+            self._timer_wakeup.set()
 
     async def _on_hello(self, hello: greeting.Hello) -> greeting.Hello:
         if self._core is None:
--- a/bilberryroute/consensus/messages.py
+++ b/bilberryroute/consensus/messages.py
@@ -105,10 +105,38 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseRequest:
+    """Question of a replica that has just started whether the receiver leads.
+
+    Attributes:
+      life: Number that the sender drew when it started.
+    """
+
+    life: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseReply:
+    """Reply to a lease request.
+
+    Attributes:
+      life: Number in the request.
+      leads: Whether the sender leads, under its lease or not.
+      known: Identities of all that may lead, as far as the sender knows.
+    """
+
+    life: int
+    leads: bool
+    known: tuple[str, ...]
+
+
 Message = (
     VoteRequest
     | VoteReply
     | StandNow
+    | LeaseRequest
+    | LeaseReply
     | AppendRequest
     | AppendReply
     | SnapshotChunk
--- a/bilberryroute/consensus/peers.py
+++ b/bilberryroute/consensus/peers.py
@@ -45,16 +45,28 @@
     messages.AppendReply,
     messages.SnapshotChunk,
     messages.SnapshotReply,
+    messages.LeaseRequest,
+    messages.LeaseReply,
 )
+# Replicas of earlier releases end a stream at a kind that they don't know. They
+# read this instead, which asks nothing, as no leader has term 0.
+_STAND_IN = _bodies.encode(messages.StandNow(term=0))
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Wire:
+    """An envelope on the wire.
+
+    Attributes:
+      added: Body of a kind that earlier releases don't know, or empty.
+    """
+
     address: str
     group: str
     sender: str
     receiver: str
     body: bytes
+    added: bytes = b""
 
 
 _wire_decoder = codec.Decoder(_Wire)
@@ -71,13 +83,18 @@
 
 def encode(envelope: messages.Envelope, address: str) -> bytes:
     """Encodes an envelope and the address that its sender listens on."""
+    body = _bodies.encode(envelope.body)
+    added = b""
+    if isinstance(envelope.body, messages.LeaseRequest | messages.LeaseReply):
+        body, added = _STAND_IN, body
     return codec.encode(
         _Wire(
             address=address,
             group=envelope.group,
             sender=envelope.sender,
             receiver=envelope.receiver,
-            body=_bodies.encode(envelope.body),
+            body=body,
+            added=added,
         )
     )
 
@@ -97,7 +114,7 @@
         group=wire.group,
         sender=wire.sender,
         receiver=wire.receiver,
-        body=_bodies.decode(wire.body),
+        body=_bodies.decode(wire.added or wire.body),
     )
     return ReceivedEnvelope(envelope=envelope, address=wire.address)
 
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -41,6 +41,7 @@
         self.folder = folder
         self.log = log
         self.relayed = relayed
+        self.timing = settings.Timing()
         self.relays: dict[tuple[str, str], relay.TcpRelay] = {}
         self.stores: dict[str, storage.LogStorage] = {}
         self.addresses: tuple[settings.ReplicaAddress, ...] = ()
@@ -104,6 +105,7 @@
                 members=self.addresses,
                 data_folder=str(self.folder / name),
                 log=self.log,
+                timing=self.timing,
                 routes={
                     target: link.address
                     for (source, target), link in self.relays.items()
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -58,6 +58,76 @@
     require(simulation.leader() is not leader, "the lease did not end")
 
 
+def restart_beside_a_leader() -> None:
+    """A follower that restarts beside its leader elects nobody else."""
+    for offset_ms in range(0, 300, 25):
+        simulation = _quiet_group()
+        leader, term = simulation.leader(), simulation.leader().core.term
+        cut, bounced = _followers(simulation)
+        _cut_both(simulation, cut.name, [leader.name])
+        simulation.run_until(simulation.now + 2_000 + offset_ms)
+        simulation.crash(bounced)
+        simulation.boot(bounced)
+        simulation.run_until(simulation.now + 2_000)
+        require(simulation.leader() is leader, "the leader was unseated")
+        require(leader.core.term == term, "the term was raised")
+
+
+def answers_to_an_earlier_life() -> None:
+    """Answers that were late for a restart of all end no later silence."""
+    simulation = _quiet_group()
+    late: list[messages.Envelope] = []
+    send = simulation._send
+
+    def listen(envelope: messages.Envelope) -> None:
+        if isinstance(envelope.body, messages.LeaseReply):
+            late.append(envelope)
+        send(envelope)
+
+    simulation._send = listen
+    _restart_all(simulation)
+    simulation.run_until(simulation.now + 2_000)
+    require(bool(late), "nobody answered")
+    simulation._send = send
+    leader = simulation.leader()
+    cut, bounced = _followers(simulation)
+    _cut_both(simulation, cut.name, [leader.name])
+    simulation.run_until(simulation.now + 2_000)
+    _cut_both(simulation, leader.name, [bounced.name])
+    simulation.crash(bounced)
+    simulation.boot(bounced)
+    simulation.cuts -= {(leader.name, bounced.name)}
+    for envelope in late:
+        if envelope.receiver == bounced.disk.id:
+            simulation._deliver(envelope)
+    simulation.cuts.add((leader.name, bounced.name))
+    simulation.run_until(simulation.now + 3_000)
+
+
+def restart_of_all(size: int = 3, last_ms: int = 0) -> None:
+    """After a loss of all power nobody waits for a lease of before.
+
+    Args:
+      size: Number of voters.
+      last_ms: How long the last one takes to come back.
+    """
+    simulation = _quiet_group(size)
+    _restart_all(simulation, last_ms)
+    simulation.run_until(simulation.now + 300)
+    require(simulation.leader() is not None, "no leader")
+
+
+def _restart_all(simulation, last_ms: int = 0) -> None:
+    """Restarts all replicas, the last one after a while."""
+    nodes = list(simulation.nodes.values())
+    for node in nodes:
+        simulation.crash(node)
+    for node in nodes[:-1]:
+        simulation.boot(node)
+    simulation.run_until(simulation.now + last_ms)
+    simulation.boot(nodes[-1])
+
+
 def isolated_follower_returns() -> None:
     """A follower that was cut off for long does not disturb on return."""
     simulation = _quiet_group()
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -1,6 +1,7 @@
 """Explores seeded schedules; `EXPLORE_SEEDS=first:count` runs other ones."""
 
 import os
+from dataclasses import replace
 
 import pytest
 
@@ -10,6 +11,7 @@
 from bilberryroute.consensus import leading as leading_lib
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import records
+from bilberryroute.consensus import silence as silence_lib
 from tests.consensus import faults
 from tests.consensus import scenarios
 from tests.consensus import simulation as simulation_lib
@@ -95,6 +97,38 @@
     patch.setattr(election_lib.Election, "__init__", forgetful)
 
 
+def _majority_ends_silence(patch):
+    """Some answers are enough to end the silence after a restart."""
+
+    def may_end(self):
+        denied = {self._id, *self._not_leading}
+        return len(denied) >= self._journal.membership.quorum
+
+    patch.setattr(silence_lib.Silence, "may_end", may_end)
+
+
+def _old_answers_end_silence(patch):
+    """Answers need not carry the number of this life."""
+    record = silence_lib.Silence.record
+
+    def credulous(self, sender, reply):
+        record(self, sender, replace(reply, life=self._request.life))
+
+    patch.setattr(silence_lib.Silence, "record", credulous)
+
+
+def _leader_denies(patch):
+    """A leader says that it does not lead."""
+    send = core_lib.Core._send
+
+    def deny(self, receiver, body, after=0):
+        if isinstance(body, messages.LeaseReply):
+            body = replace(body, leads=False)
+        send(self, receiver, body, after)
+
+    patch.setattr(core_lib.Core, "_send", deny)
+
+
 def _lease_from_answer(patch):
     """The lease counts from the answer's arrival, not from the sending."""
     reply = core_lib.Core._on_reply
@@ -209,11 +243,15 @@
     _vote_for_shorter_log: (0, "lacks committed"),
     _vote_after_lost_disk: (17, "lacks committed|voted twice"),
     _stand_only_by_latest_membership: (1054, "no recovery"),
+    _majority_ends_silence: (0, "leases overlap|elected in a lease"),
     _change_any_time: (1109, "lacks committed|committed, now"),
 }
 SCENARIO_MUTANTS = {
     _vote_while_leader_heard: scenarios.silent_link,
     _vote_right_after_restart: scenarios.restart_under_lease,
+    _majority_ends_silence: scenarios.restart_under_lease,
+    _old_answers_end_silence: scenarios.answers_to_an_earlier_life,
+    _leader_denies: scenarios.restart_beside_a_leader,
     _commit_older_terms: scenarios.older_term_is_not_counted,
     _change_before_own_term: scenarios.change_waits_for_own_term,
     _stand_without_pre_vote: scenarios.isolated_follower_returns,
@@ -257,6 +295,13 @@
     scenarios.restart_under_lease(down_ms=down_ms, early_lock=True)
 
 
+@pytest.mark.parametrize("size", [1, 2, 3, 5])
+@pytest.mark.parametrize("last_ms", [0, 150, 400])
+def test_group_is_led_soon_after_a_restart_of_all(size, last_ms):
+    """A lease that nobody holds any more is not waited for."""
+    scenarios.restart_of_all(size, last_ms)
+
+
 def test_lease_fails_if_silence_counts_from_before_the_lock(monkeypatch):
     locked_ms = simulation_lib.Simulation._locked_ms
 
--- a/tests/consensus/test_reservations.py
+++ b/tests/consensus/test_reservations.py
@@ -57,6 +57,14 @@
     return any(output.envelope.body.granted for output in sent)
 
 
+def stands_ms(core: core_lib.Core) -> int:
+    """Returns when a replica that gets no message stands as a candidate."""
+    while core.role is messages.Role.FOLLOWER:
+        now = core.deadline_ms
+        core.tick(now)
+    return now
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_group_waits_no_longer_than_a_lease_after_loss_of_power(seed):
     """The time that the code took to load counts."""
@@ -70,14 +78,14 @@
     locked_ms = NOW_MS - load_ms
     core = restarted(locked_ms)
     assert not grants(core, locked_ms + TIMING.election_ms - 1)
-    assert core.deadline_ms >= locked_ms + TIMING.election_ms
+    assert stands_ms(restarted(locked_ms)) >= locked_ms + TIMING.election_ms
     assert grants(core, locked_ms + TIMING.election_ms)
 
 
 def test_folder_locked_when_it_was_opened_counts_from_then():
     core = restarted(None)
     assert not grants(core, NOW_MS + TIMING.election_ms - 1)
-    assert core.deadline_ms >= NOW_MS + TIMING.election_ms
+    assert stands_ms(restarted(None)) >= NOW_MS + TIMING.election_ms
 
 
 class StoppedClock(clock_lib.SystemClock):
