Let urgent work stop runs that were only lost with their worker before

Cause: work that saves its progress makes room for urgent work once. Whether it did so already was told by the number of its run. After a loss of power every task has its second run, so nothing could be stopped any more. The state counts the stops of a task now. Replicas of two releases may count differently; only which work is stopped depends on it, and the leader alone decides that.

Ruled out: jobs that met the cut.

Test: test_job_preempts_what_was_lost_with_its_worker_before failed before, as nothing was stopped. test_job_preempts_nothing_that_was_stopped_before passed before too.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -274,6 +274,7 @@
       permit: Permit of an advisory service for the present run, or empty.
       placed_ms: Unix time of the last placement, in milliseconds.
       crashes: Crashes of workers that ended its runs.
+      stops: Runs that were stopped although the job had not ended.
     """
 
     state: TaskState = TaskState.WAITING
@@ -286,6 +287,7 @@
     permit: str = ""
     placed_ms: int = 0
     crashes: list[Crash] = dataclasses.field(default_factory=list)
+    stops: int = 0
 
     @property
     def active(self) -> bool:
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -29,7 +29,7 @@
         core-millisecond.
       priority: Priority of its queue; 0 is the most urgent.
       checkpoints: Whether it saves a checkpoint when it is stopped.
-      restarted: Whether any of its tasks was started before.
+      stopped_before: Whether a run of any of its tasks was stopped before.
       slack_ms: How much its job may be delayed and still meet its objective,
         or, if that is missed already, still have value.
     """
@@ -39,7 +39,7 @@
     lost_work: int
     priority: int
     checkpoints: bool
-    restarted: bool
+    stopped_before: bool
     slack_ms: int
 
     def can_yield_to(self, priority: int, run_ms: int) -> bool:
@@ -53,7 +53,7 @@
         return (
             less_urgent
             and self.checkpoints
-            and not self.restarted
+            and not self.stopped_before
             and self.slack_ms >= run_ms + RESTART_LOSS_MS
         )
 
@@ -128,7 +128,7 @@
         lost_work=ran_ms * len(tasks) * _weight(step),
         priority=queue.priority if queue is not None else 0,
         checkpoints=step.checkpointing,
-        restarted=any(run.run > 1 for run, _ in tasks),
+        stopped_before=any(record.task(run.task).stops for run, _ in tasks),
         slack_ms=min(
             job_deadlines.running_slack_ms(run.task) for run, _ in tasks
         ),
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -393,12 +393,24 @@
 
 
 def preempted(
-    log, *, saving=True, estimate_ms=60_000, queue="urgent", elapsed_ms=0
+    log,
+    *,
+    saving=True,
+    estimate_ms=60_000,
+    queue="urgent",
+    elapsed_ms=0,
+    first_ends=None,
 ):
     """Returns the jobs preempted for one that exceeds its guarantee."""
     running = batches.step(1, 8, estimate_ms=estimate_ms, checkpointing=saving)
     log.submit("low", batches.content(running), "nightly")
     commit(log, plan(log, batches.worker()))
+    if first_ends is not None:
+        if first_ends == batch.RunOutcome.STOPPED:
+            run = batching.TaskRun(task=batches.task("low"), run=1)
+            log.apply(batching.StopRuns(runs=(run,), at_ms=log.now))
+        log.end(batches.task("low"), outcome=first_ends)
+        commit(log, plan(log, batches.worker()))
     log.now += elapsed_ms
     wide = batches.step(9, 1, estimate_ms=5_000)
     log.submit("wide", batches.content(wide), queue)
@@ -410,6 +422,15 @@
     assert preempted(log) == ["low"]
 
 
+def test_job_preempts_what_was_lost_with_its_worker_before(log):
+    """After a loss of power all runs are such; urgent work waited for them."""
+    assert preempted(log, first_ends=batch.RunOutcome.LOST) == ["low"]
+
+
+def test_job_preempts_nothing_that_was_stopped_before(log):
+    assert preempted(log, first_ends=batch.RunOutcome.STOPPED) == []
+
+
 def test_job_preempts_nothing_that_would_lose_work(log):
     assert preempted(log, saving=False) == []
 
