Say how long the parts of a process's start took

Whether a late entry loaded slowly, waited for a leader or for its first call could be told only from the outside.

Each process now logs `start: loaded` and `start: serving` with `since_start_ms`, an entry also `start: leader_heard` and `start: first_answer`; `bilberryroute_start_ms` holds the same by `part`. No change of logic. The time of the interpreter before the program's first lines is not included, as it can't be read from within.

The tests fail without the change, as there is neither the module nor the gauge.

--- a/bilberryroute/context.py
+++ b/bilberryroute/context.py
@@ -21,6 +21,7 @@
       variables: Environment variables.
       clock: Source of time.
       rng: Source of randomness.
+      began_ms: When the process began, by `clock`.
     """
 
     def __init__(self, **overrides: object):
@@ -37,6 +38,7 @@
             if not hasattr(self, name):
                 raise AttributeError(f"Environment has no {name!r}")
             setattr(self, name, value)
+        self.began_ms: clock_lib.Millis = self.clock.now()
 
     def print_error(self, message: str) -> None:
         """Writes one `prog: error: …` line to stderr."""
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -13,6 +13,7 @@
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
+from bilberryroute import starting
 from bilberryroute.entry import board as board_lib
 from bilberryroute.entry import call_errors
 from bilberryroute.entry import choice as choice_lib
@@ -131,10 +132,15 @@
     ) -> bytes:
         tries = tries_lib.Tries()
         try:
-            return await self._try_leader(method, payload, within_ms, tries)
+            answer = await self._try_leader(method, payload, within_ms, tries)
         except errors.BilberryrouteError as exc:
             exc.log_fields = self._log_fields(tries)
             raise
+        self._record_start(starting.Part.FIRST_ANSWER)
+        return answer
+
+    def _record_start(self, part: starting.Part) -> None:
+        starting.record_end(part, self._metrics, self._clock.now())
 
     async def _try_leader(
         self,
@@ -355,6 +361,7 @@
 
     def _log_leader_found(self, leader_id: str) -> None:
         if leader_id != self._watched_leader:
+            self._record_start(starting.Part.LEADER_HEARD)
             self._watched_leader = leader_id
             self.log.info("hears the leader", extra={"leader": leader_id})
 
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -9,6 +9,8 @@
 import aioprometheus
 from aiohttp import web
 
+from bilberryroute import clock as clock_lib
+
 PREFIX = "bilberryroute"
 
 # From a call within a host to the longest wait that a caller accepts.
@@ -37,6 +39,8 @@
     given to `refresh_with`, which run before each rendering.
 
     Attributes:
+      began_ms: When the process began, or None if that is not known.
+      start_parts: Parts of the start that have ended.
       registry: What `/metrics` renders.
       refusals: Refusals, by `reason` (kind of the error).
       retries: Retries, by `reason`.
@@ -57,6 +61,8 @@
       term: Highest term seen.
       revision: Configuration revision in force in this process.
       draining: 1 once the process was asked to leave.
+      start_ms: Time from the process's start to the end of a part of it, by
+        `part`.
       log_lines_dropped: Log lines dropped as their reader lagged.
       accept_ms: Time of a call that submits a batch job, by `outcome`.
       look_up_ms: Time of a call that asks for the state of a batch job or
@@ -68,7 +74,9 @@
       round_ms: Time that the planner took for one round.
     """
 
-    def __init__(self):
+    def __init__(self, began_ms: clock_lib.Millis | None = None):
+        self.began_ms = began_ms
+        self.start_parts: set[str] = set()
         self.registry = aioprometheus.Registry()
         self._refreshers: list[Refresher] = []
 
@@ -90,6 +98,7 @@
         self.term = self._gauge("term", "Highest term seen.")
         self.revision = self._gauge("revision", "Revision in force.")
         self.draining = self._gauge("draining", "1 while leaving.")
+        self.start_ms = self._gauge("start_ms", "From the start to a part.")
         self.log_lines_dropped = self._gauge(
             "log_lines_dropped", "Log lines dropped."
         )
--- a/bilberryroute/process.py
+++ b/bilberryroute/process.py
@@ -13,6 +13,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import rights as rights_lib
 from bilberryroute import settings
+from bilberryroute import starting
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.transport import http as http_lib
 
@@ -47,7 +48,8 @@
         place: platform_settings.PlatformSettings | None = None,
     ):
         super().__init__()
-        self.metrics = metrics_lib.Metrics()
+        self._clock = env.clock
+        self.metrics = metrics_lib.Metrics(env.began_ms)
         self._client = _platform_client(place)
         self.roles = [
             _role(r, cfg, env, self.metrics, self._client)
@@ -74,6 +76,7 @@
 
     async def on_start(self) -> None:
         """Starts the roles, then listens."""
+        self._record_start(starting.Part.LOADED)
         if self._client is not None:
             await self.add_runtime_dependency(self._client)
         for role in self.roles:
@@ -81,6 +84,10 @@
         await self.add_runtime_dependency(self.http)
         for server in self._platform_servers:
             await self.add_runtime_dependency(server)
+        self._record_start(starting.Part.SERVING)
+
+    def _record_start(self, part: starting.Part) -> None:
+        starting.record_end(part, self.metrics, self._clock.now())
 
     def position(self) -> logs.Position:
         """Returns the highest term and revision that a role has seen."""
