Measure how long calls wait for a leader, by outcome

Calls that failed for it were logged; those that waited and were answered left no trace, so it could not be told what holding a call earns, nor how many callers left meanwhile.

`bilberryroute_leader_wait_ms` counts the calls that did not find the leader at once: `answered`, `left`, or the kind of the error. A call that was answered after a wait is logged with `took_ms` and its tries. A refusal by the leader is an answer, also as the first one after a start. No change of logic.

Run: tests/entry, tests/platform and the tests of metrics, API and logs.

--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -38,6 +38,10 @@
 # A leader sends something every 500 ms to those that watch it.
 SILENCE_MS = clock_lib.Millis(700)
 REPORT_INTERVAL_MS = clock_lib.Millis(500)
+# Ends of a call that waited for the leader, beside the kinds of errors: the
+# leader answered or refused, or the caller did not wait for the answer.
+ANSWERED = "answered"
+LEFT = "left"
 
 
 class ControlClient(mode.Service):
@@ -131,13 +135,37 @@
         within_ms: clock_lib.Millis = TOTAL_TIMEOUT_MS,
     ) -> bytes:
         tries = tries_lib.Tries()
+        began_ms = self._clock.now()
+        outcome = LEFT
         try:
             answer = await self._try_leader(method, payload, within_ms, tries)
+            outcome = ANSWERED
+            return answer
+        except (errors.Unavailable, errors.CommitUnknown) as exc:
+            outcome = exc.kind
+            exc.log_fields = self._log_fields(tries)
+            raise
         except errors.BilberryrouteError as exc:
+            outcome = ANSWERED
             exc.log_fields = self._log_fields(tries)
             raise
-        self._record_start(starting.Part.FIRST_ANSWER)
-        return answer
+        finally:
+            if outcome == ANSWERED:
+                self._record_start(starting.Part.FIRST_ANSWER)
+            if tries.found_no_leader:
+                self._record_wait(outcome, began_ms, tries)
+
+    def _record_wait(
+        self, outcome: str, began_ms: int, tries: tries_lib.Tries
+    ) -> None:
+        """Measures a call that did not find the leader at once."""
+        took_ms = self._clock.now() - began_ms
+        self._metrics.leader_wait_ms.add({"outcome": outcome}, took_ms)
+        if outcome == ANSWERED:
+            self.log.info(
+                "call waited for the leader",
+                extra={"took_ms": took_ms, "tries": tries.rows()},
+            )
 
     def _record_start(self, part: starting.Part) -> None:
         starting.record_end(part, self._metrics, self._clock.now())
@@ -167,6 +195,7 @@
                 self._choice.switch_leader(None)
             except errors.Unavailable:
                 self._choice.switch_leader(None)
+            tries.found_no_leader = True
             self._metrics.retried(f"call_{tries.last_failure}")
             pause_ms = self._rng.randint(RETRY_MIN_MS, RETRY_MAX_MS)
             await asyncio.sleep(clock_lib.seconds(pause_ms))
--- a/bilberryroute/entry/tries.py
+++ b/bilberryroute/entry/tries.py
@@ -38,9 +38,14 @@
 
 
 class Tries:
-    """The tries of one call that failed, in order."""
+    """The tries of one call that failed, in order.
+
+    Attributes:
+      found_no_leader: Whether a try met no leader that answered.
+    """
 
     def __init__(self):
+        self.found_no_leader = False
         self._failed: list[Try] = []
 
     def add(self, failed: Try) -> None:
--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -67,6 +67,8 @@
       accept_ms: Time of a call that submits a batch job, by `outcome`.
       look_up_ms: Time of a call that asks for the state of a batch job or
         queue, by `outcome`.
+      leader_wait_ms: Time of a call that did not find the leader at once, by
+        `outcome`.
       first_start_ms: Time from acceptance to the first placement, by `queue`.
       run_ends: Ends of runs that this leader committed, by `outcome`; for lost
         runs that is the cause.
@@ -105,6 +107,9 @@
 
         self.accept_ms = self._histogram("accept_ms", "Acceptance of jobs.")
         self.look_up_ms = self._histogram("look_up_ms", "Look-up of jobs.")
+        self.leader_wait_ms = self._histogram(
+            "leader_wait_ms", "Calls that did not find the leader at once."
+        )
         self.first_start_ms = self._histogram(
             "first_start_ms", "From acceptance to the first placement."
         )
