--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -115,6 +115,13 @@
         """Returns the callers' addresses of all entries."""
         return [self._relays[name].address for name in self.names("entry")]
 
+    def direct_callers_addresses(self) -> list[str]:
+        """Returns the callers' addresses without relays.
+
+        A relay takes connections also while its entry is down.
+        """
+        return [self._address(n, CALLERS_PORT) for n in self.names("entry")]
+
     def control_addresses(self) -> list[str]:
         """Returns the operators' addresses of all replicas."""
         return [self._relays[name].address for name in self.names("replica")]
