Reach a leader whose first answer on a new connection is slow

Cause: `grpc.min_reconnect_backoff_ms` is the time-out of an attempt to connect. Entries set 100 ms, and each attempt was given up after 100 to 500 ms.

Change: an attempt goes on for 1 s. Calls and the watch wait for the first 100 ms of it only, as long as the first attempt lasted until now, and then ask elsewhere; later ones return to the same attempt. Silence counts from the moment at which the call is sent over a connection that is made. A call that waits for a connection ends as unavailable when the client stops.

On the old code test_leader_that_takes_most_of_a_second_to_connect_is_reached and _is_heard fail (no leader in 3 s), and test_call_that_waits_for_a_connection_ends_as_the_client_stops ends with CancelledError. test_call_does_not_wait_for_a_mute_leader and the one for the watch pass on the old code and fail if calls wait for the whole attempt.

--- a/bilberryroute/entry/connections.py
+++ b/bilberryroute/entry/connections.py
@@ -1,21 +1,35 @@
 """Connections to replicas; one over which nothing arrives is replaced."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
+import grpc
 import grpc.aio
 
 from bilberryroute import clock as clock_lib
 
+# An attempt to connect that takes longer is given up.
+CONNECT_TIMEOUT_MS = clock_lib.Millis(1_000)
+# Calls wait so long for an attempt, and ask elsewhere while it goes on.
+CONNECT_WAIT_MS = clock_lib.Millis(100)
 _CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", 64 * 1024 * 1024),
     ("grpc.max_send_message_length", 64 * 1024 * 1024),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", 500),
     # Otherwise a new channel shares the TCP connection of the one it replaces.
     ("grpc.use_local_subchannel_pool", 1),
 )
+_CONNECTING = (
+    grpc.ChannelConnectivity.IDLE,
+    grpc.ChannelConnectivity.CONNECTING,
+)
+_ATTEMPTED = (
+    grpc.ChannelConnectivity.READY,
+    grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+)
 
 
 class Connection:
@@ -29,14 +43,38 @@
       users: Number of calls and streams in progress.
     """
 
-    def __init__(self, address: str, opened_ms: clock_lib.Millis):
+    def __init__(self, address: str, clock: clock_lib.Clock):
         self.address = address
-        self.opened_ms = opened_ms
+        self.opened_ms = clock.now()
         self.channel = grpc.aio.insecure_channel(
             address, options=_CHANNEL_OPTIONS
         )
         self.heard_ms = 0
         self.users = 0
+        self._clock = clock
+        self._attempt_ms = self.opened_ms
+
+    async def connect(self, within_ms: int = CONNECT_WAIT_MS) -> bool:
+        """Waits for an attempt to connect, in its first `CONNECT_WAIT_MS`.
+
+        Returns:
+          False if the attempt takes longer and goes on, or was closed.
+        """
+        state = self._state()
+        if state is grpc.ChannelConnectivity.IDLE:
+            self._attempt_ms = self._clock.now()
+        left_ms = self._attempt_ms + CONNECT_WAIT_MS - self._clock.now()
+        wait_ms = min(left_ms, within_ms)
+        if state in _CONNECTING and wait_ms > 0:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(clock_lib.seconds(wait_ms)):
+                    while (state := self._state()) in _CONNECTING:
+                        await self.channel.wait_for_state_change(state)
+        # The attempt may have ended while this process was busy elsewhere.
+        return self._state() in _ATTEMPTED
+
+    def _state(self) -> grpc.ChannelConnectivity:
+        return self.channel.get_state(try_to_connect=True)
 
 
 class Connections:
@@ -55,7 +93,7 @@
         """Yields the connection to a replica, for one call or stream."""
         connection = self._current.get(address)
         if connection is None:
-            connection = Connection(address, self._clock.now())
+            connection = Connection(address, self._clock)
             self._current[address] = connection
         connection.users += 1
         try:
--- a/bilberryroute/entry/control.py
+++ b/bilberryroute/entry/control.py
@@ -145,12 +145,11 @@
     ) -> bytes:
         deadline = self._clock.now() + within_ms
         may_be_committed = False
-        while (left_ms := deadline - self._clock.now()) > 0:
-            timeout_ms = min(CALL_TIMEOUT_MS, left_ms)
+        while self._clock.now() < deadline and not self.should_stop:
             address = self._choice.address_to_call()
             try:
                 return await self._call_once(
-                    address, method, payload, timeout_ms, tries
+                    address, method, payload, deadline, tries
                 )
             except errors.NotLeader as exc:
                 self._choice.switch_leader(
@@ -175,11 +174,17 @@
         address: str,
         method: str,
         payload: bytes,
-        timeout_ms: int,
+        deadline: int,
         tries: tries_lib.Tries,
     ) -> bytes:
         began_ms = self._clock.now()
         async with self._connections.use(address) as connection:
+            connected = await connection.connect(deadline - began_ms)
+            asked_ms = self._clock.now()
+            if not connected or asked_ms >= deadline:
+                self._record(tries, connection, began_ms, tries_lib.UNREACHED)
+                raise errors.Unavailable("the replica cannot be reached")
+            timeout_ms = min(CALL_TIMEOUT_MS, deadline - asked_ms)
             call = connection.channel.unary_unary(methods.path(method))
             try:
                 answer = await call(
@@ -189,7 +194,7 @@
                 failure = call_errors.failure(exc)
                 self._record(tries, connection, began_ms, failure)
                 if failure == tries_lib.SILENT:
-                    self._handle_timeout(connection, began_ms)
+                    self._handle_timeout(connection, asked_ms)
                 raise call_errors.from_rpc(exc) from exc
             self._record_arrival(connection)
         reply = methods.REPLIES.decode(answer)
@@ -309,6 +314,8 @@
 
     async def _watch_once(self, address: str) -> None:
         async with self._connections.use(address) as connection:
+            if not await connection.connect():
+                return
             open_stream = connection.channel.stream_stream(
                 methods.path(methods.WATCH)
             )
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+import socket
 
 import grpc
 import pytest
@@ -247,6 +248,110 @@
     assert result == commands.Changed(revision=7)
 
 
+async def test_leader_that_takes_most_of_a_second_to_connect_is_reached(
+    relayed_leader,
+):
+    leader, relay = relayed_leader
+    relay.backward.first_delay_ms = 900
+    env = environment.fake_environment(clock=CLOCK)
+    client = control_lib.ControlClient(
+        _settings_with_seed(leader),
+        board_lib.new_board(),
+        CLOCK,
+        env.rng,
+        metrics_lib.Metrics(),
+    )
+    try:
+        result = await client.propose(COMMAND, clock_lib.Millis(3_000))
+    finally:
+        await client.on_stop()
+    assert result == commands.Changed(revision=7)
+
+
+async def test_leader_that_takes_most_of_a_second_to_connect_is_heard(
+    relayed_leader,
+):
+    leader, relay = relayed_leader
+    relay.backward.first_delay_ms = 900
+    leader.event = wire.WatchEvent(
+        term=2, leader_id="r1", configuration=None, endpoints=None
+    )
+    leader.repeat_ms = 100
+    env = environment.fake_environment(clock=CLOCK)
+    board = board_lib.new_board()
+    client = control_lib.ControlClient(
+        _settings_with_seed(leader),
+        board,
+        CLOCK,
+        env.rng,
+        metrics_lib.Metrics(),
+    )
+    async with client, asyncio.timeout(3):
+        while not board.leader_seen_ms.get():
+            await asyncio.sleep(0.01)
+    assert board.leader_id.get() == "r1"
+
+
+@pytest.fixture
+async def successor_of_a_mute_leader():
+    """A new leader, and a client that takes a host that is mute for it."""
+    leader = FakeReplica()
+    leader.event = wire.WatchEvent(
+        term=2, leader_id="r2", configuration=None, endpoints=None
+    )
+    leader.repeat_ms = 100
+    await leader.start()
+    with socket.create_server(("127.0.0.1", 0)) as mute:
+        host, port = mute.getsockname()
+        addresses = {"r1": f"{host}:{port}", "r2": leader.address}
+        cfg = settings.Settings(
+            host="e1",
+            failure_domain="apapa",
+            roles=(settings.ProcessRole.ENTRY,),
+            replicas=tuple(
+                settings.ReplicaAddress(id=id, grpc=address, datagram="")
+                for id, address in addresses.items()
+            ),
+        )
+        env = environment.fake_environment(clock=CLOCK)
+        board = board_lib.new_board()
+        board.leader_id.set("r1")
+        client = control_lib.ControlClient(
+            cfg, board, CLOCK, env.rng, metrics_lib.Metrics()
+        )
+        yield client, board
+        await client.on_stop()
+    await leader.stop()
+
+
+async def test_call_does_not_wait_for_a_mute_leader(successor_of_a_mute_leader):
+    client, _ = successor_of_a_mute_leader
+    result = await client.propose(COMMAND, clock_lib.Millis(700))
+    assert result == commands.Changed(revision=7)
+
+
+async def test_watch_does_not_wait_for_a_mute_leader(
+    successor_of_a_mute_leader,
+):
+    client, board = successor_of_a_mute_leader
+    async with client, asyncio.timeout(0.7):
+        while not board.leader_seen_ms.get():
+            await asyncio.sleep(0.01)
+    assert board.leader_id.get() == "r2"
+
+
+async def test_call_that_waits_for_a_connection_ends_as_the_client_stops(
+    successor_of_a_mute_leader,
+):
+    client, _ = successor_of_a_mute_leader
+    await client.start()
+    call = asyncio.create_task(client.propose(COMMAND))
+    await asyncio.sleep(0.05)
+    await client.stop()
+    with pytest.raises(errors.Unavailable):
+        await asyncio.wait_for(call, 1)
+
+
 @pytest.fixture
 async def follower():
     replica = FakeReplica(leader_id="r1")
--- a/tests/utils/relay.py
+++ b/tests/utils/relay.py
@@ -18,6 +18,7 @@
 
     Attributes:
       delay_ms: Added to each chunk or datagram.
+      first_delay_ms: Added to the first chunk of a TCP connection.
       jitter_ms: Largest random addition to the delay.
       loss: Share of datagrams dropped; share of TCP chunks that come late by
         a retransmission.
@@ -30,6 +31,7 @@
     """
 
     delay_ms: float = 0
+    first_delay_ms: float = 0
     jitter_ms: float = 0
     loss: float = 0
     reset: float = 0
@@ -141,12 +143,16 @@
         queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(1_024)
         sender = asyncio.create_task(self._send_due(queue, writer, direction))
         loop = asyncio.get_running_loop()
+        first = True
         try:
             while content := await reader.read(_CHUNK_BYTES):
                 faults: Faults = getattr(self, direction)
                 if faults.reset and self._rng.random() < faults.reset:
                     return
                 delay_ms = faults.draw_delay_ms(self._rng)
+                if first:
+                    delay_ms += faults.first_delay_ms
+                    first = False
                 if faults.loss and self._rng.random() < faults.loss:
                     delay_ms += _RETRANSMIT_MS
                 due = loop.time() + clock_lib.seconds(delay_ms)
