Stop no work for room that a late job would not take

Cause: what to stop was selected on any workers, at a price for several racks. When the room was free, the gang was placed by another rule: it waits for room on one rack if that is expected within twice its duration. The selection considers only that now if the gang would wait. Jobs within a guarantee are not changed.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -310,7 +310,9 @@
             for candidate in self._preemption_candidates()
             if candidate.can_yield_to(unit.queue.priority, run_ms)
         ]
-        return self._preempt(unit, yielding)
+        # Room elsewhere would not be taken.
+        local_only = self._waits_for_locality(unit)
+        return self._preempt(unit, yielding, local_only=local_only)
 
     def _preemption_candidates(self) -> list[preempting.PreemptibleUnit]:
         """Returns the units that may still be preempted in this round."""
@@ -330,6 +332,8 @@
         self,
         unit: views.ReadyUnit,
         candidates: list[preempting.PreemptibleUnit],
+        *,
+        local_only: bool = False,
     ) -> tuple[str, ...] | None:
         selection = preempting.select_preemptions(
             unit,
@@ -337,6 +341,7 @@
             candidates,
             self._state.evacuated,
             self._job_deadlines.run_ms(unit),
+            local_only=local_only,
         )
         if selection is None:
             return None
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -141,6 +141,8 @@
     candidates: list[PreemptibleUnit],
     evacuated: list[str],
     run_ms: int,
+    *,
+    local_only: bool,
 ) -> tuple[tuple[str, ...], list[PreemptibleUnit]] | None:
     """Returns a worker for each task of a unit and what to stop, or None.
 
@@ -154,12 +156,14 @@
       candidates: Units that may be preempted, least lost work first.
       evacuated: Failure domains where nothing may start.
       run_ms: Expected duration of the unit, in milliseconds.
+      local_only: Whether to consider only workers that satisfy its preference.
     """
     options = []
-    for local_only, factor in ((True, 0), (False, placing.REMOTE_FACTOR)):
+    for local in (True,) if local_only else (True, False):
+        factor = 0 if local else placing.REMOTE_FACTOR
         remote_work = factor * run_ms * len(unit.indexes) * _weight(unit.step)
         for group in placing.worker_groups(
-            unit, resources, evacuated, local_only=local_only
+            unit, resources, evacuated, local_only=local
         ):
             attempt = _PreemptionAttempt(unit, resources, candidates, group)
             if attempt.succeeded:
