Open an IPv6 socket early as well

What operators saw: with `listen.http = "::1:7180"`, which the check of settings accepts, an entry or agent no longer starts ("cannot listen on ::1:7180: Address family for hostname not supported"); it did while the HTTP server opened the socket.

Test: tests/test_listening.py failed for ::1 with that error. An address in brackets passes the check too and failed before as well; not changed.

--- a/bilberryroute/transport/listening.py
+++ b/bilberryroute/transport/listening.py
@@ -37,7 +37,10 @@
       OSError: If the address cannot be used.
     """
     ip, port = address.rsplit(":", 1)
-    sock = socket.create_server((ip, int(port)), backlog=BACKLOG_CONNECTIONS)
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    sock = socket.create_server(
+        (ip, int(port)), family=family, backlog=BACKLOG_CONNECTIONS
+    )
     _opened[address] = Listening(sock=sock, since_ms=clock.now())
 
 
