Count a call as having waited however late it is read

A call that waited for a process to load is taken for a new one if it is read later than 200 ms after the server has started. It is then given half of its whole deadline to wait for a leader, and its caller has gone before the refusal: with 1.7 s in the backlog 1.7 + 0.25 + 1.5 = 3.45 s of 3.

Cause: the bound of the first reads was a time only. On a busy or throttled processor a single turn of the event loop takes longer.

Change: the first turns of the loop after the start belong to the first reads too, however long they take; the waits count until the request is read, not only until the server had started.

Test: a loop that is blocked for 400 ms after the start.

--- a/bilberryroute/transport/http.py
+++ b/bilberryroute/transport/http.py
@@ -48,6 +48,7 @@
         await site.start()
         if self._backlog is not None and opened is not None:
             self._backlog.record_served(opened)
+            self.add_future(self._backlog.follow_first_turns())
 
     async def on_stop(self) -> None:
         """Stops listening and lets running handlers finish."""
--- a/bilberryroute/transport/listening.py
+++ b/bilberryroute/transport/listening.py
@@ -4,13 +4,16 @@
 server that takes it over reads their requests.
 """
 
+import asyncio
 import dataclasses
 import socket
 
 from bilberryroute import clock as clock_lib
 
 BACKLOG_CONNECTIONS = 128
-# A server reads all that has waited within this time.
+# A server reads all that has waited within these turns of its event loop and
+# this time. A turn takes long where processor time is scarce.
+FIRST_READS_TURNS = 16
 FIRST_READS_MS = clock_lib.Millis(200)
 
 # The server that takes a socket is built only after the code has loaded.
@@ -52,19 +55,30 @@
 
     def __init__(self, clock: clock_lib.Clock):
         self._clock = clock
-        self._served_ms = 0
-        self._longest_ms = 0
+        self._since_ms = 0
+        self._served_ms: int | None = None
+        self._is_first_turn = False
 
     def record_served(self, listening: Listening) -> None:
         """Records that a server reads what has waited at the socket."""
+        self._since_ms = listening.since_ms
+        self._served_ms = self._clock.now()
+
+    async def follow_first_turns(self) -> None:
+        """Follows the turns of the event loop in which what waited is read."""
+        self._is_first_turn = True
+        for _ in range(FIRST_READS_TURNS):
+            await asyncio.sleep(0)
+        self._is_first_turn = False
         self._served_ms = self._clock.now()
-        self._longest_ms = self._served_ms - listening.since_ms
 
     def longest_wait_ms(self) -> clock_lib.Millis:
         """Returns how long a request that is read now waited at most."""
-        since_served_ms = self._clock.now() - self._served_ms
-        is_first = since_served_ms < FIRST_READS_MS
-        return clock_lib.Millis(self._longest_ms if is_first else 0)
+        if self._served_ms is None:
+            return clock_lib.Millis(0)
+        now = self._clock.now()
+        is_first = self._is_first_turn or now < self._served_ms + FIRST_READS_MS
+        return clock_lib.Millis(now - self._since_ms if is_first else 0)
 
 
 def take(address: str) -> Listening | None:
--- a/tests/platform/test_waits.py
+++ b/tests/platform/test_waits.py
@@ -1,5 +1,9 @@
 """How long a call waits for a leader, by the time that its caller has left."""
 
+import asyncio
+import time
+
+import aiohttp
 import pytest
 from aiohttp import test_utils
 
@@ -8,10 +12,13 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.platform import callers
+from bilberryroute.transport import http as http_lib
 from bilberryroute.transport import listening
 from tests.utils import ports
 
 LOAD_MS = 1_200
+# By then a client on the same host has sent its request.
+SENT_MS = clock_lib.Millis(200)
 
 
 class LeaderlessClient:
@@ -58,3 +65,31 @@
         assert backlog.longest_wait_ms() == LOAD_MS
         clock.advance(listening.FIRST_READS_MS)
         assert backlog.longest_wait_ms() == 0
+
+
+async def test_call_counts_as_having_waited_however_slow_its_reading_is():
+    """Such a call was given half of its whole deadline once more."""
+    clock = clock_lib.SystemClock()
+    backlog = listening.Backlog(clock)
+    client = LeaderlessClient()
+    api = callers.CallersApi(
+        client, settings.Limits(), lambda: False, backlog.longest_wait_ms
+    )
+    address = ports.free_address()
+    listening.open_early(address, clock)
+    url = f"http://{address}/plan/5c0e7a21d94b36f8"
+    server = http_lib.HttpServer(
+        api.application(metrics_lib.Metrics()),
+        address,
+        settings.Limits(),
+        backlog,
+    )
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(session.get(url))
+        await asyncio.sleep(clock_lib.seconds(SENT_MS))
+        async with server:
+            time.sleep(clock_lib.seconds(listening.FIRST_READS_MS + SENT_MS))
+            async with await call as resp:
+                assert resp.status == 503
+    most_ms = callers.DEFAULT_DEADLINE_MS * callers.LEADER_WAIT_SHARE
+    assert client.waits[0] < most_ms
