--- a/bilberryroute/consensus/core.py
+++ b/bilberryroute/consensus/core.py
@@ -410,7 +410,11 @@
     ) -> None:
         if self._accept_leader(chunk.term, sender, now):
             reply = self._following.receive_chunk(chunk)
-            self._send(sender, reply, after=self.journal.written)
+            after = self.journal.written
+        else:
+            reply = self._following.refuse_chunk(chunk)
+            after = self.journal.hard_state_write
+        self._send(sender, reply, after=after)
 
     def _tick_leader(self, now: int, *, stalled: bool) -> None:
         heard = stalled or self._leading.has_quorum_contact(now)
--- a/bilberryroute/consensus/following.py
+++ b/bilberryroute/consensus/following.py
@@ -55,6 +55,17 @@
             sent_ms=chunk.sent_ms,
         )
 
+    def refuse_chunk(
+        self, chunk: messages.SnapshotChunk
+    ) -> messages.SnapshotReply:
+        """Returns the reply that tells a stale leader of the term."""
+        return messages.SnapshotReply(
+            term=self._journal.term,
+            index=chunk.index,
+            offset=0,
+            sent_ms=chunk.sent_ms,
+        )
+
     def _acceptance(
         self, req: messages.AppendRequest, match: int
     ) -> messages.AppendReply:
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -278,3 +278,24 @@
         core.change_membership(smaller, 5_000)
         return
     raise simulation_lib.Violation("changed before an own entry committed")
+
+
+def stale_leader_is_told_of_the_term() -> None:
+    """A leader that sends a snapshot learns that its term is over."""
+    core = _new_leader()
+    chunk = messages.SnapshotChunk(
+        term=2,
+        index=2,
+        snapshot_term=2,
+        membership=core.membership,
+        offset=0,
+        payload=b"",
+        done=True,
+        sent_ms=0,
+    )
+    replies = [
+        output.envelope.body
+        for output in core.step(_to_a("b", chunk), 5_000)
+        if isinstance(output, messages.Send)
+    ]
+    require([r.term for r in replies] == [3], "it was not told")
--- a/tests/consensus/test_exploration.py
+++ b/tests/consensus/test_exploration.py
@@ -314,6 +314,12 @@
         scenarios.restart_under_lease(early_lock=True)
 
 
+def test_replica_of_a_newer_term_takes_a_snapshot_from_an_older_leader():
+    """It was silent about its term, and the leader went on in the older one."""
+    scenarios.stale_leader_is_told_of_the_term()
+    _explore(10521, handing_over=True)
+
+
 def test_hand_over_is_quick():
     scenarios.hand_over_is_quick()
 
