Try each call once, however long it may have waited

What callers would see: after a start that took as long as their deadline, 503 for every call of the first turns of the loop, without a single try, though some came just now and the leader may be known.

Cause: the wait in the backlog is an upper bound, and was taken off whole. A call now has at least the time of one exchange with the leader.

--- a/bilberryroute/platform/callers.py
+++ b/bilberryroute/platform/callers.py
@@ -27,6 +27,8 @@
 # Share of the time left after which a call fails for want of a leader. The rest
 # lets the caller try another entry; an election takes about a second.
 LEADER_WAIT_SHARE = 0.5
+# Least wait for a leader: one exchange with it, also between failure domains.
+ONE_TRY_MS = 200
 
 
 def services(
@@ -124,8 +126,10 @@
     def _leader_wait_ms(self, req: web.Request) -> clock_lib.Millis:
         text = req.headers.get(DEADLINE_HEADER, "")
         deadline = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
-        left_ms = max(0, deadline - self._waited_ms())
-        return clock_lib.Millis(int(left_ms * LEADER_WAIT_SHARE))
+        left_ms = deadline - self._waited_ms()
+        return clock_lib.Millis(
+            max(ONE_TRY_MS, int(left_ms * LEADER_WAIT_SHARE))
+        )
 
 
 def _address(req: web.Request) -> catalog_model.Address:
