--- a/tests/consensus/test_peers.py
+++ b/tests/consensus/test_peers.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import settings
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import peers
 from bilberryroute.consensus import senders as senders_lib
@@ -54,3 +55,15 @@
             await arrived.wait()
     finally:
         await server.stop(None)
+
+
+def test_pause_before_a_replica_that_was_away_is_shorter_than_an_election():
+    """After 6 s of darkness it was up to 2 s, for both directions."""
+    peer = peers.Peer(
+        own_address="here",
+        address="there",
+        clock=CLOCK,
+        rng=random.Random(0),
+    )
+    pauses = [peer._next_backoff() for _ in range(200)]
+    assert max(pauses) < settings.Timing().election_ms
