Run two tests that bound times by themselves

test_call_does_not_wait_for_a_mute_leader and the one for the watch bound a time of 0.7 s, so nothing else may run beside them (marker serial). Nothing else changes.

--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -324,12 +324,14 @@
     await leader.stop()
 
 
+@pytest.mark.serial
 async def test_call_does_not_wait_for_a_mute_leader(successor_of_a_mute_leader):
     client, _ = successor_of_a_mute_leader
     result = await client.propose(COMMAND, clock_lib.Millis(700))
     assert result == commands.Changed(revision=7)
 
 
+@pytest.mark.serial
 async def test_watch_does_not_wait_for_a_mute_leader(
     successor_of_a_mute_leader,
 ):
