Let urgent work stop runs that only had to leave their worker before

Cause: every stop was counted as one that made room, also those of runs that could not go on where they were. The command says which it is now; older commands count as before.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -274,7 +274,7 @@
       permit: Permit of an advisory service for the present run, or empty.
       placed_ms: Unix time of the last placement, in milliseconds.
       crashes: Crashes of workers that ended its runs.
-      stops: Runs that were stopped although the job had not ended.
+      stops: Runs that were stopped to make room for other jobs.
     """
 
     state: TaskState = TaskState.WAITING
--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -101,10 +101,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StopRuns(commands.Command):
-    """Stops runs; their tasks wait again once the runs have ended."""
+    """Stops runs; their tasks wait again once the runs have ended.
+
+    Attributes:
+      forced: Whether the runs cannot go on where they are, so that they do not
+        make room for another job.
+    """
 
     runs: tuple[TaskRun, ...]
     at_ms: int
+    forced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -297,9 +297,11 @@
     plan: views.BatchPlan, forced_stops: list[batching.TaskRun]
 ) -> list[commands.Command]:
     result: list[commands.Command] = []
-    runs = (*forced_stops, *plan.stops)
-    if runs:
-        result.append(batching.StopRuns(runs=runs, at_ms=0))
+    if forced_stops:
+        runs = tuple(forced_stops)
+        result.append(batching.StopRuns(runs=runs, at_ms=0, forced=True))
+    if plan.stops:
+        result.append(batching.StopRuns(runs=plan.stops, at_ms=0))
     if plan.units:
         result.append(batching.PlaceRuns(units=plan.units, at_ms=0))
     return result
--- a/bilberryroute/state/batch_runs.py
+++ b/bilberryroute/state/batch_runs.py
@@ -107,7 +107,8 @@
         task = _active_task(batch_state, task_run.task, task_run.run)
         if task is not None and task.state == batch.TaskState.PLACED:
             task.state = batch.TaskState.STOPPING
-            task.stops += 1
+            if not command.forced:
+                task.stops += 1
             changed = True
     return _CHANGED if changed else commands.Unchanged(reason="no placed runs")
 
--- a/tests/scheduling/test_batch.py
+++ b/tests/scheduling/test_batch.py
@@ -400,6 +400,7 @@
     queue="urgent",
     elapsed_ms=0,
     first_ends=None,
+    forced=False,
 ):
     """Returns the jobs preempted for one that exceeds its guarantee."""
     running = batches.step(1, 8, estimate_ms=estimate_ms, checkpointing=saving)
@@ -408,7 +409,9 @@
     if first_ends is not None:
         if first_ends == batch.RunOutcome.STOPPED:
             run = batching.TaskRun(task=batches.task("low"), run=1)
-            log.apply(batching.StopRuns(runs=(run,), at_ms=log.now))
+            log.apply(
+                batching.StopRuns(runs=(run,), at_ms=log.now, forced=forced)
+            )
         log.end(batches.task("low"), outcome=first_ends)
         commit(log, plan(log, batches.worker()))
     log.now += elapsed_ms
@@ -431,6 +434,12 @@
     assert preempted(log, first_ends=batch.RunOutcome.STOPPED) == []
 
 
+def test_job_preempts_what_had_to_leave_its_worker_before(log):
+    """An evacuation made it immune, though it had made room for nobody."""
+    outcome = batch.RunOutcome.STOPPED
+    assert preempted(log, first_ends=outcome, forced=True) == ["low"]
+
+
 def test_job_preempts_nothing_that_would_lose_work(log):
     assert preempted(log, saving=False) == []
 
