--- a/bilberryroute/transport/listening.py
+++ b/bilberryroute/transport/listening.py
@@ -50,7 +50,8 @@
 class Backlog:
     """Bounds how long a request may have waited for a server that has started.
 
-    The kernel does not tell when a connection that waited was made.
+    A connection does not say when it was made, so the bound is that of the
+    longest wait.
     """
 
     def __init__(self, clock: clock_lib.Clock):
