Say in the log and in a metric why a job waits for room

The line `waits for room` gave its rank and how many workers there were, so the record could not tell a wait for a rack from one for workers that others have reserved, or for workers that are left out.

Change: the plan explains why a job waits, by the first of the planner's restrictions after which its first waiting unit no longer fits: room, closed workers, permits, suspects, failing workers, reservations, rack or data. The line also has the forecast, the racks, whose reservations are in the way and some of the workers left out, and it is repeated every 3 s, so that a forecast that does not come true shows. At most eight jobs are explained in a round. bilberryroute_waits_total counts jobs that begin to wait, by reason.

--- a/bilberryroute/metrics.py
+++ b/bilberryroute/metrics.py
@@ -44,6 +44,7 @@
       registry: What `/metrics` renders.
       refusals: Refusals, by `reason` (kind of the error).
       retries: Retries, by `reason`.
+      waits: Jobs that began to wait for room, by `reason`.
       drops: Messages ignored, by `reason` (late, stale term, mismatched id).
       errors: Errors that are no refusals, by `reason` (kind of the error).
       requests: Requests that ended, by `service` and `outcome`.
@@ -84,6 +85,7 @@
 
         self.refusals = self._counter("refusals_total", "Refusals.")
         self.retries = self._counter("retries_total", "Retries.")
+        self.waits = self._counter("waits_total", "Jobs that began to wait.")
         self.drops = self._counter("drops_total", "Messages ignored.")
         self.errors = self._counter("errors_total", "Errors.")
         self.requests = self._counter("requests_total", "Requests ended.")
@@ -124,6 +126,10 @@
         """Counts one retry."""
         self.retries.inc({"reason": reason})
 
+    def waited(self, reason: str) -> None:
+        """Counts one job that began to wait for room."""
+        self.waits.inc({"reason": reason})
+
     def dropped(self, reason: str) -> None:
         """Counts one ignored message."""
         self.drops.inc({"reason": reason})
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -43,6 +43,9 @@
 # Interval at which new checkpoints are committed, all in one command: about
 # the interval at which workers make them (every 1 or 2 s of work).
 CHECKPOINT_COMMIT_MS = clock_lib.Millis(1_000)
+# Interval at which the log says again why a job still waits: the age beyond
+# which a forecast in the log tells little.
+WAIT_LOG_MS = clock_lib.Millis(3_000)
 
 
 class BatchController(mode.Service):
@@ -67,7 +70,7 @@
         self._health = batch_health.BatchWorkerHealth(parts.clock)
         self._forecasts = forecasts_lib.Forecasts()
         self._run_times = forecasts_lib.AverageRunTimes()
-        self._logged_waiting: set[str] = set()
+        self._explained_ms: dict[str, clock_lib.Millis] = {}
         self._wakeup = asyncio.Event()
         self._first_report_ms = clock_lib.Millis(0)
         self._first_report_term = 0
@@ -239,6 +242,7 @@
             self._run_times.by_queue,
             self._permits.valid_permits(),
             batch_upkeep.serving_runs(self._reports),
+            self._recently_explained(),
         )
         self._metrics.round_ms.add({}, self._clock.now() - began)
         return plan
@@ -280,9 +284,26 @@
         batch_log.log_placed(plan)
         batch_log.log_stopped(forced_stops, "stopped: it cannot go on here")
         batch_log.log_preempted(plan, self._batch_state, self._clock.wall())
-        for job_id in sorted(plan.waiting_jobs.keys() - self._logged_waiting):
-            batch_log.log_waiting(plan, job_id, len(self._reports))
-        self._logged_waiting = set(plan.waiting_jobs)
+        batch_log.log_waiting(
+            plan, self._batch_state, len(self._reports), self._clock.wall()
+        )
+        self._note_explained(plan)
+
+    def _recently_explained(self) -> set[str]:
+        """Returns the jobs for which the log need not say why they wait."""
+        since = self._clock.now() - WAIT_LOG_MS
+        return {
+            job_id for job_id, at in self._explained_ms.items() if at > since
+        }
+
+    def _note_explained(self, plan: views.BatchPlan) -> None:
+        now = self._clock.now()
+        for job_id, wait in plan.waits.items():
+            if job_id not in self._explained_ms:
+                self._metrics.waited(str(wait.reason))
+            self._explained_ms[job_id] = now
+        for job_id in self._explained_ms.keys() - plan.waiting_jobs:
+            del self._explained_ms[job_id]
 
     def _record_first_start(self, unit: batching.Unit) -> None:
         record = self._batch_state.jobs[unit.job_id]
--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -69,17 +69,35 @@
         )
 
 
-def log_waiting(plan: views.BatchPlan, job_id: str, workers: int) -> None:
-    """Logs that a job has begun to wait for capacity."""
-    logger.info(
-        "waits for room",
-        extra={
-            "job_id": job_id,
-            "rank": plan.waiting_jobs[job_id],
-            "waiting": plan.waiting_unit_count,
-            "workers": workers,
-        },
-    )
+def log_waiting(
+    plan: views.BatchPlan,
+    batch_state: batch.BatchState,
+    worker_count: int,
+    wall_ms: int,
+) -> None:
+    """Logs why jobs wait, for those that the plan explains."""
+    for job_id, wait in sorted(plan.waits.items()):
+        record = batch_state.jobs[job_id]
+        logger.info(
+            "waits for room",
+            extra={
+                "job_id": job_id,
+                "reason": str(wait.reason),
+                "rank": wait.rank,
+                "waiting": plan.waiting_unit_count,
+                "workers": worker_count,
+                "accepted_ms_ago": wall_ms - record.accepted_ms,
+                "tasks": wait.tasks,
+                "fitting_tasks": wait.fitting_tasks,
+                "fits_in_ms": wait.fits_in_ms,
+                "racks": list(wait.racks),
+                "reserved_for": dict(wait.reserved_for),
+                "workers_left_out": {
+                    str(reason): list(names)
+                    for reason, names in wait.left_out.items()
+                },
+            },
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -20,6 +20,7 @@
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import suspects
 from bilberryroute.scheduling.batch import views
+from bilberryroute.scheduling.batch import waiting
 
 # A unit that would fit near its data or rack only on workers that are absent
 # waits this share of its estimated duration for them, up to the maximum.
@@ -38,6 +39,10 @@
 # fit. More reservations would leave too little room for backfill.
 MAX_RESERVATIONS = 4
 
+# Waiting jobs per round for which the plan says why they wait. Others follow in
+# the next rounds.
+MAX_EXPLAINED_JOBS = 8
+
 
 def plan(
     state: batch.BatchState,
@@ -49,6 +54,7 @@
         types.MappingProxyType({})
     ),
     available_runs: Set[room_lib.RunKey] = frozenset(),
+    explained: Set[str] = frozenset(),
 ) -> views.BatchPlan:
     """Returns the units to place now and the runs to preempt for them.
 
@@ -60,6 +66,7 @@
       typical_ms: Typical measured duration of a task, by queue.
       permits: Permits of queues that require them, by step and worker.
       available_runs: Long-running runs that their workers report as serving.
+      explained: Ids of jobs for which the plan need not say why they wait.
     """
     guaranteed = readiness.guaranteed_jobs(state)
     resources = room_lib.AvailableResources(
@@ -70,7 +77,13 @@
     )
     ready = readiness.ready_units(state, guaranteed, wall_ms, job_deadlines)
     return _PlanningRound(
-        state, resources, guaranteed, job_deadlines, wall_ms, available_runs
+        state,
+        resources,
+        guaranteed,
+        job_deadlines,
+        wall_ms,
+        available_runs,
+        explained,
     ).run(ready)
 
 
@@ -84,14 +97,6 @@
     WAITS = enum.auto()
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _FutureFit:
-    """Workers on which a unit is expected to fit after a delay."""
-
-    delay_ms: int
-    names: tuple[str, ...]
-
-
 class _PlanningRound:
     """State of one planning round."""
 
@@ -103,6 +108,7 @@
         job_deadlines: deadlines.Deadlines,
         wall_ms: int,
         available_runs: Set[room_lib.RunKey],
+        explained: Set[str],
     ):
         self._state = state
         self._resources = resources
@@ -115,8 +121,10 @@
         self._preemptible: list[preempting.PreemptibleUnit] | None = None
         self._reservation_count = 0
         self._waiting_unit_count = 0
-        self._waiting_jobs: dict[str, tuple[int, ...]] = {}
-        self._fits: dict[Hashable, _FutureFit | None] = {}
+        self._waiting_jobs: set[str] = set()
+        self._explained = explained
+        self._waits: dict[str, views.Wait] = {}
+        self._fits: dict[Hashable, views.FutureFit | None] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
 
     def run(self, ready: list[views.ReadyUnit]) -> views.BatchPlan:
@@ -131,7 +139,7 @@
             if attempt == _Attempt.STARTS:
                 continue
             self._waiting_unit_count += 1
-            self._waiting_jobs.setdefault(unit.record.id, unit.rank)
+            self._note_waiting(unit)
             if attempt == _Attempt.WAITS:
                 blocked.add(key)
             else:
@@ -141,10 +149,27 @@
             stops=tuple(self._stopped_for),
             stopped_for=self._stopped_for,
             waiting_unit_count=self._waiting_unit_count,
-            waiting_jobs=self._waiting_jobs,
+            waiting_jobs=frozenset(self._waiting_jobs),
+            waits=self._waits,
             permit_candidates=self._permit_candidates,
         )
 
+    def _note_waiting(self, unit: views.ReadyUnit) -> None:
+        """Explains why a job waits, by the first of its units that does."""
+        job_id = unit.record.id
+        if (
+            job_id not in self._waiting_jobs
+            and job_id not in self._explained
+            and len(self._waits) < MAX_EXPLAINED_JOBS
+        ):
+            self._waits[job_id] = waiting.explain(
+                unit,
+                self._resources,
+                self._state.evacuated,
+                self._earliest_fit(unit),
+            )
+        self._waiting_jobs.add(job_id)
+
     def _placement_key(self, unit: views.ReadyUnit) -> Hashable:
         workers = self._resources.workers
         return unit.placement_key(avoiding.own_failures(unit, workers))
@@ -355,7 +380,7 @@
                     self._resources.mark_stopping(name, candidate.need)
         return names
 
-    def _earliest_fit(self, unit: views.ReadyUnit) -> _FutureFit | None:
+    def _earliest_fit(self, unit: views.ReadyUnit) -> views.FutureFit | None:
         """Returns the earliest expected local fit of a unit, or None.
 
         Computed once a round for each step and what its units avoid: what is
@@ -366,7 +391,9 @@
             self._fits[key] = self._find_earliest_fit(unit)
         return self._fits[key]
 
-    def _find_earliest_fit(self, unit: views.ReadyUnit) -> _FutureFit | None:
+    def _find_earliest_fit(
+        self, unit: views.ReadyUnit
+    ) -> views.FutureFit | None:
         """Bisects the expected ends of runs, as more is free after each."""
         delays_ms = self._resources.expected_end_times()
         position = bisect.bisect_left(
@@ -376,7 +403,7 @@
             return None
         delay_ms = delays_ms[position]
         names = self._local_fit(unit, delay_ms)
-        return _FutureFit(delay_ms=delay_ms, names=names)
+        return views.FutureFit(delay_ms=delay_ms, names=names)
 
     def _local_fit(
         self, unit: views.ReadyUnit, delay_ms: int
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -34,9 +34,16 @@
 class _UnitReservation:
     """Resources that a waiting unit will need on a worker, and from when."""
 
+    unit: views.ReadyUnit
     need: batch.Resources
     from_ms: int
 
+    def binds(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether another unit would still run when it starts."""
+        own = (self.unit.step_key, self.unit.indexes)
+        is_own = own == (unit.step_key, unit.indexes)
+        return not is_own and unit.step.estimate_ms > self.from_ms
+
 
 class AvailableResources:
     """Free resources of each worker during one planning round.
@@ -231,13 +238,36 @@
             usable[name] = batch.NO_RESOURCES
         for name, reservations in self._reservations.items():
             for each in reservations:
-                if unit.step.estimate_ms > each.from_ms:
+                if each.binds(unit):
                     at_start = self._free_after(name, each.from_ms).minus(
                         each.need
                     )
                     usable[name] = _minimum(usable[name], at_start)
         return usable
 
+    def reserved_against(self, unit: views.ReadyUnit) -> dict[str, int]:
+        """Returns the jobs that have reserved what a unit must not use.
+
+        Gives the number of workers on which each job has done so.
+        """
+        counts: collections.Counter[str] = collections.Counter()
+        for reservations in self._reservations.values():
+            counts.update(
+                {
+                    each.unit.record.id
+                    for each in reservations
+                    if each.binds(unit)
+                }
+            )
+        return dict(counts)
+
+    def free_beside_runs(self) -> dict[str, batch.Resources]:
+        """Returns what is free, including what is kept for suspects."""
+        usable = dict(self.free)
+        for name, rest in self._withheld.items():
+            usable[name] = usable[name].plus(rest)
+        return usable
+
     def free_beside_suspects(
         self, unit: views.ReadyUnit
     ) -> dict[str, batch.Resources]:
@@ -311,7 +341,7 @@
             needs = [(name, batch.task_demand(unit.step)) for name in names]
         for name, need in needs:
             self._reservations.setdefault(name, []).append(
-                _UnitReservation(need=need, from_ms=from_ms)
+                _UnitReservation(unit=unit, need=need, from_ms=from_ms)
             )
 
     def mark_stopping(self, name: str, need: batch.Resources) -> None:
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -191,6 +191,60 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FutureFit:
+    """Workers on which a unit is expected to fit after a delay."""
+
+    delay_ms: int
+    names: tuple[str, ...]
+
+
+class WaitReason(enum.StrEnum):
+    """Why a unit waits.
+
+    `NO_ROOM`: runs leave too little free. `CLOSED`: workers with room accept
+    nothing new. `NO_PERMIT`: they have no permit for its step. `SUSPECTS`: they
+    are kept for units that may crash them, or it is one of these. `FAILING`: runs
+    failed there. `RESERVED`: what is free is reserved for other units.
+    `LOCALITY`: it fits, but not near its data or in one rack.
+    """
+
+    NO_ROOM = "no_room"
+    CLOSED = "closed"
+    NO_PERMIT = "no_permit"
+    SUSPECTS = "suspects"
+    FAILING = "failing"
+    RESERVED = "reserved"
+    LOCALITY = "locality"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wait:
+    """Why the first waiting unit of a job waits.
+
+    Attributes:
+      rank: Sort key of the unit.
+      tasks: Number of its tasks.
+      fitting_tasks: How many of them fit beside what runs, whatever else speaks
+        against the workers.
+      fits_in_ms: When it is expected to fit near its data or in one rack, in
+        milliseconds from now; None if no end of a run would make it fit.
+      racks: Racks where it is expected to fit then, if it prefers some.
+      reserved_for: Jobs with resources reserved that this unit may not use, and
+        on how many workers.
+      left_out: Names of some workers that are left out, by reason.
+    """
+
+    reason: WaitReason
+    rank: tuple[int, ...]
+    tasks: int
+    fitting_tasks: int
+    fits_in_ms: int | None
+    racks: tuple[str, ...]
+    reserved_for: Mapping[str, int]
+    left_out: Mapping[WaitReason, tuple[str, ...]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BatchPlan:
     """Decisions of one planning round.
@@ -200,7 +254,8 @@
       stops: Runs to preempt for units of a better rank.
       stopped_for: Job that each of them is preempted for.
       waiting_unit_count: Number of ready units that could not be placed.
-      waiting_jobs: Jobs with such units, and the rank of their first one.
+      waiting_jobs: Ids of the jobs with such units.
+      waits: Why some of these jobs wait, by job id.
       permit_candidates: Steps that need permits, with the names of the workers
         that are eligible to run them.
     """
@@ -211,9 +266,8 @@
         default_factory=dict
     )
     waiting_unit_count: int = 0
-    waiting_jobs: dict[str, tuple[int, ...]] = dataclasses.field(
-        default_factory=dict
-    )
+    waiting_jobs: frozenset[str] = frozenset()
+    waits: dict[str, Wait] = dataclasses.field(default_factory=dict)
     permit_candidates: dict[StepKey, list[str]] = dataclasses.field(
         default_factory=dict
     )
--- /dev/null
+++ b/tests/scheduling/test_waiting.py
@@ -0,0 +1,110 @@
+"""What a plan says of why jobs wait."""
+
+import dataclasses
+
+import pytest
+
+from bilberryroute.scheduling.batch import planner
+from bilberryroute.scheduling.batch import views
+from tests.utils import batches
+
+GANG = batches.step(2, 8, gang=True, estimate_ms=20_000)
+
+
+@pytest.fixture
+def log():
+    return batches.Log()
+
+
+@pytest.fixture
+def workers():
+    return [
+        batches.worker("a1", rack="a"),
+        batches.worker("a2", rack="a"),
+        batches.worker("b1", rack="b"),
+        batches.worker("b2", rack="b"),
+    ]
+
+
+def occupy(log, name):
+    """Runs a task of one accelerator on a worker for 5 s from now."""
+    log.submit(f"busy-{name}", batches.content(), "nightly")
+    log.place(batches.unit(f"busy-{name}", batches.ref(name)))
+
+
+def submit_gang(log, **changes):
+    step = dataclasses.replace(GANG, **changes)
+    log.submit("gang", batches.content(step))
+
+
+def wait_of_gang(log, workers) -> views.Wait:
+    return planner.plan(log.held, workers, {}, log.now).waits["gang"]
+
+
+def test_wait_for_room_says_when_it_is_expected(log, workers):
+    for worker in workers[:3]:
+        occupy(log, worker.ref.name)
+    submit_gang(log)
+    wait = wait_of_gang(log, workers)
+    assert wait.reason == views.WaitReason.NO_ROOM
+    assert (wait.tasks, wait.fitting_tasks) == (2, 1)
+    assert wait.fits_in_ms == 5_000
+
+
+def test_wait_for_a_rack_names_it_and_the_forecast(log, workers):
+    occupy(log, "a1")
+    occupy(log, "b1")
+    submit_gang(log, same_rack=True)
+    wait = wait_of_gang(log, workers)
+    assert wait.reason == views.WaitReason.LOCALITY
+    assert wait.racks in (("a",), ("b",))
+    assert wait.fits_in_ms == 5_000
+
+
+def test_wait_for_reserved_workers_names_the_job_that_holds_them(log, workers):
+    occupy(log, "a1")
+    wide = batches.step(4, 8, gang=True, estimate_ms=20_000)
+    log.submit("wide", batches.content(wide))
+    submit_gang(log)
+    wait = wait_of_gang(log, workers)
+    assert wait.reason == views.WaitReason.RESERVED
+    assert wait.reserved_for == {"wide": 4}
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"open": False}, views.WaitReason.CLOSED),
+        ({"health": views.WorkerHealth.SUSPECT}, views.WaitReason.FAILING),
+    ],
+)
+def test_wait_for_workers_that_are_left_out_names_them(
+    log, workers, change, reason
+):
+    occupy(log, "a1")
+    occupy(log, "a2")
+    workers[2] = dataclasses.replace(workers[2], **change)
+    submit_gang(log)
+    wait = wait_of_gang(log, workers)
+    assert wait.reason == reason
+    assert wait.left_out == {reason: ("b1",)}
+
+
+def test_wait_for_a_permit_is_told_from_one_for_room(log, workers):
+    batches.advised(log.held)
+    submit_gang(log)
+    wait = wait_of_gang(log, workers)
+    assert wait.reason == views.WaitReason.NO_PERMIT
+    assert wait.fitting_tasks == 2
+
+
+def test_many_waiting_jobs_are_explained_over_several_rounds(log):
+    jobs = planner.MAX_EXPLAINED_JOBS + 2
+    for number in range(jobs):
+        log.submit(f"j{number}", batches.content())
+    first = planner.plan(log.held, [], {}, log.now)
+    assert len(first.waits) == planner.MAX_EXPLAINED_JOBS
+    second = planner.plan(
+        log.held, [], {}, log.now, explained=first.waits.keys()
+    )
+    assert len(first.waits.keys() | second.waits.keys()) == jobs
