Show that gangs wait for forecasts while most workers are idle

- with one task of one accelerator on two workers of each rack (12 of 192 accelerators in use), a gang that prefers one rack never starts, whether these runs are overdue or expected to take 20 s more;
- with one overdue task on eleven workers, a gang of 22 tasks reserves nearly all workers for the moment at which these end, and the smaller gang never starts, with a preference or without.

--- /dev/null
+++ b/tests/scheduling/test_waits_beside_idle_workers.py
@@ -0,0 +1,77 @@
+"""Jobs that could start now, but are expected to run better later."""
+
+import dataclasses
+
+import pytest
+
+from bilberryroute.scheduling.batch import planner
+from tests.utils import batches
+
+RACKS = 6
+WORKERS = tuple(
+    batches.worker(f"r{rack}-{number}", rack=f"r{rack}")
+    for rack in range(RACKS)
+    for number in range(4)
+)
+# A job of which nothing runs for so long counts as lost if there is room for it
+# twice over and less than half of the capacity is in use.
+LOST_AFTER_MS = 3_000
+ROUND_MS = 250
+RACK_GANG = batches.step(3, 8, gang=True, same_rack=True, estimate_ms=17_000)
+
+
+@pytest.fixture
+def log():
+    return batches.Log()
+
+
+def occupy(log, name, *, accelerators=1, estimate_ms=30_000):
+    """Runs a job of one task on a worker."""
+    job_id = f"busy-{name}"
+    step = batches.step(1, accelerators, estimate_ms=estimate_ms)
+    log.submit(job_id, batches.content(step), "nightly")
+    log.place(batches.unit(job_id, batches.ref(name)))
+
+
+def occupy_half_of_each_rack(log, estimate_ms):
+    for rack in range(RACKS):
+        for number in range(2):
+            occupy(log, f"r{rack}-{number}", estimate_ms=estimate_ms)
+
+
+def jobs_that_wait(log, *job_ids):
+    """Returns the jobs that do not start within `LOST_AFTER_MS`.
+
+    No run ends in that time.
+    """
+    waiting = set(job_ids)
+    for _ in range(0, LOST_AFTER_MS, ROUND_MS):
+        decided = planner.plan(log.held, WORKERS, {}, log.now)
+        log.place(*decided.units)
+        waiting -= {unit.job_id for unit in decided.units}
+        log.now += ROUND_MS
+    return waiting
+
+
+@pytest.mark.parametrize("estimate_ms", [5_000, 30_000])
+def test_gang_does_not_wait_for_its_rack_while_most_workers_are_idle(
+    log, estimate_ms
+):
+    """Runs expected to take 5 s are overdue."""
+    occupy_half_of_each_rack(log, estimate_ms)
+    log.now += 10_000
+    log.submit("gang", batches.content(RACK_GANG))
+    assert jobs_that_wait(log, "gang") == set()
+
+
+@pytest.mark.parametrize("same_rack", [False, True])
+def test_gang_does_not_wait_for_workers_that_another_waits_for(log, same_rack):
+    """A wider gang reserves nearly all workers until overdue runs end."""
+    for worker in WORKERS[:11]:
+        occupy(log, worker.ref.name, estimate_ms=5_000)
+    log.now += 10_000
+    wide = batches.step(22, 8, gang=True, estimate_ms=17_000)
+    log.submit("wide", batches.content(wide))
+    gang = dataclasses.replace(RACK_GANG, same_rack=same_rack)
+    log.submit("gang", batches.content(gang))
+    assert jobs_that_wait(log, "gang") == set()
