Bound how long a gang waits for its rack beside idle workers

Cause: since a unit waits for its rack or its data as long as its forecast says that it ends earlier there. Each round asks anew, and a run that is overdue counts as ending in 1 ms, so the wait has no end if the forecast doesn't come true; and 20 s are waited in any case if the unit would run for so long on several racks.

Change: a unit of a job of which nothing runs starts in any free room once its job has been due for 1.5 s, while most of its pool is idle and there is room for two such units.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -14,6 +14,7 @@
 from bilberryroute.scheduling.batch import availability
 from bilberryroute.scheduling.batch import avoiding
 from bilberryroute.scheduling.batch import deadlines
+from bilberryroute.scheduling.batch import idling
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import preempting
 from bilberryroute.scheduling.batch import readiness
@@ -117,6 +118,7 @@
         self._wall_ms = wall_ms
         self._available_runs = available_runs
         self._units: list[batching.Unit] = []
+        self._started_jobs: set[str] = set()
         self._stopped_for: dict[batching.TaskRun, str] = {}
         self._preemptible: list[preempting.PreemptibleUnit] | None = None
         self._reservation_count = 0
@@ -187,6 +189,8 @@
                 return _Attempt.STARTS
         if self._join_suspect(unit):
             return _Attempt.STARTS
+        if choices and self._start_at_once(choices[-1]):
+            return _Attempt.STARTS
         if choices:
             self._reserve_or_preempt(choices[-1])
         return _Attempt.WAITS
@@ -227,15 +231,46 @@
             and self._place_on(unit, self._resources.free_beside_suspects(unit))
         )
 
+    def _start_at_once(self, unit: views.ReadyUnit) -> bool:
+        """Starts a unit that has waited long enough beside idle workers.
+
+        Its rack or data keep it no longer.
+        """
+        available = self._resources.unreserved_for(unit)
+        evacuated = self._state.evacuated
+        waits = (
+            unit.job_runs
+            or unit.record.id in self._started_jobs
+            or not idling.may_start_at_once(
+                unit,
+                self._resources,
+                available,
+                evacuated,
+                self._wall_ms - unit.due_since_ms,
+            )
+        )
+        if waits:
+            return False
+        names = placing.place(
+            unit, self._resources, available, evacuated, local_only=False
+        )
+        return self._start(unit, names)
+
     def _place_on(
         self, unit: views.ReadyUnit, available: Mapping[str, batch.Resources]
     ) -> bool:
-        names = self._find_workers(unit, available)
+        return self._start(unit, self._find_workers(unit, available))
+
+    def _start(
+        self, unit: views.ReadyUnit, names: tuple[str, ...] | None
+    ) -> bool:
+        """Starts a unit if workers were found for it."""
         if names is None:
             return False
         refs = tuple(self._resources.workers[name].ref for name in names)
         permits = self._resources.permits(unit)
         self._units.append(unit.to_command(refs, permits))
+        self._started_jobs.add(unit.record.id)
         self._resources.start(unit, names)
         return True
 
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -169,6 +169,11 @@
         step_records = record.occurrences.get(number)
         if step_records is None:
             step_records = batch.new_step_records(record.content)
+        job_runs = any(
+            task.state == batch.TaskState.PLACED
+            for step_record in step_records
+            for task in step_record.tasks
+        )
         for step_number, step in enumerate(record.content.steps):
             if not all(
                 step_records[each].finished() for each in step.depends_on
@@ -192,6 +197,7 @@
                     step_runs=any(t.active for t in step_record.tasks)
                     if crashes
                     else False,
+                    job_runs=job_runs,
                     failed_on=failed_on,
                     failed_recently=bool(failed_on)
                     and _placed_recently(step_record, indexes, wall_ms),
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -102,6 +102,7 @@
       crash_count: Number of its runs that ended by a crash.
       step_runs: Whether other tasks of its step run; false if no run of it
         ended by a crash.
+      job_runs: Whether any task of its occurrence is placed.
       failed_on: Names of workers on which the last runs of the unit failed.
       failed_recently: Whether the unit was placed last a short time ago.
       last_attempt: Whether one more failure ends the job.
@@ -121,6 +122,7 @@
     suspect: Separation = Separation.NONE
     crash_count: int = 0
     step_runs: bool = False
+    job_runs: bool = False
     failed_on: frozenset[str] = frozenset()
     failed_recently: bool = False
     last_attempt: bool = False
