Let jobs use idle workers that others have reserved after a short wait

Cause: up to four waiting units reserve room from when it is expected. If a run that they wait for is overdue, that moment never comes and each round reserves anew, and a unit that would run for longer may not use the idle workers among them.

--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -1,8 +1,8 @@
 """Bounds how long a job waits for a better start beside idle workers.
 
-A forecast may keep a unit from workers that are idle now, as it waits for its
-rack. Each round asks anew, so that a forecast that does not come true would keep
-it for ever.
+A forecast may keep a unit from workers that are idle now: it waits for its rack,
+or another unit has reserved them. Each round asks anew, so that a forecast that
+does not come true would keep it for ever.
 """
 
 from collections.abc import Mapping
@@ -14,7 +14,8 @@
 # How long a job waits until it starts on idle workers all the same. A job that
 # could start counts as lost after 3 s.
 MAX_WAIT_MS = 1_500
-# Room that there must be, in units like the one that waits.
+# Room that there must be, in units like the one that waits. Less is left to the
+# wider units that have reserved it.
 MIN_FITTING_UNITS = 2
 
 
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -234,9 +234,9 @@
     def _start_at_once(self, unit: views.ReadyUnit) -> bool:
         """Starts a unit that has waited long enough beside idle workers.
 
-        Its rack or data keep it no longer.
+        Neither its rack or data nor others' reservations keep it any longer.
         """
-        available = self._resources.unreserved_for(unit)
+        available = self._resources.free_beside_probes()
         evacuated = self._state.evacuated
         waits = (
             unit.job_runs
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -231,11 +231,8 @@
 
         Backfill: a unit that is expected to end before a reservation starts
         may use the reserved resources; any other unit only what is left.
-        Beside the probe of a worker that just failed nothing is usable.
         """
-        usable = dict(self.free)
-        for name in self._probes.under_way:
-            usable[name] = batch.NO_RESOURCES
+        usable = self.free_beside_probes()
         for name, reservations in self._reservations.items():
             for each in reservations:
                 if each.binds(unit):
@@ -245,6 +242,16 @@
                     usable[name] = _minimum(usable[name], at_start)
         return usable
 
+    def free_beside_probes(self) -> dict[str, batch.Resources]:
+        """Returns what is free now, whoever has reserved it.
+
+        Beside the probe of a worker that just failed nothing is usable.
+        """
+        usable = dict(self.free)
+        for name in self._probes.under_way:
+            usable[name] = batch.NO_RESOURCES
+        return usable
+
     def reserved_against(self, unit: views.ReadyUnit) -> dict[str, int]:
         """Returns the jobs that have reserved what a unit must not use.
 
