Start long-running tasks beside reservations in a busy pool too

What callers would have seen: a task that is to serve for good waits for as long as a wide gang reserves the idle workers. Found by reading the users' rule again: each such task has to start within 3 s if there is room for it twice over, whether others of its job run and however full the service is.

A long-running task never ends before a reservation starts, so that it may use reserved room in no case; and the bound of its wait asked for a pool that is mostly idle.

Change: for these tasks the bound asks for room alone.

Evidence: test_long_running_task_does_not_wait_for_workers_that_a_gang_waits_for failed before (20 of 24 workers in use, a gang of 23 tasks reserves the rest); now the task starts after 1.5 s.

--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -1,7 +1,7 @@
-"""Bounds how long a job waits for a better start beside idle workers.
+"""Bounds how long a job waits for a better start beside workers with room.
 
-A forecast may keep a unit from workers that are idle now: it waits for its rack,
-or another unit has reserved them. Each round asks anew, so that a forecast that
+A forecast may keep a unit from room that is there now: it waits for its rack,
+or another unit has reserved it. Each round asks anew, so that a forecast that
 does not come true would keep it for ever.
 """
 
@@ -25,22 +25,30 @@
     available: Mapping[str, batch.Resources],
     evacuated: list[str],
     waited_ms: int,
+    *,
+    job_runs: bool,
 ) -> bool:
     """Returns whether a unit waits no longer for a better start.
 
+    Each long-running task has to serve, whether others of its job do and however
+    busy the pool is.
+
     Args:
-      unit: Unit that waits, of a job of which nothing runs.
+      unit: Unit that waits.
       resources: Workers and what runs on them.
       available: Resources that are free now, by worker.
       evacuated: Failure domains where nothing may start.
       waited_ms: Time since the unit's job was due, in milliseconds.
+      job_runs: Whether anything of the unit's job runs.
     """
-    return (
-        waited_ms >= MAX_WAIT_MS
-        and resources.is_mostly_idle(unit.queue.pool)
-        and _fitting_units(unit, resources, available, evacuated)
-        >= MIN_FITTING_UNITS
-    )
+    if waited_ms < MAX_WAIT_MS:
+        return False
+    if not unit.step.long_running and (
+        job_runs or not resources.is_mostly_idle(unit.queue.pool)
+    ):
+        return False
+    fitting = _fitting_units(unit, resources, available, evacuated)
+    return fitting >= MIN_FITTING_UNITS
 
 
 def _fitting_units(
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -238,18 +238,14 @@
         """
         available = self._resources.free_beside_probes()
         evacuated = self._state.evacuated
-        waits = (
-            unit.job_runs
-            or unit.record.id in self._started_jobs
-            or not idling.may_start_at_once(
-                unit,
-                self._resources,
-                available,
-                evacuated,
-                self._wall_ms - unit.due_since_ms,
-            )
-        )
-        if waits:
+        if not idling.may_start_at_once(
+            unit,
+            self._resources,
+            available,
+            evacuated,
+            self._wall_ms - unit.due_since_ms,
+            job_runs=unit.job_runs or unit.record.id in self._started_jobs,
+        ):
             return False
         names = placing.place(
             unit, self._resources, available, evacuated, local_only=False
--- a/tests/scheduling/test_waits_beside_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_idle_workers.py
@@ -17,6 +17,7 @@
 # twice over and less than half of the capacity is in use.
 LOST_AFTER_MS = 3_000
 ROUND_MS = 250
+NEVER_MS = 10**8
 RACK_GANG = batches.step(3, 8, gang=True, same_rack=True, estimate_ms=17_000)
 
 
@@ -75,3 +76,18 @@
     gang = dataclasses.replace(RACK_GANG, same_rack=same_rack)
     log.submit("gang", batches.content(gang))
     assert jobs_that_wait(log, "gang") == set()
+
+
+def test_long_running_task_does_not_wait_for_workers_that_a_gang_waits_for(log):
+    """Such a task has to start beside a busy pool too, if there is room."""
+    for worker in WORKERS[:20]:
+        occupy(log, worker.ref.name, accelerators=8, estimate_ms=60_000)
+    wide = batches.step(23, 8, gang=True, estimate_ms=17_000)
+    log.submit("wide", batches.content(wide))
+    lasting = batches.step(
+        2, 1, long_running=True, spread_limit=1, estimate_ms=NEVER_MS
+    )
+    log.submit("lasting", batches.content(lasting), "nightly")
+    log.place(batches.unit("lasting", WORKERS[20].ref))
+    log.now += 100
+    assert "lasting" not in jobs_that_wait(log, "lasting")
