Log repeated stops without an answer once, with their count

Cause: each stop logs its failure, and an unanswered stop is sent again every 100 ms until the run has ended. That is right and stays so, as does the counter `stop_unanswered`; only the lines repeat. The first is logged now. Their count is in the line `stopped`, or in `stop no longer sent` once the worker has ended or restarted, or the run has ended otherwise.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -110,6 +110,7 @@
         )
         if previous is not None:
             crash_log.log_crash(previous, crashed_runs)
+            run_calls.log_abandoned_stops(previous.progress)
         self._worker = life_lib.WorkerIncarnation(
             announced=announcement,
             last_answer_ms=self._clock.now(),
@@ -291,6 +292,7 @@
             logger.info(
                 "worker has ended", extra={"worker": worker.announced.name}
             )
+            run_calls.log_abandoned_stops(worker.progress)
 
     # Planning and calls.
 
@@ -314,7 +316,9 @@
                     self.add_future(self._stop(worker, key))
         self._pace(worker)
         if plan_input.covered:
-            worker.drop_stale_progress(plan_input.desired)
+            run_calls.log_abandoned_stops(
+                worker.drop_stale_progress(plan_input.desired)
+            )
         self._publish()
 
     def _note_held_starts(
@@ -390,6 +394,8 @@
         if not await self._calls.stop(worker, key):
             await self._pause(RETRY_MS)
         self._end_call(worker, key)
+        if worker.over or worker is not self._worker:
+            run_calls.log_abandoned_stops(worker.progress)
 
     def _end_call(
         self, worker: life_lib.WorkerIncarnation, key: run_plan.RunKey
--- a/bilberryroute/agent/run_calls.py
+++ b/bilberryroute/agent/run_calls.py
@@ -1,6 +1,7 @@
 """Sends starts and stops of runs to the worker and records its answers."""
 
 import logging
+from collections.abc import Mapping
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
@@ -79,8 +80,13 @@
     async def stop(
         self, worker: life_lib.WorkerIncarnation, key: run_plan.RunKey
     ) -> bool:
-        """Sends one stop of a run; returns whether the worker confirmed it."""
+        """Sends one stop of a run; returns whether the worker confirmed it.
+
+        Logs the first of several stops without an answer, and later their count.
+        """
         task, run = key
+        state = worker.progress_of(key)
+        fields = run_plan.key_fields(key)
         fence = self._board.lease.get().term
         try:
             clock_ms = await self._port.stop_run(
@@ -88,12 +94,28 @@
             )
         except errors.BilberryrouteError as exc:
             self._metrics.retried("stop_unanswered")
-            logger.info(
-                "stop unanswered: %s", exc, extra=run_plan.key_fields(key)
-            )
+            state.unanswered_stops += 1
+            if state.unanswered_stops == 1:
+                logger.info("stop unanswered: %s", exc, extra=fields)
             return False
-        state = worker.progress_of(key)
         state.phase = run_plan.RunPhase.BARRED
         state.clock_ms = clock_ms
-        logger.info("stopped", extra=run_plan.key_fields(key))
+        if state.unanswered_stops:
+            fields["unanswered"] = state.unanswered_stops
+            state.unanswered_stops = 0
+        logger.info("stopped", extra=fields)
         return True
+
+
+def log_abandoned_stops(
+    progress: Mapping[run_plan.RunKey, run_plan.RunProgress],
+) -> None:
+    """Logs the stops without an answer that are not sent again."""
+    for key, state in progress.items():
+        if state.unanswered_stops and not state.call_in_flight:
+            logger.info(
+                "stop no longer sent",
+                extra=run_plan.key_fields(key)
+                | {"unanswered": state.unanswered_stops},
+            )
+            state.unanswered_stops = 0
--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -47,6 +47,7 @@
       call_in_flight: Whether a call on the run awaits its answer.
       start_sent_ms: Agent's clock when the last start was sent that may have
         begun the run; None if no start may have.
+      unanswered_stops: Number of stops without an answer since the last answer.
       outcome_if_absent: Outcome to report if the worker does not list the
         run.
     """
@@ -55,6 +56,7 @@
     clock_ms: int = 0
     call_in_flight: bool = False
     start_sent_ms: int | None = None
+    unanswered_stops: int = 0
     outcome_if_absent: batch.RunOutcome = batch.RunOutcome.ABSENT
 
 
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -94,11 +94,16 @@
         """Returns the progress of a run; creates it if there is none."""
         return self.progress.setdefault(key, run_plan.RunProgress())
 
-    def drop_stale_progress(self, desired: Iterable[wire.DesiredRun]) -> None:
+    def drop_stale_progress(
+        self, desired: Iterable[wire.DesiredRun]
+    ) -> Mapping[run_plan.RunKey, run_plan.RunProgress]:
         """Drops what is known of runs that have ended for the leader.
 
         Args:
           desired: Runs that the leader desires, and it knew of this incarnation.
+
+        Returns:
+          What is dropped.
         """
         referenced = {(run.task, run.run) for run in desired}
         self.crashed_runs = {
@@ -107,9 +112,11 @@
             if key in referenced
         }
         referenced |= {(run.task, run.run) for run in self.listing.running}
-        for key, state in list(self.progress.items()):
-            if key not in referenced and not state.call_in_flight:
-                del self.progress[key]
+        return {
+            key: self.progress.pop(key)
+            for key, state in list(self.progress.items())
+            if key not in referenced and not state.call_in_flight
+        }
 
     def runs_ended_by_crash(
         self, now: int
