Bound how long jobs wait for sound workers beside idle ones

What callers would have seen: a job waits for workers that fail no runs, and which overdue or long runs occupy, while workers with room are left out since runs failed there.

Cause: without_failing leaves workers out if the others would suffice once their runs end, whenever that may be; each round asks anew.

Change: a unit that has waited for 1.5 s beside idle workers may start on those too, the soundest first. For a retry the wait counts from its last placement, so that it does not go straight back to the worker that failed it.

--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -1,8 +1,8 @@
 """Bounds how long a job waits for a better start beside workers with room.
 
-A forecast may keep a unit from room that is there now: it waits for its rack,
-or another unit has reserved it. Each round asks anew, so that a forecast that
-does not come true would keep it for ever.
+A forecast may keep a unit from room that is there now: it waits for its rack or
+for workers that fail no runs, or another unit has reserved that room. Each round
+asks anew, so that a forecast that does not come true would keep it for ever.
 """
 
 from collections.abc import Mapping
@@ -38,7 +38,7 @@
       resources: Workers and what runs on them.
       available: Resources that are free now, by worker.
       evacuated: Failure domains where nothing may start.
-      waited_ms: Time since the unit's job was due, in milliseconds.
+      waited_ms: For how long the unit has waited, in milliseconds.
       job_runs: Whether anything of the unit's job runs.
     """
     if waited_ms < MAX_WAIT_MS:
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -234,8 +234,10 @@
     def _start_at_once(self, unit: views.ReadyUnit) -> bool:
         """Starts a unit that has waited long enough beside idle workers.
 
-        Neither its rack or data nor others' reservations keep it any longer.
+        Neither its rack or data nor others' reservations keep it any longer,
+        nor that runs have failed there.
         """
+        unit = dataclasses.replace(unit, accepts_failing=True)
         available = self._resources.free_beside_probes()
         evacuated = self._state.evacuated
         if not idling.may_start_at_once(
@@ -243,7 +245,7 @@
             self._resources,
             available,
             evacuated,
-            self._wall_ms - unit.due_since_ms,
+            self._wall_ms - unit.waiting_since_ms,
             job_runs=unit.job_runs or unit.record.id in self._started_jobs,
         ):
             return False
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -71,7 +71,7 @@
         if unit.suspect:
             by_crash.setdefault(_suspect_group(unit), []).append(unit)
     ordered = {
-        group: iter(sorted(units, key=_last_placed_ms, reverse=True))
+        group: iter(sorted(units, key=_unit_placed_ms, reverse=True))
         for group, units in by_crash.items()
     }
     return [
@@ -90,9 +90,14 @@
     return max(crashes, key=lambda crash: crash.run).worker
 
 
-def _last_placed_ms(unit: views.ReadyUnit) -> int:
-    tasks = _step_record(unit).tasks
-    return max(tasks[index].placed_ms for index in unit.indexes)
+def _unit_placed_ms(unit: views.ReadyUnit) -> int:
+    return _last_placed_ms(_step_record(unit), unit.indexes)
+
+
+def _last_placed_ms(
+    step_record: batch.StepRecord, indexes: tuple[int, ...]
+) -> int:
+    return max(step_record.tasks[index].placed_ms for index in indexes)
 
 
 def _step_record(unit: views.ReadyUnit) -> batch.StepRecord:
@@ -192,6 +197,9 @@
                     indexes=indexes,
                     run=run,
                     due_since_ms=due_ms,
+                    waiting_since_ms=max(
+                        due_ms, _last_placed_ms(step_record, indexes)
+                    ),
                     suspect=_isolation(step_record, indexes, crashes, wall_ms),
                     crash_count=crash_model.crash_count(crashes),
                     step_runs=any(t.active for t in step_record.tasks)
@@ -221,7 +229,7 @@
     if not crash_model.is_suspect(crashes):
         return views.Separation.NONE
     last = max(step_record.tasks[index].run for index in indexes)
-    placed_ms = max(step_record.tasks[index].placed_ms for index in indexes)
+    placed_ms = _last_placed_ms(step_record, indexes)
     ran_ms = max((c.ran_ms for c in crashes if c.run == last), default=0)
     waited_ms = wall_ms - placed_ms - ran_ms
     if waited_ms <= (
@@ -246,7 +254,7 @@
 def _placed_recently(
     step_record: batch.StepRecord, indexes: tuple[int, ...], wall_ms: int
 ) -> bool:
-    last_ms = max(step_record.tasks[index].placed_ms for index in indexes)
+    last_ms = _last_placed_ms(step_record, indexes)
     return wall_ms - last_ms < AVOID_FAILED_MS
 
 
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -97,6 +97,8 @@
       rank: Sort key; lower keys are tried first. The second element is 0 for
         jobs within their accounts' guarantees.
       due_since_ms: Unix time at which the occurrence became due.
+      waiting_since_ms: Unix time from which its wait counts: since it was due, or
+        since it was placed last.
       suspect: How far it keeps away from other work, as it may crash its
         workers; false (`NONE`) if it is not suspect.
       crash_count: Number of its runs that ended by a crash.
@@ -119,6 +121,7 @@
     run: int
     rank: tuple[int, ...] = ()
     due_since_ms: int = 0
+    waiting_since_ms: int = 0
     suspect: Separation = Separation.NONE
     crash_count: int = 0
     step_runs: bool = False
