Show that lasting tasks wait for their data rack in a busy pool

The users' rule holds for each task that lasts however full the service is. A wait for its rack is bounded only while most of the pool is idle.

--- /dev/null
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -0,0 +1,66 @@
+"""Jobs that could start now beside little idle room, or while a pool is busy."""
+
+import dataclasses
+
+import pytest
+
+from bilberryroute.model import batch
+from bilberryroute.scheduling.batch import planner
+from bilberryroute.scheduling.batch import views
+from tests.scheduling import test_waits_beside_idle_workers as idle_workers
+from tests.utils import batches
+
+WORKERS = idle_workers.WORKERS
+LABEL = "z"
+
+
+@pytest.fixture
+def log():
+    return batches.Log()
+
+
+def with_label(*names):
+    """Returns all workers, of which those named have a label."""
+    return [
+        dataclasses.replace(worker, labels=(LABEL,))
+        if worker.ref.name in names
+        else worker
+        for worker in WORKERS
+    ]
+
+
+def occupy(log, *names, accelerators=8):
+    """Runs a task on each worker for longer than expected."""
+    for name in names:
+        idle_workers.occupy(
+            log, name, accelerators=accelerators, estimate_ms=5_000
+        )
+    log.now += 10_000
+
+
+def placed_tasks(log, job_id, workers=WORKERS, permits=None, wall_step_ms=0):
+    """Returns the tasks of a job that start before it counts as lost."""
+    indexes = set()
+    for _ in range(0, idle_workers.LOST_AFTER_MS, idle_workers.ROUND_MS):
+        wall_ms = log.now + wall_step_ms
+        decided = planner.plan(
+            log.held, workers, {}, wall_ms, permits=permits or {}
+        )
+        log.place(*decided.units)
+        indexes |= {
+            member.index
+            for unit in decided.units
+            if unit.job_id == job_id
+            for member in unit.members
+        }
+        log.now += idle_workers.ROUND_MS
+    return indexes
+
+
+def test_lasting_task_does_not_wait_for_its_data_rack_in_a_busy_pool(log):
+    occupy(log, *(worker.ref.name for worker in WORKERS[:14]))
+    step = batches.step(
+        1, 8, long_running=True, data_rack="r0", estimate_ms=17_000
+    )
+    log.submit("lasting", batches.content(step))
+    assert placed_tasks(log, "lasting") == {0}
