--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -64,3 +64,15 @@
     )
     log.submit("lasting", batches.content(step))
     assert placed_tasks(log, "lasting") == {0}
+
+
+def test_lasting_task_does_not_wait_for_its_data_rack_beside_another_of_its_job(
+    log,
+):
+    occupy(log, *(worker.ref.name for worker in WORKERS[:4]))
+    step = batches.step(
+        2, 8, long_running=True, data_rack="r0", estimate_ms=17_000
+    )
+    log.submit("lasting", batches.content(step))
+    log.place(batches.unit("lasting", batches.ref("r5-3")))
+    assert placed_tasks(log, "lasting") == {1}
