Show that room on one idle worker counts once for small jobs

idling._fitting_units asks remaining_spread, which is the number of the step's tasks where the step has no spread limit. One worker never counts for more than one unit.

--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -76,3 +76,21 @@
     log.submit("lasting", batches.content(step))
     log.place(batches.unit("lasting", batches.ref("r5-3")))
     assert placed_tasks(log, "lasting") == {1}
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        pytest.param(batches.step(1, 1), id="one task"),
+        pytest.param(batches.step(2, 1, gang=True), id="gang"),
+    ],
+)
+def test_small_job_does_not_wait_beside_one_idle_worker(log, step):
+    occupy(log, *(w.ref.name for w in WORKERS[:11]), accelerators=1)
+    wide = batches.step(24, 8, gang=True, estimate_ms=17_000)
+    log.submit("wide", batches.content(wide))
+    step = dataclasses.replace(step, required_label=LABEL, estimate_ms=17_000)
+    log.submit("small", batches.content(step))
+    workers = with_label("r5-3")
+    tasks = set(range(step.count))
+    assert placed_tasks(log, "small", workers) == tasks
