Show that workers that are left out halve the room of a gang

Room for two units is asked for on the workers that the planner would use. The users count all that could run it, so the planner sees less than they do where workers are closed, kept for suspects, probed or without a permit (a call gives permits for 30).

--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -94,3 +94,25 @@
     workers = with_label("r5-3")
     tasks = set(range(step.count))
     assert placed_tasks(log, "small", workers) == tasks
+
+
+@pytest.mark.parametrize("left_out", ["closed", "no permit"])
+def test_gang_does_not_wait_for_its_rack_if_only_few_idle_workers_may_be_used(
+    log, left_out
+):
+    for rack in range(idle_workers.RACKS):
+        occupy(log, f"r{rack}-0", f"r{rack}-1", accelerators=1)
+    usable = {"r3-3", "r4-2", "r4-3", "r5-2", "r5-3"}
+    busy = {f"r{rack}-{n}" for rack in range(3, 6) for n in range(2)}
+    workers, permits = WORKERS, {}
+    log.submit("gang", batches.content(idle_workers.RACK_GANG))
+    if left_out == "closed":
+        workers = [
+            dataclasses.replace(w, open=w.ref.name in usable | busy)
+            for w in WORKERS
+        ]
+    else:
+        batches.advised(log.held)
+        permits = {("gang", 0, 0): dict.fromkeys(usable | busy, "permit")}
+    started = placed_tasks(log, "gang", workers, permits=permits)
+    assert started == {0, 1, 2}
