Show that a later step gives up its rack at once

MAX_WAIT_MS is compared with the time since the job was due. For a later step, or a unit whose run was lost, that is over before its turn comes, so it never waits for its rack in a pool that is mostly idle, nor minds others' reservations.

--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -116,3 +116,16 @@
         permits = {("gang", 0, 0): dict.fromkeys(usable | busy, "permit")}
     started = placed_tasks(log, "gang", workers, permits=permits)
     assert started == {0, 1, 2}
+
+
+def test_gang_of_a_later_step_waits_for_a_rack_that_is_soon_free(log):
+    for rack in range(idle_workers.RACKS):
+        for number in range(2):
+            idle_workers.occupy(log, f"r{rack}-{number}")
+    gang = dataclasses.replace(idle_workers.RACK_GANG, depends_on=(0,))
+    log.submit("job", batches.content(batches.step(), gang))
+    log.place(batches.unit("job", batches.ref("r0-0")))
+    log.now += 29_900
+    log.end(batches.task("job"))
+    decided = planner.plan(log.held, WORKERS, {}, log.now)
+    assert decided.units == ()
