Show that a retry waits for a forecast beside an idle worker

The same cause in scheduling/batch/avoiding.py: _without_unproven leaves a worker out if others are expected to have room within 10 s or the unit's duration, asked anew in each round, and an overdue run counts as ending in 1 ms or 1 s. _start_at_once chooses among the same workers.

--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -129,3 +129,19 @@
     log.end(batches.task("job"))
     decided = planner.plan(log.held, WORKERS, {}, log.now)
     assert decided.units == ()
+
+
+def test_retry_does_not_wait_for_ever_beside_the_worker_that_failed_it_once(
+    log,
+):
+    step = batches.step(1, 4, required_label=LABEL)
+    log.submit("job", batches.content(step))
+    log.place(batches.unit("job", batches.ref("r0-0")))
+    log.end(batches.task("job"), outcome=batch.RunOutcome.FAILED)
+    occupy(log, "r0-1")
+    log.now += 5_000
+    workers = with_label("r0-0", "r0-1")
+    workers[0] = dataclasses.replace(
+        workers[0], health=views.WorkerHealth.UNPROVEN
+    )
+    assert placed_tasks(log, "job", workers) == {0}
