Show that a clock set back prolongs the wait of a gang

The wait is measured between Unix times of two hosts; clock.py says that these serve no timeout. A clock ahead ends the wait at once.

--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -145,3 +145,12 @@
         workers[0], health=views.WorkerHealth.UNPROVEN
     )
     assert placed_tasks(log, "job", workers) == {0}
+
+
+def test_clock_set_back_does_not_prolong_the_wait_of_a_gang(log):
+    log.now = 100_000
+    for rack in range(idle_workers.RACKS):
+        occupy(log, f"r{rack}-0", f"r{rack}-1", accelerators=1)
+    log.submit("gang", batches.content(idle_workers.RACK_GANG))
+    started = placed_tasks(log, "gang", wall_step_ms=-5_000)
+    assert started == {0, 1, 2}
