Count all the room of an idle worker for small jobs

Cause: to find room for two units, idling asked how many more tasks of the step a worker may run, which is the number of the step's tasks if it has no spread limit. One worker never counted for more than one unit.

--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -55,6 +55,9 @@
     for worker in resources.workers.values():
         name = worker.ref.name
         if resources.is_eligible(unit, worker, evacuated):
-            spread = max(0, resources.remaining_spread(unit, name))
-            fitting_tasks += min(spread, available[name].multiple_of(need))
+            tasks = available[name].multiple_of(need)
+            if unit.step.spread_limit:
+                spread = resources.remaining_spread(unit, name)
+                tasks = min(max(0, spread), tasks)
+            fitting_tasks += tasks
     return fitting_tasks // len(unit.indexes)
