Judge idle room by all workers that could run a job

Cause: room for two units was asked for on the workers that are open, have a permit and are not kept for suspects or probes. The users' rule speaks of capacity, and a call for advice gives permits for 30 workers.

Change: room for two is counted on all workers of the pool that meet the step's constraints; the unit still starts only on workers that it may use.

--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -5,8 +5,6 @@
 does not come true would keep it for ever.
 """
 
-from collections.abc import Mapping
-
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
@@ -22,7 +20,6 @@
 def may_start_at_once(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
-    available: Mapping[str, batch.Resources],
     evacuated: list[str],
     waited_ms: int,
 ) -> bool:
@@ -31,30 +28,32 @@
     Args:
       unit: Unit that waits, of a job of which nothing runs.
       resources: Workers and what runs on them.
-      available: Resources that are free now, by worker.
       evacuated: Failure domains where nothing may start.
       waited_ms: Time since the unit's job was due, in milliseconds.
     """
     return (
         waited_ms >= MAX_WAIT_MS
         and resources.is_mostly_idle(unit.queue.pool)
-        and _fitting_units(unit, resources, available, evacuated)
-        >= MIN_FITTING_UNITS
+        and _fitting_units(unit, resources, evacuated) >= MIN_FITTING_UNITS
     )
 
 
 def _fitting_units(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
-    available: Mapping[str, batch.Resources],
     evacuated: list[str],
 ) -> int:
-    """Returns how many units like this one fit beside what runs."""
+    """Returns how many units like this one fit beside what runs.
+
+    Counts workers that the unit may not use at present, as an idle pool is judged
+    by all that could run it.
+    """
+    available = resources.free_beside_runs()
     need = batch.task_demand(unit.step)
     fitting_tasks = 0
     for worker in resources.workers.values():
         name = worker.ref.name
-        if resources.is_eligible(unit, worker, evacuated):
+        if room_lib.meets_constraints(unit, worker, evacuated):
             tasks = available[name].multiple_of(need)
             if unit.step.spread_limit:
                 spread = resources.remaining_spread(unit, name)
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -244,7 +244,6 @@
             or not idling.may_start_at_once(
                 unit,
                 self._resources,
-                available,
                 evacuated,
                 self._wall_ms - unit.due_since_ms,
             )
