Bound the wait of lasting tasks also in a busy pool

Cause: the wait for a rack was bounded only for jobs of which nothing runs, in a pool that is mostly idle.

--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -25,15 +25,19 @@
 ) -> bool:
     """Returns whether a unit waits no longer for a better start.
 
+    Long-running tasks are owed all the time, however busy their pool is.
+
     Args:
-      unit: Unit that waits, of a job of which nothing runs.
+      unit: Unit that waits; unless it is long-running, nothing of its job runs.
       resources: Workers and what runs on them.
       evacuated: Failure domains where nothing may start.
       waited_ms: Time since the unit's job was due, in milliseconds.
     """
     return (
         waited_ms >= MAX_WAIT_MS
-        and resources.is_mostly_idle(unit.queue.pool)
+        and (
+            unit.step.long_running or resources.is_mostly_idle(unit.queue.pool)
+        )
         and _fitting_units(unit, resources, evacuated) >= MIN_FITTING_UNITS
     )
 
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -238,15 +238,14 @@
         """
         available = self._resources.free_beside_probes()
         evacuated = self._state.evacuated
+        job_runs = unit.job_runs or unit.record.id in self._started_jobs
         waits = (
-            unit.job_runs
-            or unit.record.id in self._started_jobs
-            or not idling.may_start_at_once(
-                unit,
-                self._resources,
-                evacuated,
-                self._wall_ms - unit.due_since_ms,
-            )
+            job_runs and not unit.step.long_running
+        ) or not idling.may_start_at_once(
+            unit,
+            self._resources,
+            evacuated,
+            self._wall_ms - unit.due_since_ms,
         )
         if waits:
             return False
