Show that the wait of a suspect is explained wrongly

waiting.explain tries the unit as it is. A suspect that wants a worker of its own fails the first check already if none is idle; one whose choices are empty, as enough workers are kept, passes all checks and so counts as waiting for its rack.

--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -108,3 +108,21 @@
         log.held, [], {}, log.now, explained=first.waits.keys()
     )
     assert len(first.waits.keys() | second.waits.keys()) == jobs
+
+
+@pytest.mark.parametrize("all_busy", [True, False])
+def test_wait_of_a_suspect_for_a_worker_of_its_own_is_told(
+    log, workers, all_busy
+):
+    for job_id in ("s1", "s2"):
+        log.submit(job_id, batches.content())
+        log.place(batches.unit(job_id, batches.ref("a1")))
+    log.now += 500
+    log.crash_together(batches.task("s1"), batches.task("s2"))
+    if all_busy:
+        for worker in workers:
+            occupy(log, worker.ref.name)
+    waits = planner.plan(log.held, workers, {}, log.now).waits
+    assert {wait.reason for wait in waits.values()} == {
+        views.WaitReason.SUSPECTS
+    }
