--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -126,3 +126,20 @@
     assert {wait.reason for wait in waits.values()} == {
         views.WaitReason.SUSPECTS
     }
+
+
+def test_wait_for_the_probe_of_a_worker_is_told(log, workers):
+    for worker in workers[1:]:
+        log.submit(
+            f"full-{worker.ref.name}", batches.content(batches.step(1, 8))
+        )
+        log.place(batches.unit(f"full-{worker.ref.name}", worker.ref))
+    occupy(log, "a1")
+    workers[0] = dataclasses.replace(
+        workers[0],
+        health=views.WorkerHealth.DOUBTFUL,
+        probation=views.Probation(failed_ago_ms=100, probe_ms=2_000),
+    )
+    log.submit("job", batches.content())
+    wait = planner.plan(log.held, workers, {}, log.now).waits["job"]
+    assert wait.reason == views.WaitReason.FAILING
