Show that claimed room is explained as no room

explain starts from what is free after the claims of this round, as if claims of units that still wait were runs. OPERATIONS.md says of no_room: only so many tasks fit beside what runs.

--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -143,3 +143,17 @@
     log.submit("job", batches.content())
     wait = planner.plan(log.held, workers, {}, log.now).waits["job"]
     assert wait.reason == views.WaitReason.FAILING
+
+
+def test_wait_for_room_that_another_claims_is_told(log, workers):
+    """A guaranteed gang waits for a run that is stopped for it."""
+    workers = workers[:2]
+    log.submit("full", batches.content(batches.step(1, 8)), "nightly")
+    log.place(batches.unit("full", batches.ref("a1")))
+    log.now += 2_000
+    step = batches.step(2, 4, gang=True, spread_limit=1, estimate_ms=9_000)
+    log.submit("own", batches.content(step), "urgent")
+    log.submit("other", batches.content(batches.step(1, 8)))
+    waits = planner.plan(log.held, workers, {}, log.now).waits
+    assert waits["own"].fitting_tasks == 1
+    assert waits["other"].reason == views.WaitReason.RESERVED
