Show that a claim keeps idle workers from a gang

_reclaim and _preempt_for_late allocate room that is about to be free, anew in each round. free_beside_probes counts such claims as in use, so a unit that may start at once still waits for them, without a bound if a stop is never answered.

--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bilberryroute.model import batch
+from bilberryroute.model import batch_commands as batching
 from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
 from tests.scheduling import test_waits_beside_idle_workers as idle_workers
@@ -154,3 +155,22 @@
     log.submit("gang", batches.content(idle_workers.RACK_GANG))
     started = placed_tasks(log, "gang", wall_step_ms=-5_000)
     assert started == {0, 1, 2}
+
+
+def test_gang_does_not_wait_for_a_claim_whose_stop_is_never_answered(log):
+    """A guaranteed gang claims eight of ten workers, and one stays busy."""
+    workers = with_label(*(w.ref.name for w in WORKERS[:8]))[:10]
+    idle_workers.occupy(log, "r0-0", accelerators=1)
+    step = batches.step(
+        8,
+        need=batches.task_need(1, cpu_millis=32_000),
+        gang=True,
+        required_label=LABEL,
+    )
+    log.submit("own", batches.content(step), "urgent")
+    gang = dataclasses.replace(idle_workers.RACK_GANG, same_rack=False)
+    log.submit("gang", batches.content(gang))
+    decided = planner.plan(log.held, workers, {}, log.now)
+    log.apply(batching.StopRuns(runs=decided.stops, at_ms=log.now))
+    log.now += 5_000
+    assert placed_tasks(log, "gang", workers) == {0, 1, 2}
