--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -238,17 +238,16 @@
         nor that runs have failed there.
         """
         unit = dataclasses.replace(unit, accepts_failing=True)
-        available = self._resources.free_beside_probes()
         evacuated = self._state.evacuated
         if not idling.may_start_at_once(
             unit,
             self._resources,
-            available,
             evacuated,
             self._wall_ms - unit.waiting_since_ms,
             job_runs=unit.job_runs or unit.record.id in self._started_jobs,
         ):
             return False
+        available = self._resources.free_beside_probes()
         names = placing.place(
             unit, self._resources, available, evacuated, local_only=False
         )
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -108,3 +108,52 @@
         log.held, [], {}, log.now, explained=first.waits.keys()
     )
     assert len(first.waits.keys() | second.waits.keys()) == jobs
+
+
+@pytest.mark.parametrize("all_busy", [True, False])
+def test_wait_of_a_suspect_for_a_worker_of_its_own_is_told(
+    log, workers, all_busy
+):
+    for job_id in ("s1", "s2"):
+        log.submit(job_id, batches.content())
+        log.place(batches.unit(job_id, batches.ref("a1")))
+    log.now += 500
+    log.crash_together(batches.task("s1"), batches.task("s2"))
+    if all_busy:
+        for worker in workers:
+            occupy(log, worker.ref.name)
+    waits = planner.plan(log.held, workers, {}, log.now).waits
+    assert {wait.reason for wait in waits.values()} == {
+        views.WaitReason.SUSPECTS
+    }
+
+
+def test_wait_for_the_probe_of_a_worker_is_told(log, workers):
+    for worker in workers[1:]:
+        log.submit(
+            f"full-{worker.ref.name}", batches.content(batches.step(1, 8))
+        )
+        log.place(batches.unit(f"full-{worker.ref.name}", worker.ref))
+    occupy(log, "a1")
+    workers[0] = dataclasses.replace(
+        workers[0],
+        health=views.WorkerHealth.DOUBTFUL,
+        probation=views.Probation(failed_ago_ms=100, probe_ms=2_000),
+    )
+    log.submit("job", batches.content())
+    wait = planner.plan(log.held, workers, {}, log.now).waits["job"]
+    assert wait.reason == views.WaitReason.FAILING
+
+
+def test_wait_for_room_that_another_claims_is_told(log, workers):
+    """A guaranteed gang waits for a run that is stopped for it."""
+    workers = workers[:2]
+    log.submit("full", batches.content(batches.step(1, 8)), "nightly")
+    log.place(batches.unit("full", batches.ref("a1")))
+    log.now += 2_000
+    step = batches.step(2, 4, gang=True, spread_limit=1, estimate_ms=9_000)
+    log.submit("own", batches.content(step), "urgent")
+    log.submit("other", batches.content(batches.step(1, 8)))
+    waits = planner.plan(log.held, workers, {}, log.now).waits
+    assert waits["own"].fitting_tasks == 1
+    assert waits["other"].reason == views.WaitReason.RESERVED
