Count waits for room from when a unit first waited

What callers would have seen: a gang of a later step starts on two racks, for three times as long, 100 ms before its rack is free, as its wait counted from when its job was accepted. A retry had no wait at all, or one that counted from its last start.

Cause: the time came from the replicated state, which does not hold when a unit became ready, and compared Unix times of two hosts.

Change: the leader remembers since when each unit waits, on its monotonic clock, and gives the planner the time. A new leader starts anew, so that a wait takes 1.5 s longer then at most.

Models and tests that play several rounds carry the times on as a leader does (tests.utils.batches.Leader); their checks are the same.

--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -20,6 +20,7 @@
 from bilberryroute.replica import forecasts
 from bilberryroute.scheduling.batch import planner as planner_lib
 from bilberryroute.scheduling.batch import views
+from bilberryroute.scheduling.batch import wait_times
 from bilberryroute.state import batch as batch_rules
 from bilberryroute.state import records
 
@@ -299,6 +300,7 @@
         self._jobs = collections.deque(jobs)
         self._true_ms = {a.job_id: a.true_ms for a in jobs}
         self._plan = plan
+        self._wait_times = wait_times.WaitTimes()
         self._state = records.ReplicatedState()
         self._now = 0
         self._runs: dict[RunKey, _Run] = {}
@@ -434,7 +436,9 @@
             self._remaining_ms(),
             self._now,
             self._typical.by_queue,
+            waited_ms=self._wait_times.waited_ms(self._now),
         )
+        self._wait_times.update(plan.waiting_units, self._now)
         if plan.stops:
             self._apply(batching.StopRuns(runs=plan.stops, at_ms=self._now))
             self.outcome.stopped += len(plan.stops)
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -29,6 +29,7 @@
 from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import readiness
 from bilberryroute.scheduling.batch import views
+from bilberryroute.scheduling.batch import wait_times
 
 # Pause between two rounds, which batches events that arrive together. It is a
 # fraction of a commit, which takes a disk sync of about 9 ms.
@@ -70,6 +71,7 @@
         self._health = batch_health.BatchWorkerHealth(parts.clock)
         self._forecasts = forecasts_lib.Forecasts()
         self._run_times = forecasts_lib.AverageRunTimes()
+        self._wait_times = wait_times.WaitTimes()
         self._explained_ms: dict[str, clock_lib.Millis] = {}
         self._wakeup = asyncio.Event()
         self._first_report_ms = clock_lib.Millis(0)
@@ -243,7 +245,9 @@
             self._permits.valid_permits(),
             batch_upkeep.serving_runs(self._reports),
             self._recently_explained(),
+            self._wait_times.waited_ms(began),
         )
+        self._wait_times.update(plan.waiting_units, began)
         self._metrics.round_ms.add({}, self._clock.now() - began)
         return plan
 
--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -29,7 +29,7 @@
                 "tasks": [_task_label(unit.task(m)) for m in unit.members],
                 "run": unit.run,
                 "workers": [m.worker.name for m in unit.members],
-                "waiting": plan.waiting_unit_count,
+                "waiting": len(plan.waiting_units),
             },
         )
 
@@ -84,7 +84,7 @@
                 "job_id": job_id,
                 "reason": str(wait.reason),
                 "rank": wait.rank,
-                "waiting": plan.waiting_unit_count,
+                "waiting": len(plan.waiting_units),
                 "workers": worker_count,
                 "accepted_ms_ago": wall_ms - record.accepted_ms,
                 "tasks": wait.tasks,
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -56,6 +56,7 @@
     ),
     available_runs: Set[room_lib.RunKey] = frozenset(),
     explained: Set[str] = frozenset(),
+    waited_ms: Mapping[views.UnitKey, int] = types.MappingProxyType({}),
 ) -> views.BatchPlan:
     """Returns the units to place now and the runs to preempt for them.
 
@@ -68,6 +69,8 @@
       permits: Permits of queues that require them, by step and worker.
       available_runs: Long-running runs that their workers report as serving.
       explained: Ids of jobs for which the plan need not say why they wait.
+      waited_ms: For how long units that waited after the last round have done
+        so, in milliseconds.
     """
     guaranteed = readiness.guaranteed_jobs(state)
     resources = room_lib.AvailableResources(
@@ -85,6 +88,7 @@
         wall_ms,
         available_runs,
         explained,
+        waited_ms,
     ).run(ready)
 
 
@@ -110,6 +114,7 @@
         wall_ms: int,
         available_runs: Set[room_lib.RunKey],
         explained: Set[str],
+        waited_ms: Mapping[views.UnitKey, int],
     ):
         self._state = state
         self._resources = resources
@@ -122,9 +127,10 @@
         self._stopped_for: dict[batching.TaskRun, str] = {}
         self._preemptible: list[preempting.PreemptibleUnit] | None = None
         self._reservation_count = 0
-        self._waiting_unit_count = 0
+        self._waiting_units: set[views.UnitKey] = set()
         self._waiting_jobs: set[str] = set()
         self._explained = explained
+        self._waited_ms = waited_ms
         self._waits: dict[str, views.Wait] = {}
         self._fits: dict[Hashable, views.FutureFit | None] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
@@ -135,12 +141,12 @@
         for unit in ready:
             key = (self._placement_key(unit), unit.crash_count)
             if key in blocked:
-                self._waiting_unit_count += 1
+                self._waiting_units.add(unit.key)
                 continue
             attempt = self._try_place(unit)
             if attempt == _Attempt.STARTS:
                 continue
-            self._waiting_unit_count += 1
+            self._waiting_units.add(unit.key)
             self._note_waiting(unit)
             if attempt == _Attempt.WAITS:
                 blocked.add(key)
@@ -150,7 +156,7 @@
             units=tuple(self._units),
             stops=tuple(self._stopped_for),
             stopped_for=self._stopped_for,
-            waiting_unit_count=self._waiting_unit_count,
+            waiting_units=frozenset(self._waiting_units),
             waiting_jobs=frozenset(self._waiting_jobs),
             waits=self._waits,
             permit_candidates=self._permit_candidates,
@@ -243,7 +249,7 @@
             unit,
             self._resources,
             evacuated,
-            self._wall_ms - unit.waiting_since_ms,
+            self._waited_ms.get(unit.key, 0),
             job_runs=unit.job_runs or unit.record.id in self._started_jobs,
         ):
             return False
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -197,9 +197,6 @@
                     indexes=indexes,
                     run=run,
                     due_since_ms=due_ms,
-                    waiting_since_ms=max(
-                        due_ms, _last_placed_ms(step_record, indexes)
-                    ),
                     suspect=_isolation(step_record, indexes, crashes, wall_ms),
                     crash_count=crash_model.crash_count(crashes),
                     step_runs=any(t.active for t in step_record.tasks)
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -10,6 +10,8 @@
 from bilberryroute.model import catalog as catalog_model
 
 StepKey = tuple[str, int, int]
+# Job id, occurrence, step and first task of a unit.
+UnitKey = tuple[str, int, int, int]
 
 # Second element of a unit's rank (see `readiness._rank`) from which on the unit
 # may only preempt runs that lose no work. Making others lose work is justified
@@ -97,8 +99,6 @@
       rank: Sort key; lower keys are tried first. The second element is 0 for
         jobs within their accounts' guarantees.
       due_since_ms: Unix time at which the occurrence became due.
-      waiting_since_ms: Unix time from which its wait counts: since it was due, or
-        since it was placed last.
       suspect: How far it keeps away from other work, as it may crash its
         workers; false (`NONE`) if it is not suspect.
       crash_count: Number of its runs that ended by a crash.
@@ -121,7 +121,6 @@
     run: int
     rank: tuple[int, ...] = ()
     due_since_ms: int = 0
-    waiting_since_ms: int = 0
     suspect: Separation = Separation.NONE
     crash_count: int = 0
     step_runs: bool = False
@@ -136,6 +135,11 @@
         """Job id, occurrence and index of the unit's step."""
         return (self.record.id, self.occurrence, self.step_number)
 
+    @property
+    def key(self) -> UnitKey:
+        """Key of the unit, the same in each round."""
+        return (*self.step_key, self.indexes[0])
+
     def placement_key(self, avoided: frozenset[str]) -> Hashable:
         """Returns a key, equal for units of a step that may use the same workers.
 
@@ -258,7 +262,7 @@
       units: Units to place, in order.
       stops: Runs to preempt for units of a better rank.
       stopped_for: Job that each of them is preempted for.
-      waiting_unit_count: Number of ready units that could not be placed.
+      waiting_units: Ready units that could not be placed.
       waiting_jobs: Ids of the jobs with such units.
       waits: Why some of these jobs wait, by job id.
       permit_candidates: Steps that need permits, with the names of the workers
@@ -270,7 +274,7 @@
     stopped_for: dict[batching.TaskRun, str] = dataclasses.field(
         default_factory=dict
     )
-    waiting_unit_count: int = 0
+    waiting_units: frozenset[UnitKey] = frozenset()
     waiting_jobs: frozenset[str] = frozenset()
     waits: dict[str, Wait] = dataclasses.field(default_factory=dict)
     permit_candidates: dict[StepKey, list[str]] = dataclasses.field(
--- a/tests/scheduling/crash_model.py
+++ b/tests/scheduling/crash_model.py
@@ -8,7 +8,6 @@
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import jobs
-from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
 from bilberryroute.state import machine as machine_lib
 from tests.utils import batches
@@ -39,6 +38,7 @@
     def __init__(self, seed: int, *, jobs: int, guilty_share: float):
         self._rng = random.Random(seed)
         self.log = batches.Log()
+        self._leader = batches.Leader(self.log)
         self._born = dict.fromkeys(
             (f"w{number}" for number in range(WORKER_COUNT)), 1
         )
@@ -73,9 +73,7 @@
         self._end_runs()
         if self._rng.random() < 0.02:
             self._change_leader()
-        decided = planner.plan(
-            self.log.held, self._present_workers(), {}, self.log.now
-        )
+        decided = self._leader.plan(self._present_workers())
         if decided.stops:
             self._stop(decided)
         if decided.units:
@@ -93,6 +91,7 @@
     def _change_leader(self) -> None:
         """Another replica goes on from a snapshot, without memory of its own."""
         self._crashed_ms.clear()
+        self._leader = batches.Leader(self.log)
         restored = machine_lib.StateMachine()
         restored.restore(self.log.machine.snapshot())
         self.log.machine = restored
--- a/tests/scheduling/run_model.py
+++ b/tests/scheduling/run_model.py
@@ -17,7 +17,6 @@
 from bilberryroute.replica import batch_upkeep
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import desired as desired_lib
-from bilberryroute.scheduling.batch import planner
 from tests.utils import batches
 
 FULL_CAPACITY = batches.worker().capacity
@@ -242,6 +241,7 @@
 
     def __init__(self, names: tuple[str, ...] = ("w1", "w2")):
         self.log = batches.Log()
+        self._leader = batches.Leader(self.log)
         self.term = 1
         self.board = board_lib.new_board()
         self.agents = {
@@ -331,7 +331,7 @@
             for name, known in reports.items()
         ]
         corrections = batch_upkeep.required_stops(self.held, reports, {})
-        plan = planner.plan(self.held, workers, {}, self.log.now)
+        plan = self._leader.plan(workers)
         runs = (*corrections, *plan.stops)
         if runs:
             self.log.apply(batching.StopRuns(runs=runs, at_ms=self.log.now))
@@ -343,6 +343,7 @@
         """Elects another replica, which has received no reports yet."""
         self.term += 1
         self.board = board_lib.new_board()
+        self._leader = batches.Leader(self.log)
 
     def run_to_completion(self) -> None:
         """Runs without faults until every job has ended.
--- a/tests/scheduling/test_claims_of_stopping_runs.py
+++ b/tests/scheduling/test_claims_of_stopping_runs.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from bilberryroute.model import batch_commands as batching
-from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
 from tests.utils import batches
 
@@ -24,8 +23,9 @@
 
 def starts(log, workers, job_id):
     """Returns whether a job starts before it counts as lost; no stop ends."""
+    leader = batches.Leader(log)
     for _ in range(0, LOST_AFTER_MS, ROUND_MS):
-        decided = planner.plan(log.held, workers, {}, log.now)
+        decided = leader.plan(workers)
         log.apply(batching.StopRuns(runs=decided.stops, at_ms=log.now))
         log.place(*decided.units)
         if job_id in {unit.job_id for unit in decided.units}:
--- a/tests/scheduling/test_waits_beside_failing_workers.py
+++ b/tests/scheduling/test_waits_beside_failing_workers.py
@@ -5,7 +5,6 @@
 import pytest
 
 from bilberryroute.model import batch
-from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
 from tests.utils import batches
 
@@ -51,8 +50,9 @@
 
 def starts(log, workers, job_id):
     """Returns whether a job starts before it counts as lost; no run ends."""
+    leader = batches.Leader(log)
     for _ in range(0, LOST_AFTER_MS, ROUND_MS):
-        decided = planner.plan(log.held, workers, {}, log.now)
+        decided = leader.plan(workers)
         log.place(*decided.units)
         if job_id in {unit.job_id for unit in decided.units}:
             return True
--- a/tests/scheduling/test_waits_beside_few_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_few_idle_workers.py
@@ -41,12 +41,11 @@
 
 def placed_tasks(log, job_id, workers=WORKERS, permits=None, wall_step_ms=0):
     """Returns the tasks of a job that start before it counts as lost."""
+    leader = batches.Leader(log)
     indexes = set()
     for _ in range(0, idle_workers.LOST_AFTER_MS, idle_workers.ROUND_MS):
         wall_ms = log.now + wall_step_ms
-        decided = planner.plan(
-            log.held, workers, {}, wall_ms, permits=permits or {}
-        )
+        decided = leader.plan(workers, wall_ms=wall_ms, permits=permits or {})
         log.place(*decided.units)
         indexes |= {
             member.index
--- a/tests/scheduling/test_waits_beside_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_idle_workers.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from bilberryroute.scheduling.batch import planner
 from tests.utils import batches
 
 RACKS = 6
@@ -45,9 +44,10 @@
 
     No run ends in that time.
     """
+    leader = batches.Leader(log)
     waiting = set(job_ids)
     for _ in range(0, LOST_AFTER_MS, ROUND_MS):
-        decided = planner.plan(log.held, WORKERS, {}, log.now)
+        decided = leader.plan(WORKERS)
         log.place(*decided.units)
         waiting -= {unit.job_id for unit in decided.units}
         log.now += ROUND_MS
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -6,7 +6,9 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
+from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
+from bilberryroute.scheduling.batch import wait_times
 from bilberryroute.state import machine as machine_lib
 from bilberryroute.transport import proposals
 
@@ -158,6 +160,28 @@
         return self.apply(batching.EndRuns(ends=(each,), at_ms=self.now))
 
 
+class Leader:
+    """Plans rounds as a leader does, which remembers since when units wait."""
+
+    def __init__(self, log: Log):
+        self._log = log
+        self._wait_times = wait_times.WaitTimes()
+
+    def plan(self, workers, remaining_ms=None, **more) -> views.BatchPlan:
+        """Plans a round; `wall_ms` is its time by the host's clock."""
+        now_ms = self._log.now
+        decided = planner.plan(
+            self._log.held,
+            workers,
+            remaining_ms or {},
+            more.pop("wall_ms", now_ms),
+            waited_ms=self._wait_times.waited_ms(now_ms),
+            **more,
+        )
+        self._wait_times.update(decided.waiting_units, now_ms)
+        return decided
+
+
 def unit(
     job_id: str = "j1",
     *workers: batch.WorkerRef,
