Start jobs that a host with a faster clock has accepted

What callers would have seen: after a change of leader, a job that was accepted shortly before waits for as long as the new leader's host is behind the old one's.

Cause: a job without a schedule counts as due when it was accepted, by the clock of the leader that accepted it, and units whose time has not come are not ready.

Change: only occurrences of a schedule wait for their time; the time since which a job is due is never later than now.

--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -169,8 +169,8 @@
         due_ms = record.due_ms(number)
         if record.content.schedule is not None:
             due_ms += DUE_MARGIN_MS
-        if due_ms > wall_ms:
-            return
+            if due_ms > wall_ms:
+                return
         step_records = record.occurrences.get(number)
         if step_records is None:
             step_records = batch.new_step_records(record.content)
@@ -196,7 +196,8 @@
                     step=step,
                     indexes=indexes,
                     run=run,
-                    due_since_ms=due_ms,
+                    # The host that accepted the job may have another time.
+                    due_since_ms=min(due_ms, wall_ms),
                     suspect=_isolation(step_record, indexes, crashes, wall_ms),
                     crash_count=crash_model.crash_count(crashes),
                     step_runs=any(t.active for t in step_record.tasks)
