Explain waits for suspects, probes and claims as such

What operators saw: `waits for room` gave `locality` or `no_room` for a suspect of crashes that waits for a worker of its own, `reserved` with no holder for a wait for the probe of a worker, and `no_room` where a guaranteed job had claimed the room.

Change: the whole worker that a suspect wants is a restriction of its own, a probe counts as failing, and claims are noted with their job, so that they appear in `reserved_for` and a claimant's own claim does not count against it.

No decision changes.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -337,7 +337,7 @@
             names = self._preempt(unit, self._preemption_candidates())
         if names is None:
             return False
-        self._resources.allocate(unit, names)
+        self._resources.claim(unit, names)
         return True
 
     def _reserve_or_preempt(self, unit: views.ReadyUnit) -> None:
@@ -354,7 +354,7 @@
         preempts = would_be_late and not unit.suspect
         names = self._preempt_for_late(unit) if preempts else None
         if names is not None:
-            self._resources.allocate(unit, names)
+            self._resources.claim(unit, names)
             self._reservation_count += 1
         elif fit is not None:
             self._resources.reserve(unit, fit.names, fit.delay_ms)
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -45,6 +45,16 @@
         return not is_own and unit.step.estimate_ms > self.from_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Claim:
+    """Resources set aside in this round for a unit that can't start yet."""
+
+    unit: views.ReadyUnit
+    worker: str
+    tasks: int
+    need: batch.Resources
+
+
 class AvailableResources:
     """Free resources of each worker during one planning round.
 
@@ -92,6 +102,7 @@
         self._withheld: dict[str, batch.Resources] = {}
         self._allocations: dict[str, list[_Allocation]] = {}
         self._reservations: dict[str, list[_UnitReservation]] = {}
+        self._claims: list[_Claim] = []
         self._free_within: dict[int, dict[str, batch.Resources]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
         for name, worker in self.workers.items():
@@ -168,6 +179,10 @@
         """Returns whether nothing may start beside what runs on a worker."""
         return self.isolation.is_kept(name) or name in self._probes.under_way
 
+    def is_probed(self, name: str) -> bool:
+        """Returns whether a worker runs the probe that shows if it is sound."""
+        return name in self._probes.under_way
+
     def isolates_enough(self, unit: views.ReadyUnit) -> bool:
         """Returns whether a suspect should get no worker of its own now."""
         return self.isolation.is_exhausted(unit.queue.pool, self.workers)
@@ -253,24 +268,33 @@
         return usable
 
     def reserved_against(self, unit: views.ReadyUnit) -> dict[str, int]:
-        """Returns the jobs that have reserved what a unit must not use.
+        """Returns the jobs that have set aside what a unit must not use.
 
         Gives the number of workers on which each job has done so.
         """
-        counts: collections.Counter[str] = collections.Counter()
-        for reservations in self._reservations.values():
-            counts.update(
-                {
-                    each.unit.record.id
-                    for each in reservations
-                    if each.binds(unit)
-                }
-            )
-        return dict(counts)
+        holders = {
+            (each.unit.record.id, name)
+            for name, reservations in self._reservations.items()
+            for each in reservations
+            if each.binds(unit)
+        }
+        holders |= {
+            (each.unit.record.id, each.worker)
+            for each in self._claims
+            if each.unit.key != unit.key
+        }
+        return dict(collections.Counter(job_id for job_id, _ in holders))
+
+    def unclaimed(self) -> dict[str, batch.Resources]:
+        """Returns what is free, including what is set aside in this round."""
+        free = dict(self.free)
+        for each in self._claims:
+            free[each.worker] = free[each.worker].plus(each.need)
+        return free
 
     def free_beside_runs(self) -> dict[str, batch.Resources]:
-        """Returns what is free, including what is kept for suspects."""
-        usable = dict(self.free)
+        """Returns what is free, including what is set aside or kept."""
+        usable = self.unclaimed()
         for name, rest in self._withheld.items():
             usable[name] = usable[name].plus(rest)
         return usable
@@ -310,10 +334,33 @@
 
         On a worker that just failed, it is the probe.
         """
-        self.allocate(unit, names)
+        self._allocate(unit, names)
         self._probes.note_start(names)
 
-    def allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
+    def claim(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
+        """Allocates workers to a unit that starts once others have ended."""
+        free = {name: self.free[name] for name in names}
+        tasks = collections.Counter(names)
+        self._allocate(unit, names)
+        self._claims += [
+            _Claim(
+                unit=unit,
+                worker=name,
+                tasks=tasks[name],
+                need=before.minus(self.free[name]),
+            )
+            for name, before in free.items()
+        ]
+
+    def claimed_tasks(self, unit: views.ReadyUnit, name: str) -> int:
+        """Returns for how many of its tasks a unit has claimed a worker."""
+        return sum(
+            each.tasks
+            for each in self._claims
+            if each.unit.key == unit.key and each.worker == name
+        )
+
+    def _allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Subtracts the demand of one task for each worker name given.
 
         Subtracts the whole worker for a unit that runs apart from others.
--- a/bilberryroute/scheduling/batch/waiting.py
+++ b/bilberryroute/scheduling/batch/waiting.py
@@ -11,6 +11,7 @@
 from bilberryroute.scheduling.batch import avoiding
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import room as room_lib
+from bilberryroute.scheduling.batch import suspects
 from bilberryroute.scheduling.batch import views
 
 # Workers that an explanation names for each reason to leave them out.
@@ -81,17 +82,39 @@
         permits = resources.permits(unit)
         workers = [w for w in workers if w.ref.name in permits]
     yield views.WaitReason.NO_PERMIT, workers, unused
+    unclaimed = resources.unclaimed()
     workers = [
         worker
         for worker in workers
-        if resources.is_eligible(unit, worker, evacuated)
+        if _may_join_suspects(unit, worker, resources, unclaimed, evacuated)
     ]
-    yield views.WaitReason.SUSPECTS, workers, resources.free
+    yield views.WaitReason.SUSPECTS, workers, unclaimed
     workers = avoiding.without_failing(unit, workers, resources)
-    yield views.WaitReason.FAILING, workers, resources.free
+    yield (
+        views.WaitReason.FAILING,
+        [w for w in workers if not resources.is_probed(w.ref.name)],
+        unclaimed,
+    )
     yield views.WaitReason.RESERVED, workers, resources.unreserved_for(unit)
 
 
+def _may_join_suspects(
+    unit: views.ReadyUnit,
+    worker: views.WorkerSnapshot,
+    resources: room_lib.AvailableResources,
+    available: Mapping[str, batch.Resources],
+    evacuated: list[str],
+) -> bool:
+    """Returns whether suspects of crashes don't keep a unit from a worker."""
+    if not resources.is_eligible(unit, worker, evacuated):
+        return False
+    if not unit.suspect:
+        return True
+    is_idle = available[worker.ref.name] == worker.capacity
+    choices = suspects.choices(unit, resources)
+    return any(is_idle or not each.takes_whole_workers for each in choices)
+
+
 def _fitting_tasks(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
@@ -103,9 +126,8 @@
     fitting = 0
     for worker in workers:
         name = worker.ref.name
-        if unit.takes_whole_workers and available[name] != worker.capacity:
-            continue
-        spread = max(0, resources.remaining_spread(unit, name))
+        spread = resources.remaining_spread(unit, name)
+        spread = max(0, spread + resources.claimed_tasks(unit, name))
         fitting += min(spread, available[name].multiple_of(need))
     return min(fitting, len(unit.indexes))
 
