Count a pool as idle if most of any resource is

What callers would have seen: a gang waits for reserved workers while 14 of 192 accelerators and over half of the cores are in use.

Cause: the bound on waits asked for a pool of which less than half of the cores, the memory and the accelerators is in use. The users do not say which they count.

Change: the resource that is used least decides. Units that keep away from suspects of crashes go on to ask for all three.

Evidence: test_gang_does_not_wait_for_reserved_workers_while_only_cores_are_in_use failed before.

--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -107,7 +107,7 @@
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
         for name, worker in self.workers.items():
             self._count_worker(state, name, worker, remaining_ms, wall_ms)
-        self._mostly_idle = self._mostly_idle_pools()
+        self._surplus = self._surplus_by_pool()
         self.isolation.isolate(self.workers)
         for name in self.isolation.isolated:
             self._withhold_rest(name)
@@ -312,22 +312,26 @@
         return usable
 
     def is_mostly_idle(self, pool: str) -> bool:
-        """Returns whether runs use less than half of a pool."""
-        return pool in self._mostly_idle
-
-    def _mostly_idle_pools(self) -> set[str]:
-        unused: dict[str, batch.Resources] = {}
+        """Returns whether runs use less than half of each resource of a pool."""
+        surplus = self._surplus.get(pool)
+        return surplus is not None and surplus.holds(batch.NO_RESOURCES)
+
+    def is_partly_idle(self, pool: str) -> bool:
+        """Returns whether runs use less than half of any resource of a pool."""
+        surplus = self._surplus.get(pool, batch.NO_RESOURCES)
+        amounts = (surplus.cpu_millis, surplus.memory_mb, surplus.accelerators)
+        return max(amounts) > 0
+
+    def _surplus_by_pool(self) -> dict[str, batch.Resources]:
+        """Returns by how much the free resources of pools exceed the used."""
+        surplus: dict[str, batch.Resources] = {}
         for name, worker in self.workers.items():
             # Free minus used, as both add up to the capacity.
-            surplus = self.free[name].plus(self.free[name])
-            surplus = surplus.minus(worker.capacity)
-            known = unused.get(worker.pool, batch.NO_RESOURCES)
-            unused[worker.pool] = known.plus(surplus)
-        return {
-            pool
-            for pool, surplus in unused.items()
-            if surplus.holds(batch.NO_RESOURCES)
-        }
+            difference = self.free[name].plus(self.free[name])
+            difference = difference.minus(worker.capacity)
+            known = surplus.get(worker.pool, batch.NO_RESOURCES)
+            surplus[worker.pool] = known.plus(difference)
+        return surplus
 
     def start(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Allocates workers to a unit that starts now, one name for each task.
--- a/tests/scheduling/test_waits_beside_idle_workers.py
+++ b/tests/scheduling/test_waits_beside_idle_workers.py
@@ -94,6 +94,20 @@
     assert "lasting" not in jobs_that_wait(log, "lasting")
 
 
+def test_gang_does_not_wait_for_reserved_workers_while_only_cores_are_in_use(
+    log,
+):
+    """How the users measure the use of a pool is not stated."""
+    for worker in WORKERS[:14]:
+        occupy(log, worker.ref.name, cpu_millis=30_000, estimate_ms=5_000)
+    log.now += 10_000
+    wide = batches.step(22, 8, gang=True, estimate_ms=17_000)
+    log.submit("wide", batches.content(wide))
+    gang = dataclasses.replace(RACK_GANG, same_rack=False)
+    log.submit("gang", batches.content(gang))
+    assert jobs_that_wait(log, "gang") == set()
+
+
 def test_gang_does_not_wait_for_its_rack_until_it_is_late(log):
     """On several racks a gang takes as long as its objective allows."""
     occupy_half_of_each_rack(log, estimate_ms=30_000)
