Play a light load in which most racks are half idle

Gangs that prefer one rack waited for it although most workers were idle, and none of the loads showed it: their small tasks are packed on few racks. In the new load wide jobs keep one accelerator of every other worker.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -30,6 +30,7 @@
     measures["wasted share"] = mean(lambda o: o.wasted_share)
     measures["stopped runs"] = mean(lambda o: o.stopped)
     measures["most stops of a job"] = max(o.most_stops for o in outcomes)
+    measures["lost jobs"] = mean(lambda o: len(o.lost))
     measures["fairness of accounts"] = mean(_fairness)
     waits = _waits(outcomes)
     for percentile in PERCENTILES:
@@ -66,6 +67,7 @@
     burst: float = 1.0,
     seconds: float = 30.0,
     seeds: int = 3,
+    scattered: bool = False,
 ) -> None:
     """Play a load against the planner of batch jobs.
 
@@ -75,8 +77,13 @@
       burst: Factor on the arrivals from second 8 to 16.
       seconds: Length of the arrivals.
       seeds: Number of plays, each with its own jobs.
+      scattered: Play jobs that leave few racks idle, without a burst.
     """
-    load = loads.burst(workers, burst, intensity)
+    load = (
+        loads.scattered(workers, intensity)
+        if scattered
+        else loads.burst(workers, burst, intensity)
+    )
     load = dataclasses.replace(load, seconds=seconds)
     outcomes = [load_model.play(load, seed) for seed in range(1, seeds + 1)]
     for name, value in report(outcomes).items():
--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 
+from benchmarks import load_waits
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import catalog as catalog_model
@@ -33,6 +34,9 @@
 HOST = "load.example"
 KEY = "load-key"
 POOL = "pool"
+# Labels of every other worker.
+EVEN = "even"
+ODD = "odd"
 
 RunKey = tuple[batch.TaskId, int]
 Planner = Callable[..., views.BatchPlan]
@@ -56,6 +60,9 @@
       late_worth: Value of a mean job up to three times its objective.
       accelerators: Drawn from for each job.
       cpu_millis: Of each task.
+      memory_mb: Of each task.
+      spread_limit: Most tasks of a job on one worker; 0 for no bound.
+      required_label: Label that its workers must have, or empty.
       gang: Share of jobs whose tasks run only together.
       one_rack: Share of gangs that are slower on several racks.
       saves: Share of jobs that save checkpoints.
@@ -75,6 +82,9 @@
     late_worth: float
     accelerators: tuple[int, ...]
     cpu_millis: int
+    memory_mb: int = 1_000
+    spread_limit: int = 0
+    required_label: str = ""
     gang: float = 1.0
     one_rack: float = 0.6
     saves: float = 0.0
@@ -164,6 +174,7 @@
       wasted: Core-seconds of runs that were stopped and not saved.
       runs: Runs that were started.
       stopped: Runs that were stopped to make room.
+      lost: Ids of jobs that waited for long beside idle workers.
     """
 
     fates: dict[str, JobFate] = dataclasses.field(default_factory=dict)
@@ -171,6 +182,7 @@
     wasted: float = 0.0
     runs: int = 0
     stopped: int = 0
+    lost: set[str] = dataclasses.field(default_factory=set)
 
     def goodput(self, kind: str = "") -> float:
         """Returns the share of the value that was earned."""
@@ -257,10 +269,10 @@
     has_data = not gang and rng.random() < kind.data_racks
     need = batch.Resources(
         cpu_millis=kind.cpu_millis,
-        memory_mb=1_000,
+        memory_mb=kind.memory_mb,
         accelerators=rng.choice(kind.accelerators),
     )
-    fitting = load.workers * _tasks_per_worker(load.capacity, need)
+    fitting = load.workers * load.capacity.multiple_of(need)
     step = batch.Step(
         count=min(count, fitting) if gang else count,
         need=need,
@@ -269,6 +281,8 @@
         gang=gang,
         same_rack=gang and rng.random() < kind.one_rack,
         data_rack=f"r{rng.randrange(racks)}" if has_data else "",
+        spread_limit=kind.spread_limit,
+        required_label=kind.required_label,
     )
     return Arrival(
         at_ms=at_ms,
@@ -280,11 +294,6 @@
     )
 
 
-def _tasks_per_worker(capacity: batch.Resources, need: batch.Resources) -> int:
-    by_accelerator = capacity.accelerators // max(1, need.accelerators)
-    return min(by_accelerator, capacity.cpu_millis // need.cpu_millis)
-
-
 class LoadModel:
     """One load, played against one planner."""
 
@@ -306,6 +315,7 @@
         self._typical = forecasts.AverageRunTimes()
         self._workers = [_worker(load, n) for n in range(load.workers)]
         self._racks = {w.ref.name: w.rack for w in self._workers}
+        self._waits = load_waits.IdleWaits(self._workers)
         catalog = _catalog(load)
         self._apply(batching.ApplyCatalog(catalog=catalog, at_ms=0))
 
@@ -321,10 +331,12 @@
             self._submit_due()
             self._advance()
             self._plan_round()
+            self._waits.note_round(self.state, self._now)
             self._now += ROUND_MS
             open_jobs = any(r.result is None for r in self.state.jobs.values())
             if not self._jobs and not open_jobs:
                 break
+        self.outcome.lost = self._waits.lost
         return self.outcome
 
     def _apply(self, command):
@@ -487,7 +499,7 @@
         pool=POOL,
         failure_domain="apapa",
         rack=rack,
-        labels=("a", rack),
+        labels=("a", rack, EVEN if number % 2 == 0 else ODD),
         capacity=load.capacity,
     )
 
--- a/benchmarks/loads.py
+++ b/benchmarks/loads.py
@@ -7,6 +7,10 @@
 
 CAPACITY = batch.Resources(cpu_millis=32_000, memory_mb=128_000, accelerators=8)
 
+LARGE_CAPACITY = batch.Resources(
+    cpu_millis=64_000, memory_mb=131_072, accelerators=8
+)
+
 # Mean arrivals are those of one worker; `steady` multiplies them.
 URGENT = load_model.JobKind(
     name="gang-call",
@@ -59,6 +63,39 @@
     data_racks=0.12,
 )
 
+# Gangs of large tasks, most of which prefer one rack, beside wide jobs that keep
+# one accelerator of every other worker.
+SMALL_GANG = dataclasses.replace(
+    URGENT,
+    per_s=0.012,
+    width=4.7,
+    max_width=28,
+    estimate_error=0.9,
+    cpu_millis=7_500,
+    memory_mb=20_000,
+)
+LARGE_GANG = dataclasses.replace(
+    PLANNED,
+    per_s=0.0058,
+    width=5.6,
+    max_width=34,
+    estimate_error=0.2,
+    cpu_millis=26_000,
+    memory_mb=53_000,
+)
+WIDE = dataclasses.replace(
+    NIGHTLY,
+    per_s=0.0025,
+    width=30,
+    max_width=27,
+    task_ms=19_000,
+    estimate_error=0.2,
+    cpu_millis=5_600,
+    memory_mb=15_000,
+    spread_limit=1,
+    required_label=load_model.EVEN,
+)
+
 
 def steady(workers: int, intensity: float = 1.0) -> load_model.Load:
     """Returns a steady mix; `intensity` 1 is a busy but feasible day."""
@@ -90,3 +127,19 @@
         burst_from_s=8.0,
         burst_to_s=16.0,
     )
+
+
+def scattered(workers: int, intensity: float = 0.5) -> load_model.Load:
+    """Returns a light load that leaves few workers wholly idle."""
+    kinds = tuple(
+        dataclasses.replace(kind, per_s=kind.per_s * workers * intensity)
+        for kind in (SMALL_GANG, LARGE_GANG, WIDE)
+    )
+    return load_model.Load(
+        kinds=kinds,
+        workers=workers,
+        rack_size=6,
+        capacity=LARGE_CAPACITY,
+        seconds=40.0,
+        guaranteed=workers * 8 // 6,
+    )
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -11,6 +11,8 @@
 MAX_WASTED_SHARE = 0.08
 MAX_STOPS_PER_TASK = 3
 SEEDS = (1, 2, 3)
+# Seeds with a gang that waits for its rack.
+LIGHT_SEEDS = (3, 6, 17)
 
 
 def test_busy_burst_is_served_with_little_waste():
@@ -33,3 +35,11 @@
 def test_a_feasible_load_is_served():
     outcomes = [load_model.play(loads.steady(11), seed) for seed in SEEDS]
     assert statistics.mean(o.goodput() for o in outcomes) >= TARGET_GOODPUT
+
+
+def test_no_job_waits_long_while_most_workers_are_idle():
+    """Each rack has a few idle workers, too few for most gangs."""
+    load = loads.scattered(54)
+    outcomes = [load_model.play(load, seed) for seed in LIGHT_SEEDS]
+    assert [o.lost for o in outcomes] == [set()] * len(LIGHT_SEEDS)
+    assert statistics.mean(o.goodput() for o in outcomes) >= TARGET_GOODPUT
