Judge by its value whether a pool is half idle

Change: cores and accelerators count by what the platform values them at, eight cores an accelerator. That is less than half whenever all three resources are.

The value is a property of Resources now, which preemption uses as well.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -11,6 +11,9 @@
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import jobs
 
+# The platform values the time of one accelerator like that of eight cores.
+MILLIS_PER_ACCELERATOR = 8_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Resources:
@@ -26,6 +29,11 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    @property
+    def value_millis(self) -> int:
+        """Value as the platform counts it, in thousandths of a core."""
+        return self.cpu_millis + MILLIS_PER_ACCELERATOR * self.accelerators
+
     def plus(self, other: "Resources") -> "Resources":
         """Returns the sum of both."""
         return Resources(
--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -57,7 +57,7 @@
     if waited_ms < LOCALITY_WAIT_MS:
         return Start.NOWHERE
     if not unit.step.long_running and (
-        job_runs or not resources.is_partly_idle(unit.queue.pool)
+        job_runs or not resources.is_half_idle(unit.queue.pool)
     ):
         return Start.NOWHERE
     if _fitting_units(unit, resources, evacuated) < MIN_FITTING_UNITS:
--- a/bilberryroute/scheduling/batch/preempting.py
+++ b/bilberryroute/scheduling/batch/preempting.py
@@ -11,8 +11,6 @@
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
-# The platform values the time of one accelerator like that of eight cores.
-MILLIS_PER_ACCELERATOR = 8_000
 # Time that a checkpointing run loses by preemption: its restart, and what it
 # runs between the decision to stop it and its checkpoint.
 RESTART_LOSS_MS = 500
@@ -125,7 +123,7 @@
     return PreemptibleUnit(
         tasks=tuple(tasks),
         need=batch.task_demand(step),
-        lost_work=ran_ms * len(tasks) * _weight(step),
+        lost_work=ran_ms * len(tasks) * step.need.value_millis,
         priority=queue.priority if queue is not None else 0,
         checkpoints=step.checkpointing,
         stopped_before=any(record.task(run.task).stops for run, _ in tasks),
@@ -161,7 +159,9 @@
     options = []
     for local in (True,) if local_only else (True, False):
         factor = 0 if local else placing.REMOTE_FACTOR
-        remote_work = factor * run_ms * len(unit.indexes) * _weight(unit.step)
+        remote_work = (
+            factor * run_ms * len(unit.indexes) * unit.step.need.value_millis
+        )
         for group in placing.worker_groups(
             unit, resources, evacuated, local_only=local
         ):
@@ -174,12 +174,6 @@
     return tuple(best.names), best.to_stop
 
 
-def _weight(step: batch.Step) -> int:
-    """Returns what a task takes, in thousandths of a core."""
-    accelerators = MILLIS_PER_ACCELERATOR * step.need.accelerators
-    return step.need.cpu_millis + accelerators
-
-
 class _PreemptionAttempt:
     """Tries to fit a unit into one group of workers by preemption.
 
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -316,11 +316,10 @@
         surplus = self._surplus.get(pool)
         return surplus is not None and surplus.holds(batch.NO_RESOURCES)
 
-    def is_partly_idle(self, pool: str) -> bool:
-        """Returns whether runs use less than half of any resource of a pool."""
+    def is_half_idle(self, pool: str) -> bool:
+        """Returns whether runs use less than half of the value of a pool."""
         surplus = self._surplus.get(pool, batch.NO_RESOURCES)
-        amounts = (surplus.cpu_millis, surplus.memory_mb, surplus.accelerators)
-        return max(amounts) > 0
+        return surplus.value_millis > 0
 
     def _surplus_by_pool(self) -> dict[str, batch.Resources]:
         """Returns by how much the free resources of pools exceed the used."""
