Start nothing beside the probe of a worker that is kept for a suspect

What callers saw: a worker that just failed a run and then ran a suspect of a crash got more units before the suspect had shown whether the worker still fails, so each could lose an attempt.

Cause: a unit that has waited for 1.4 s may use what is withheld on workers kept for suspects beyond the share. This was added back after the workers with a probe had been left out. Guaranteed units still start there, as they do beside all probes.

Ruled out: that the probe is not counted. `unreserved_for` leaves its worker out; only the withheld rest came back.

--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -278,12 +278,16 @@
     def free_beside_suspects(
         self, unit: views.ReadyUnit
     ) -> dict[str, batch.Resources]:
-        """Returns what a unit that has waited for long may use."""
+        """Returns what a unit that has waited for long may use.
+
+        Not beside a probe, unless it is guaranteed.
+        """
         usable = (
             dict(self.free) if unit.guaranteed else self.unreserved_for(unit)
         )
         for name, rest in self._withheld.items():
-            if self.isolation.yields_to(unit, name):
+            is_open = unit.guaranteed or name not in self._probes.under_way
+            if is_open and self.isolation.yields_to(unit, name):
                 usable[name] = usable[name].plus(rest)
         return usable
 
