Let units join a suspect on the only worker where they could run

What callers saw: in a pool of one worker, or with a label that one worker has, a job waited for as long as the worker was kept for a suspect of a crash, although the worker was idle otherwise. A guaranteed job waited as long beside a suspect service that its disruption budget kept from being stopped.

Cause: at least one worker of each pool is within the share that is kept for suspects, and such a worker yielded to nobody. The share bounds how much of a pool is kept, not of the workers that a unit may use.

Change: workers within the share yield after 1.4 s, on the conditions of those beyond it, to a unit that could run nowhere else once short runs have ended.

Ruled out: to yield whenever the unit fits nowhere else at the moment.

--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -38,12 +38,12 @@
     return (
         waited_ms >= MAX_WAIT_MS
         and resources.is_mostly_idle(unit.queue.pool)
-        and _fitting_units(unit, resources, available, evacuated)
+        and fitting_units(unit, resources, available, evacuated)
         >= MIN_FITTING_UNITS
     )
 
 
-def _fitting_units(
+def fitting_units(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
     available: Mapping[str, batch.Resources],
--- a/bilberryroute/scheduling/batch/isolation.py
+++ b/bilberryroute/scheduling/batch/isolation.py
@@ -44,6 +44,8 @@
         unit that runs there.
       yielding: Those of them beyond the share, on which units that have waited
         for a while may start all the same.
+      closed: Those of them that don't yield to a unit that could run nowhere
+        else either, since the suspect has crashed twice or has its last chance.
     """
 
     def __init__(self, guaranteed: Set[str], wall_ms: int):
@@ -55,6 +57,7 @@
         """
         self.isolated: set[str] = set()
         self.yielding: set[str] = set()
+        self.closed: set[str] = set()
         self._claimed: set[str] = set()
         self._guaranteed = guaranteed
         self._wall_ms = wall_ms
@@ -96,6 +99,8 @@
             exhausted = self.is_exhausted(workers[name].pool, workers)
             if exhausted and not self._has_last_chance(name):
                 self.yielding.add(name)
+            elif self._crash_count(name) > 1:
+                self.closed.add(name)
             self.isolated.add(name)
 
     def claim(self, names: Iterable[str]) -> None:
@@ -140,13 +145,27 @@
             or self.company(name) != Company.GUARANTEED
         )
 
-    def yields_to(self, unit: views.ReadyUnit, name: str) -> bool:
+    def yields_to(
+        self, unit: views.ReadyUnit, name: str, *, fits_elsewhere: bool
+    ) -> bool:
         """Returns whether a unit that has waited may join a suspect.
 
         A guaranteed one may join those that it can't stop.
+
+        Args:
+          unit: Unit that waits.
+          name: Worker that is kept for the suspect.
+          fits_elsewhere: Whether it could run on workers that are not kept or
+            that yield. If not, those within the share yield too, but not to
+            another suspect, which may be the cause of the same crash.
         """
         may_not_stop = self.company(name) == Company.GUARANTEED
-        return name in self.yielding or (unit.guaranteed and may_not_stop)
+        has_to_join = not (unit.suspect or fits_elsewhere)
+        return (
+            name in self.yielding
+            or (unit.guaranteed and may_not_stop)
+            or (has_to_join and name not in self.closed)
+        )
 
     def _note_company(
         self, name: str, *, is_suspect: bool, is_guaranteed: bool
@@ -174,10 +193,11 @@
         return name in self._risky and len(self._units[name]) == 1
 
     def _has_last_chance(self, name: str) -> bool:
+        return self._crash_count(name) >= crash_model.LAST_CHANCE_CRASHES
+
+    def _crash_count(self, name: str) -> int:
         (key,) = self._units[name]
-        return (
-            self._suspects[key].crash_count >= crash_model.LAST_CHANCE_CRASHES
-        )
+        return self._suspects[key].crash_count
 
     def _order(self, name: str) -> tuple:
         (key,) = self._units[name]
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -228,8 +228,22 @@
                 unit.guaranteed
                 or self._resources.is_mostly_idle(unit.queue.pool)
             )
-            and self._place_on(unit, self._resources.free_beside_suspects(unit))
+            and self._place_on(
+                unit,
+                self._resources.free_beside_suspects(
+                    unit, fits_elsewhere=self._may_fit_elsewhere(unit)
+                ),
+            )
+        )
+
+    def _may_fit_elsewhere(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether a unit need not join a suspect to start some day."""
+        available = self._resources.free_when_yielding()
+        evacuated = self._state.evacuated
+        fitting = idling.fitting_units(
+            unit, self._resources, available, evacuated
         )
+        return fitting > 0
 
     def _start_at_once(self, unit: views.ReadyUnit) -> bool:
         """Starts a unit that has waited long enough beside idle workers.
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -276,7 +276,7 @@
         return usable
 
     def free_beside_suspects(
-        self, unit: views.ReadyUnit
+        self, unit: views.ReadyUnit, *, fits_elsewhere: bool
     ) -> dict[str, batch.Resources]:
         """Returns what a unit that has waited for long may use.
 
@@ -287,10 +287,20 @@
         )
         for name, rest in self._withheld.items():
             is_open = unit.guaranteed or name not in self._probes.under_way
-            if is_open and self.isolation.yields_to(unit, name):
+            if is_open and self.isolation.yields_to(
+                unit, name, fits_elsewhere=fits_elsewhere
+            ):
                 usable[name] = usable[name].plus(rest)
         return usable
 
+    def free_when_yielding(self) -> dict[str, batch.Resources]:
+        """Returns what short runs leave free, save where suspects stay alone."""
+        kept = self.isolation.isolated - self.isolation.yielding
+        return {
+            name: batch.NO_RESOURCES if name in kept else free
+            for name, free in self.free_when_idle.items()
+        }
+
     def is_mostly_idle(self, pool: str) -> bool:
         """Returns whether runs use less than half of a pool."""
         return pool in self._mostly_idle
--- a/tests/scheduling/test_isolation_bounds.py
+++ b/tests/scheduling/test_isolation_bounds.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bilberryroute.model import batch
+from bilberryroute.model import crashes as crash_model
 from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import views
 from tests.utils import batches
@@ -94,6 +95,18 @@
     assert [unit.job_id for unit in decided.units] == ["j1"]
 
 
+def test_innocent_job_joins_a_suspect_whose_next_crash_ends_its_job(log):
+    log.submit("suspect", batches.content())
+    for run in range(1, crash_model.LAST_CHANCE_CRASHES + 1):
+        crash_beside_another(log, "suspect", run=run)
+    last = crash_model.LAST_CHANCE_CRASHES + 1
+    log.place(batches.unit("suspect", batches.ref("w1"), run=last))
+    log.submit("j1", batches.content())
+    log.now += LATE_MS
+    decided = planner.plan(log.held, [batches.worker("w1")], {}, log.now)
+    assert decided.units == ()
+
+
 def test_suspect_with_its_last_chance_joins_others_once_it_was_preempted(log):
     """Its next crash ends the job, also if others cause it."""
     log.submit("suspect", batches.content())
