Count tasks that start in the same round as running beside a suspect

What callers saw: all suspect tasks of a step joined others in one round, so that one guilty task among them cost the whole step a crash.

Cause: a suspect joins others only if no other task of its step runs, but the plan looked at the runs of earlier rounds only.

--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -94,6 +94,7 @@
         self._reservations: dict[str, list[_UnitReservation]] = {}
         self._free_within: dict[int, dict[str, batch.Resources]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
+        self._started_steps: set[views.StepKey] = set()
         for name, worker in self.workers.items():
             self._count_worker(state, name, worker, remaining_ms, wall_ms)
         self._mostly_idle = self._mostly_idle_pools()
@@ -326,6 +327,11 @@
         """
         self.allocate(unit, names)
         self._probes.note_start(names)
+        self._started_steps.add(unit.step_key)
+
+    def starts_step(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether a unit of the same step starts in this round."""
+        return unit.step_key in self._started_steps
 
     def allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Subtracts the demand of one task for each worker name given.
--- a/bilberryroute/scheduling/batch/suspects.py
+++ b/bilberryroute/scheduling/batch/suspects.py
@@ -44,7 +44,8 @@
     if not unit.suspect:
         return True
     last_resort = unit.suspect == views.Separation.LAST_RESORT
-    if unit.takes_whole_workers or (unit.step_runs and not last_resort):
+    step_runs = unit.step_runs or resources.starts_step(unit)
+    if unit.takes_whole_workers or (step_runs and not last_resort):
         return False
     waits_long = unit.crash_count > 1 or not last_resort
     return (
