Stop work for a gang that needs room beside a suspect as well

What callers saw: a guaranteed gang waited without an end if some of its members fitted beside a guaranteed suspect, which may not be stopped, and the others only where work had to be stopped.

Cause: what is kept for suspects and what preemption frees were tried one after the other, each for the whole gang.

Change: a guaranteed unit that may join suspects by then also looks for both together. While it does so, the workers that yield to it count as not kept.

--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -212,10 +212,23 @@
                 return _Attempt.CLAIMS
         if self._join_suspect(unit):
             return _Attempt.STARTS
+        if self._may_join_suspect(unit):
+            with self._resources.opened_to(unit):
+                if self._reclaim(unit):
+                    return _Attempt.CLAIMS
         return _Attempt.WAITS
 
     def _join_suspect(self, unit: views.ReadyUnit) -> bool:
-        """Starts on a worker that is kept for a suspect, if that may yield.
+        """Starts on a worker that is kept for a suspect, if that may yield."""
+        return self._may_join_suspect(unit) and self._place_on(
+            unit,
+            self._resources.free_beside_suspects(
+                unit, fits_elsewhere=self._may_fit_elsewhere(unit)
+            ),
+        )
+
+    def _may_join_suspect(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether a unit has waited long enough to join a suspect.
 
         Unless it is guaranteed, only while most of the pool is idle.
         """
@@ -228,12 +241,6 @@
                 unit.guaranteed
                 or self._resources.is_mostly_idle(unit.queue.pool)
             )
-            and self._place_on(
-                unit,
-                self._resources.free_beside_suspects(
-                    unit, fits_elsewhere=self._may_fit_elsewhere(unit)
-                ),
-            )
         )
 
     def _may_fit_elsewhere(self, unit: views.ReadyUnit) -> bool:
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -1,8 +1,10 @@
 """Resources that are free on workers, now and as runs end."""
 
 import collections
+import contextlib
 import dataclasses
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Set
 
@@ -147,6 +149,12 @@
         self.free[name] = batch.NO_RESOURCES
         self._withheld[name] = rest
 
+    def _return_rest(self, name: str) -> None:
+        """Undoes `_withhold_rest`."""
+        self.isolation.isolated.remove(name)
+        self._allocations[name].pop()
+        self.free[name] = self.free[name].plus(self._withheld.pop(name))
+
     def is_eligible(
         self,
         unit: views.ReadyUnit,
@@ -294,6 +302,21 @@
                 usable[name] = usable[name].plus(rest)
         return usable
 
+    @contextlib.contextmanager
+    def opened_to(self, unit: views.ReadyUnit) -> Iterator[None]:
+        """Treats workers of suspects that a unit may join as not kept."""
+        names = [
+            name
+            for name in self._withheld
+            if self.isolation.yields_to(unit, name, fits_elsewhere=True)
+        ]
+        for name in names:
+            self._return_rest(name)
+        yield
+        for name in names:
+            self.isolation.isolated.add(name)
+            self._withhold_rest(name)
+
     def free_when_yielding(self) -> dict[str, batch.Resources]:
         """Returns what short runs leave free, save where suspects stay alone."""
         kept = self.isolation.isolated - self.isolation.yielding
