--- a/bilberryroute/scheduling/batch/avoiding.py
+++ b/bilberryroute/scheduling/batch/avoiding.py
@@ -66,6 +66,22 @@
     )
 
 
+def beside_recent_failures(
+    available: Mapping[str, batch.Resources],
+    workers: Mapping[str, views.WorkerSnapshot],
+) -> dict[str, batch.Resources]:
+    """Returns what is available but on workers that failed runs recently.
+
+    For a last attempt: one more failure would end the job.
+    """
+    return {
+        name: free
+        if workers[name].health <= views.WorkerHealth.UNPROVEN
+        else batch.NO_RESOURCES
+        for name, free in available.items()
+    }
+
+
 def _without_unproven(
     unit: views.ReadyUnit,
     workers: list[views.WorkerSnapshot],
--- a/bilberryroute/scheduling/batch/idling.py
+++ b/bilberryroute/scheduling/batch/idling.py
@@ -6,6 +6,8 @@
 """
 
 import enum
+from collections.abc import Iterable
+from collections.abc import Mapping
 
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import room as room_lib
@@ -60,32 +62,35 @@
         job_runs or not resources.is_half_idle(unit.queue.pool)
     ):
         return Start.NOWHERE
-    if _fitting_units(unit, resources, evacuated) < MIN_FITTING_UNITS:
+    # Workers that it may not use at present count too: the pool is idle for it.
+    workers = [
+        worker
+        for worker in resources.workers.values()
+        if room_lib.meets_constraints(unit, worker, evacuated)
+    ]
+    available = resources.free_beside_runs()
+    fitting = fitting_units(unit, resources, available, workers)
+    if fitting < MIN_FITTING_UNITS:
         return Start.NOWHERE
     if waited_ms < LAST_RESORT_WAIT_MS:
         return Start.UNRESERVED
     return Start.ANYWHERE
 
 
-def _fitting_units(
+def fitting_units(
     unit: views.ReadyUnit,
     resources: room_lib.AvailableResources,
-    evacuated: list[str],
+    available: Mapping[str, batch.Resources],
+    workers: Iterable[views.WorkerSnapshot],
 ) -> int:
-    """Returns how many units like this one fit beside what runs.
-
-    Counts workers that the unit may not use at present, as an idle pool is judged
-    by all that could run it.
-    """
-    available = resources.free_beside_runs()
+    """Returns how many units like this one fit on workers with this much free."""
     need = batch.task_demand(unit.step)
     fitting_tasks = 0
-    for worker in resources.workers.values():
+    for worker in workers:
         name = worker.ref.name
-        if room_lib.meets_constraints(unit, worker, evacuated):
-            tasks = available[name].multiple_of(need)
-            if unit.step.spread_limit:
-                spread = resources.remaining_spread(unit, name)
-                tasks = min(max(0, spread), tasks)
-            fitting_tasks += tasks
+        tasks = available[name].multiple_of(need)
+        if unit.step.spread_limit:
+            spread = resources.remaining_spread(unit, name)
+            tasks = min(max(0, spread), tasks)
+        fitting_tasks += tasks
     return fitting_tasks // len(unit.indexes)
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -218,10 +218,23 @@
                 return _Attempt.CLAIMS
         if self._join_suspect(unit):
             return _Attempt.STARTS
+        if self._may_join_suspect(unit):
+            with self._resources.opened_to(unit):
+                if self._reclaim(unit):
+                    return _Attempt.CLAIMS
         return _Attempt.WAITS
 
     def _join_suspect(self, unit: views.ReadyUnit) -> bool:
-        """Starts on a worker that is kept for a suspect, if that may yield.
+        """Starts on a worker that is kept for a suspect, if that may yield."""
+        return self._may_join_suspect(unit) and self._place_on(
+            unit,
+            self._resources.free_beside_suspects(
+                unit, fits_elsewhere=self._may_fit_elsewhere(unit)
+            ),
+        )
+
+    def _may_join_suspect(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether a unit has waited long enough to join a suspect.
 
         Unless it is guaranteed, only while most of the pool is idle.
         """
@@ -234,9 +247,23 @@
                 unit.guaranteed
                 or self._resources.is_mostly_idle(unit.queue.pool)
             )
-            and self._place_on(unit, self._resources.free_beside_suspects(unit))
         )
 
+    def _may_fit_elsewhere(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether a unit need not join a suspect to start some day."""
+        evacuated = self._state.evacuated
+        fitting = idling.fitting_units(
+            unit,
+            self._resources,
+            self._resources.free_when_yielding(),
+            [
+                worker
+                for worker in self._resources.workers.values()
+                if self._resources.is_eligible(unit, worker, evacuated)
+            ],
+        )
+        return fitting > 0
+
     def _start_after_wait(self, unit: views.ReadyUnit) -> bool:
         """Starts a unit that has waited long enough beside idle workers."""
         match idling.start_after(
@@ -250,6 +277,10 @@
                 available = self._resources.unreserved_for(unit)
             case idling.Start.ANYWHERE:
                 available = self._resources.free_beside_probes()
+                if unit.last_attempt:
+                    available = avoiding.beside_recent_failures(
+                        available, self._resources.workers
+                    )
                 unit = dataclasses.replace(unit, accepts_failing=True)
             case _:
                 return False
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -1,8 +1,10 @@
 """Resources that are free on workers, now and as runs end."""
 
 import collections
+import contextlib
 import dataclasses
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Set
 
@@ -105,6 +107,7 @@
         self._claims: list[_Claim] = []
         self._free_within: dict[int, dict[str, batch.Resources]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
+        self._started_steps: set[views.StepKey] = set()
         for name, worker in self.workers.items():
             self._count_worker(state, name, worker, remaining_ms, wall_ms)
         self._surplus = self._surplus_by_pool()
@@ -157,6 +160,12 @@
         self.free[name] = batch.NO_RESOURCES
         self._withheld[name] = rest
 
+    def _return_rest(self, name: str) -> None:
+        """Undoes `_withhold_rest`."""
+        self.isolation.isolated.remove(name)
+        self._allocations[name].pop()
+        self.free[name] = self.free[name].plus(self._withheld.pop(name))
+
     def is_eligible(
         self,
         unit: views.ReadyUnit,
@@ -300,17 +309,46 @@
         return usable
 
     def free_beside_suspects(
-        self, unit: views.ReadyUnit
+        self, unit: views.ReadyUnit, *, fits_elsewhere: bool
     ) -> dict[str, batch.Resources]:
-        """Returns what a unit that has waited for long may use."""
+        """Returns what a unit that has waited for long may use.
+
+        Not beside a probe, unless it is guaranteed.
+        """
         usable = (
             dict(self.free) if unit.guaranteed else self.unreserved_for(unit)
         )
         for name, rest in self._withheld.items():
-            if self.isolation.yields_to(unit, name):
+            is_open = unit.guaranteed or name not in self._probes.under_way
+            if is_open and self.isolation.yields_to(
+                unit, name, fits_elsewhere=fits_elsewhere
+            ):
                 usable[name] = usable[name].plus(rest)
         return usable
 
+    @contextlib.contextmanager
+    def opened_to(self, unit: views.ReadyUnit) -> Iterator[None]:
+        """Treats workers of suspects that a unit may join as not kept."""
+        names = [
+            name
+            for name in self._withheld
+            if self.isolation.yields_to(unit, name, fits_elsewhere=True)
+        ]
+        for name in names:
+            self._return_rest(name)
+        yield
+        for name in names:
+            self.isolation.isolated.add(name)
+            self._withhold_rest(name)
+
+    def free_when_yielding(self) -> dict[str, batch.Resources]:
+        """Returns what short runs leave free, save where suspects stay alone."""
+        kept = self.isolation.isolated - self.isolation.yielding
+        return {
+            name: batch.NO_RESOURCES if name in kept else free
+            for name, free in self.free_when_idle.items()
+        }
+
     def is_mostly_idle(self, pool: str) -> bool:
         """Returns whether runs use less than half of each resource of a pool."""
         surplus = self._surplus.get(pool)
@@ -339,6 +377,11 @@
         """
         self._allocate(unit, names)
         self._probes.note_start(names)
+        self._started_steps.add(unit.step_key)
+
+    def starts_step(self, unit: views.ReadyUnit) -> bool:
+        """Returns whether a unit of the same step starts in this round."""
+        return unit.step_key in self._started_steps
 
     def claim(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Allocates workers to a unit that starts once others have ended."""
--- a/tests/scheduling/test_crash_exploration.py
+++ b/tests/scheduling/test_crash_exploration.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bilberryroute.model import jobs
+from bilberryroute.scheduling.batch import planner
 from bilberryroute.state import crashes as crash_rules
 from tests.scheduling import crash_model
 
@@ -62,7 +63,7 @@
 def test_exploration_fails_if_suspects_are_not_isolated(monkeypatch):
     """Neighbours crash with the guilty task each time, and are given up."""
     monkeypatch.setattr(
-        crash_model.planner.readiness.crash_model,
+        planner.readiness.crash_model,
         "is_suspect",
         lambda crashes: False,
     )
--- a/tests/scheduling/test_crash_stops.py
+++ b/tests/scheduling/test_crash_stops.py
@@ -28,8 +28,8 @@
     counts = collections.Counter()
     plan = planner.plan
 
-    def counted(state, *args):
-        decided = plan(state, *args)
+    def counted(state, *args, **more):
+        decided = plan(state, *args, **more)
         for run, job_id in decided.stopped_for.items():
             if state.jobs[job_id].queue != "urgent":
                 counts[run.task, job_id] += 1
