Explore random pools for jobs that wait beside idle workers

8 to 54 workers in racks of 3 to 12, small tasks on most of them, overdue or not, and up to six jobs of twelve shapes. A job is found if for 3 s nothing of it runs, a unit is ready, there is room for it twice over, and under half of the pool is in use by any of five counts. Tasks that run until they are cancelled count by themselves. Waits count from 4 s after the last crash or failing worker, as the users' rule asks for calm.

--- /dev/null
+++ b/tests/scheduling/test_idle_pools.py
@@ -0,0 +1,33 @@
+"""Explores random pools for jobs that wait beside idle workers.
+
+`EXPLORE_IDLE_POOLS=first:count` selects other seeds.
+"""
+
+import os
+
+import pytest
+
+from bilberryroute.scheduling.batch import planner
+from tests.scheduling import idle_pool_model
+
+_FIRST_SEED, _SEED_COUNT = map(
+    int, os.environ.get("EXPLORE_IDLE_POOLS", "0:24").split(":")
+)
+SEEDS = range(_FIRST_SEED, _FIRST_SEED + _SEED_COUNT)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_job_waits_long_beside_idle_workers(seed):
+    assert idle_pool_model.play(seed) == []
+
+
+def test_planner_that_leaves_out_a_queue_is_found(monkeypatch):
+    try_place = planner._PlanningRound._try_place
+
+    def leave_out(self, unit):
+        if unit.queue.name == "nightly":
+            return planner._Attempt.WAITS
+        return try_place(self, unit)
+
+    monkeypatch.setattr(planner._PlanningRound, "_try_place", leave_out)
+    assert any(idle_pool_model.play(seed) for seed in range(4))
