--- a/tests/scheduling/test_idle_pools.py
+++ b/tests/scheduling/test_idle_pools.py
@@ -14,6 +14,8 @@
     int, os.environ.get("EXPLORE_IDLE_POOLS", "0:24").split(":")
 )
 SEEDS = range(_FIRST_SEED, _FIRST_SEED + _SEED_COUNT)
+# Jobs waited in pools with most accelerators in use, but few cores.
+ONCE_FAILED_SEEDS = (219, 339)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -21,6 +23,11 @@
     assert idle_pool_model.play(seed) == []
 
 
+@pytest.mark.parametrize("seed", ONCE_FAILED_SEEDS)
+def test_no_job_waits_long_in_pools_that_once_failed(seed):
+    assert idle_pool_model.play(seed) == []
+
+
 def test_planner_that_leaves_out_a_queue_is_found(monkeypatch):
     try_place = planner._PlanningRound._try_place
 
