Show that a task hit by a crash waits in a pool with few cores in use

After a crash a task waits for a worker of its own; it joins others before 15 s only if less than half of each resource is in use (suspects.may_join_others).

--- a/tests/scheduling/test_idle_pools.py
+++ b/tests/scheduling/test_idle_pools.py
@@ -15,7 +15,7 @@
 )
 SEEDS = range(_FIRST_SEED, _FIRST_SEED + _SEED_COUNT)
 # Jobs waited in pools with most accelerators in use, but few cores.
-ONCE_FAILED_SEEDS = (219, 339)
+ONCE_FAILED_SEEDS = (219, 339, 895)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/scheduling/test_waits_of_idle_pools.py
+++ b/tests/scheduling/test_waits_of_idle_pools.py
@@ -122,3 +122,17 @@
     names = {worker.ref.name for worker in WORKERS[:2]}
     unproven = with_health(names, views.WorkerHealth.UNPROVEN)
     assert starts(log, "job", lambda _: unproven)
+
+
+def test_task_that_a_crash_hit_does_not_wait_while_half_of_the_cores_are_idle(
+    log,
+):
+    """62% of the accelerators are in use, and no worker is idle."""
+    step = batches.step(1, need=SMALL, estimate_ms=60_000)
+    log.submit("job", batches.content(step))
+    log.place(batches.unit("job", WORKERS[0].ref))
+    occupy(log, WORKERS[:16], DENSE)
+    occupy(log, WORKERS[16:], SMALL)
+    log.crash(batches.task("job"))
+    log.now += CALM_MS
+    assert starts(log, "job", lambda _: WORKERS)
