--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -11,6 +11,7 @@
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import isolation as isolation_lib
 from bilberryroute.scheduling.batch import probing
+from bilberryroute.scheduling.batch import reservations as reservations_lib
 from bilberryroute.scheduling.batch import views
 
 RunKey = tuple[batch.TaskId, int]
@@ -32,31 +33,6 @@
     remaining_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _UnitReservation:
-    """Resources that a waiting unit will need on a worker, and from when."""
-
-    unit: views.ReadyUnit
-    need: batch.Resources
-    from_ms: int
-
-    def binds(self, unit: views.ReadyUnit) -> bool:
-        """Returns whether another unit would still run when it starts."""
-        own = (self.unit.step_key, self.unit.indexes)
-        is_own = own == (unit.step_key, unit.indexes)
-        return not is_own and unit.step.estimate_ms > self.from_ms
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Claim:
-    """Resources set aside in this round for a unit that can't start yet."""
-
-    unit: views.ReadyUnit
-    worker: str
-    tasks: int
-    need: batch.Resources
-
-
 class AvailableResources:
     """Free resources of each worker during one planning round.
 
@@ -68,6 +44,7 @@
         worker.
       free_when_idle: Resources that long-running tasks leave free, by worker.
       any_failing: Whether runs failed recently on any worker.
+      reservations: What is set aside for units that wait.
       isolation: Runs of suspect units. A unit for which a worker is kept holds
         all of its resources, as nothing may start beside it.
     """
@@ -103,8 +80,7 @@
         self.isolation = isolation_lib.Isolation(guaranteed, wall_ms)
         self._withheld: dict[str, batch.Resources] = {}
         self._allocations: dict[str, list[_Allocation]] = {}
-        self._reservations: dict[str, list[_UnitReservation]] = {}
-        self._claims: list[_Claim] = []
+        self.reservations = reservations_lib.Reservations()
         self._free_within: dict[int, dict[str, batch.Resources]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
         self._started_steps: set[views.StepKey] = set()
@@ -257,13 +233,11 @@
         may use the reserved resources; any other unit only what is left.
         """
         usable = self.free_beside_probes()
-        for name, reservations in self._reservations.items():
-            for each in reservations:
-                if each.binds(unit):
-                    at_start = self._free_after(name, each.from_ms).minus(
-                        each.need
-                    )
-                    usable[name] = _minimum(usable[name], at_start)
+        for each in self.reservations.binding(unit):
+            at_start = self._free_after(each.worker, each.from_ms)
+            usable[each.worker] = _minimum(
+                usable[each.worker], at_start.minus(each.need)
+            )
         return usable
 
     def free_beside_probes(self) -> dict[str, batch.Resources]:
@@ -276,28 +250,10 @@
             usable[name] = batch.NO_RESOURCES
         return usable
 
-    def reserved_against(self, unit: views.ReadyUnit) -> dict[str, int]:
-        """Returns the jobs that have set aside what a unit must not use.
-
-        Gives the number of workers on which each job has done so.
-        """
-        holders = {
-            (each.unit.record.id, name)
-            for name, reservations in self._reservations.items()
-            for each in reservations
-            if each.binds(unit)
-        }
-        holders |= {
-            (each.unit.record.id, each.worker)
-            for each in self._claims
-            if each.unit.key != unit.key
-        }
-        return dict(collections.Counter(job_id for job_id, _ in holders))
-
     def unclaimed(self) -> dict[str, batch.Resources]:
         """Returns what is free, including what is set aside in this round."""
         free = dict(self.free)
-        for each in self._claims:
+        for each in self.reservations.claims:
             free[each.worker] = free[each.worker].plus(each.need)
         return free
 
@@ -386,26 +342,17 @@
     def claim(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Allocates workers to a unit that starts once others have ended."""
         free = {name: self.free[name] for name in names}
-        tasks = collections.Counter(names)
         self._allocate(unit, names)
-        self._claims += [
-            _Claim(
+        self.reservations.claims += [
+            reservations_lib.Claim(
                 unit=unit,
                 worker=name,
-                tasks=tasks[name],
-                need=before.minus(self.free[name]),
+                tasks=count,
+                need=free[name].minus(self.free[name]),
             )
-            for name, before in free.items()
+            for name, count in collections.Counter(names).items()
         ]
 
-    def claimed_tasks(self, unit: views.ReadyUnit, name: str) -> int:
-        """Returns for how many of its tasks a unit has claimed a worker."""
-        return sum(
-            each.tasks
-            for each in self._claims
-            if each.unit.key == unit.key and each.worker == name
-        )
-
     def _allocate(self, unit: views.ReadyUnit, names: Iterable[str]) -> None:
         """Subtracts the demand of one task for each worker name given.
 
@@ -439,10 +386,7 @@
             needs = [(name, self.workers[name].capacity) for name in set(names)]
         else:
             needs = [(name, batch.task_demand(unit.step)) for name in names]
-        for name, need in needs:
-            self._reservations.setdefault(name, []).append(
-                _UnitReservation(unit=unit, need=need, from_ms=from_ms)
-            )
+        self.reservations.reserve(unit, needs, from_ms)
 
     def mark_stopping(self, name: str, need: batch.Resources) -> None:
         """Treats one run with this need on a worker as about to end.
--- a/bilberryroute/scheduling/batch/waiting.py
+++ b/bilberryroute/scheduling/batch/waiting.py
@@ -58,7 +58,7 @@
         fitting_tasks=fitting_tasks,
         fits_in_ms=None if fit is None else fit.delay_ms,
         racks=_preferred_racks(unit, resources, fit),
-        reserved_for=resources.reserved_against(unit),
+        reserved_for=resources.reservations.holders_against(unit),
         left_out=left_out,
     )
 
@@ -127,7 +127,9 @@
     for worker in workers:
         name = worker.ref.name
         spread = resources.remaining_spread(unit, name)
-        spread = max(0, spread + resources.claimed_tasks(unit, name))
+        spread = max(
+            0, spread + resources.reservations.claimed_tasks(unit, name)
+        )
         fitting += min(spread, available[name].multiple_of(need))
     return min(fitting, len(unit.indexes))
 
