Show that a lasting task is not restarted after two crashes

A lasting task whose runner went down and up twice gets no run any more while each runner serves other lasting tasks, though there is room for it 30 times over.

--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -106,7 +106,7 @@
             "how": work.get("how", "done"),
             "need": need,
         }
-        self.write("start", task=task, run=run, fence=order["fencingToken"])
+        self.write("start", task=task, run=run, need=need)
         return 200, {}
 
     def stop(self, order: dict) -> tuple[int, dict]:
@@ -130,7 +130,7 @@
         self.barred[task] = max(run["run"], self.barred.get(task, 0))
         self.count += 1
         self.ends.append([self.count, task, run["run"], how, ""])
-        self.write("end", task=task, run=run["run"], how=how)
+        self.write("end", task=task, run=run["run"], how=how, need=run["need"])
 
     def lists(self) -> dict:
         """Returns what runs and what has ended."""
