--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -39,6 +39,7 @@
         self.fence = 0
         self.count = 0
         self.until_ms = 0
+        self.lapsed_ms = 0
         self.sequence = 0
         self.sick = False
         self.journal = open(args.journal, "a", buffering=1)  # noqa: SIM115
@@ -190,6 +191,9 @@
                     self.end(task, run["how"])
                 elif self.until_ms <= now:
                     self.end(task, "lapsed")
+            if self.until_ms <= now and self.until_ms > self.lapsed_ms:
+                self.lapsed_ms = self.until_ms
+                self.write("lease lapsed")
             await asyncio.sleep(TICK_S)
 
     async def register(self) -> None:
