--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import atexit
 import dataclasses
 import json
 import os
@@ -149,6 +150,8 @@
             for n in range(sides)
         ]
         self._commands = _commands()
+        # Also if the script is ended from outside.
+        atexit.register(self._end_all)
 
     def _ip(self, number: int) -> str:
         return f"{self.prefix}.{number + 1}"
@@ -267,6 +270,19 @@
         self.signal(name, signal.SIGKILL)
         self.processes[name].popen.wait()
 
+    async def crash_behind_cut(self, name: str, cut_s: float) -> float:
+        """Makes a runner silent, and crashes and starts it meanwhile.
+
+        Returns:
+          When it crashed.
+        """
+        self.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(cut_s)
+        self.kill(name)
+        crashed_at = time.time()
+        self.start(name)
+        return crashed_at
+
     def ended_by_themselves(self) -> list[str]:
         """Returns the processes that have ended although nobody asked."""
         return [
@@ -306,16 +322,16 @@
             self.record.write(
                 f"{row['runner']}: {row['event']} {fields}", at=row["at"]
             )
+        self._end_all()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _end_all(self) -> None:
         for process in self.processes.values():
             if process.popen is not None and process.popen.poll() is None:
                 process.popen.kill()
         for process in self.processes.values():
             if process.popen is not None:
                 process.popen.wait()
-        if os.environ.get("KEEP"):
-            print(self.folder)
-        else:
-            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _commands() -> dict[str, list[str]]:
@@ -566,6 +582,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'on' if trouble else 'off'}")
     code = CANNOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     try:
         broken = asyncio.run(case(record, trouble))
         code = BROKEN if broken else HOLDS
