Log for how long the lease of a silent worker's runs is extended

The logs could not tell the hypotheses apart: whether the agent extends the lease for longer than the leader reckons with, whether the leader counts from too early a report, or whether an order to the second worker was carried out late. The agent now says when its worker falls silent and, once it answers again, for how long its lease was extended meanwhile. No decision changes.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -236,6 +236,7 @@
         now = self._clock.now()
         if worker.listing is None or self._board.lease.get().left(now) == 0:
             return None
+        worker.last_extension_ms = now
         return worker.worker_clock(now) + self._cfg.timing.run_lease_ms
 
     def _last_committed_end(self, worker: life_lib.WorkerIncarnation) -> int:
@@ -249,6 +250,7 @@
         explained_calls: int,
     ) -> None:
         worker.last_answer_ms = self._clock.now()
+        self._log_silence(worker)
         if listing.born and listing.born != worker.announced.born:
             self._handle_restart(worker, listing)
             return
@@ -294,6 +296,25 @@
             )
             run_calls.log_abandoned_stops(worker.progress)
 
+    def _log_silence(self, worker: life_lib.WorkerIncarnation) -> None:
+        """Logs once that a worker is silent, and that it answers again.
+
+        The second line says for how long the lease of its runs was extended
+        meanwhile, counted from the last answer.
+        """
+        now = self._clock.now()
+        silent = worker_view.is_silent(worker, now)
+        fields = {"worker": worker.announced.name}
+        if silent and worker.silent_since_ms is None:
+            worker.silent_since_ms = worker.last_answer_ms
+            logger.info("worker is silent", extra=fields)
+        elif not silent and worker.silent_since_ms is not None:
+            since_ms = worker.silent_since_ms
+            fields["silent_ms"] = now - since_ms
+            fields["extended_ms"] = max(0, worker.last_extension_ms - since_ms)
+            worker.silent_since_ms = None
+            logger.info("worker answers again", extra=fields)
+
     # Planning and calls.
 
     def _execute_plan(self) -> None:
@@ -411,6 +432,8 @@
         worker = self._worker
         report = ()
         if worker is not None:
+            if not worker.over:
+                self._log_silence(worker)
             report = worker_view.reports(
                 worker, self._board, self._cfg, self._clock.now()
             )
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -24,6 +24,9 @@
       progress: Progress by run.
       listing_received_ms: Agent's clock when the newest listing arrived.
       last_answer_ms: Agent's clock at the last answer of any kind.
+      silent_since_ms: The same while the worker is silent; None otherwise.
+      last_extension_ms: Agent's clock when a call was last sent that extends
+        the lease of the runs; it may be carried out without an answer.
       down_since_ms: When connections were first refused; None if accepted.
       unanswered_calls: Number of calls that were not answered.
       explained_calls: How many of those were before the newest listing was asked
@@ -44,6 +47,8 @@
     )
     listing_received_ms: int = 0
     last_answer_ms: int = 0
+    silent_since_ms: int | None = None
+    last_extension_ms: int = 0
     down_since_ms: int | None = None
     unanswered_calls: int = 0
     explained_calls: int = 0
--- a/bilberryroute/agent/worker_view.py
+++ b/bilberryroute/agent/worker_view.py
@@ -81,4 +81,9 @@
         return False
     if worker.down_since_ms is not None and not worker.withdrawn:
         return True
+    return is_silent(worker, now)
+
+
+def is_silent(worker: life_lib.WorkerIncarnation, now: int) -> bool:
+    """Returns whether a worker has not answered for too long."""
     return now - worker.last_answer_ms > SILENT_MS
--- a/tests/agent/batch_harness.py
+++ b/tests/agent/batch_harness.py
@@ -27,9 +27,11 @@
     Attributes:
       calls: Calls carried out, each as its name, task and run.
       attempts: Names of all calls on runs, answered or not.
-      lease_orders: Long polls answered, oldest first.
+      lease_orders: Long polls carried out, oldest first.
       unanswered: Names of the calls that get no answer.
       down: Whether connections are refused.
+      mute: Whether polls are carried out without an answer.
+      unanswered_polls: Number of such polls.
       holds_polls: Whether each long poll lasts for as long as it may.
     """
 
@@ -44,6 +46,8 @@
         self.verdict = worker_port.StartVerdict.STARTED
         self.unanswered: set[str] = set()
         self.down = False
+        self.mute = False
+        self.unanswered_polls = 0
         self.holds_polls = False
         self.refused = 0
         self.loads: dict = {}
@@ -72,6 +76,9 @@
             self.refused += 1
             raise worker_port.WorkerDown("refused")
         self.lease_orders.append(order)
+        if self.mute:
+            self.unanswered_polls += 1
+            raise errors.Unavailable("no answer")
         return worker_port.Listing(
             born=self.born,
             clock_ms=self._tick(),
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -296,3 +296,20 @@
     await harness.until(lambda: harness.board.batch.get() == ())
     harness.port.down = False
     await harness.until(lambda: harness.board.batch.get())
+
+
+async def test_log_says_for_how_long_a_silent_workers_lease_was_extended(
+    harness, caplog
+):
+    caplog.set_level("INFO")
+    harness.announce()
+    await harness.until(lambda: harness.board.batch.get())
+    harness.port.mute = True
+    await harness.until(lambda: harness.port.unanswered_polls > 1)
+    harness.clock.advance(worker_view.SILENT_MS + 1)
+    await harness.until(lambda: "worker is silent" in caplog.text)
+    harness.port.mute = False
+    await harness.until(lambda: "worker answers again" in caplog.text)
+    (line,) = [r for r in caplog.records if r.message == "worker answers again"]
+    assert line.silent_ms > worker_view.SILENT_MS
+    assert 0 <= line.extended_ms <= line.silent_ms
