Extend runs only under a lease whose renewal reported their worker

Cause: after 2 s without an answer an agent leaves its worker out of its renewals, and the leader counts from the last report: agent lease + run lease + margin, 8.8 s. But the agent went on to extend the lease of the runs with each unanswered poll, for as long as it held its own lease, which renewals without the worker renewed.

Change: the agent keeps for each worker until when the last granted renewal that reported it gives a lease, and extends, and starts, only under that. Whatever renewals, restarts and changes of leader do, an extension is then sent at most agent_lease_ms after a report that some leader received, from which the present leader, or the beginning of its term, counts. The bound reckons both leases on clocks that are 2% slow (8,864 instead of 8,820 ms).

So that a worker which is silent for 6.5 s keeps its runs as before, the lease is extended once more shortly before the agent's ends, and a worker that left a call unanswered is asked each 0.8 instead of each 1.8 s.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -1,11 +1,12 @@
 """Runs batch jobs on the agent's worker.
 
 The agent is the only caller of its worker. It extends the lease of the runs
-only while it holds a lease itself, and reconciles the runs of the worker's
-present incarnation with the desired state from the leader.
+only while it holds a lease for this worker itself, and reconciles the runs of
+the worker's present incarnation with the desired state from the leader.
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 
@@ -147,10 +148,32 @@
         while True:
             previous = cell.get()
             seen = await cell.changed(seen)
-            if previous.left(self._clock.now()) == 0:
+            if self._lease_left_ms(previous) == 0:
                 self._poll_soon.set()
             self._wake.set()
 
+    @mode.Service.task
+    async def _extend_once_more(self) -> None:
+        """Extends the lease of the runs shortly before the agent's own ends.
+
+        The polls are timed for that, but one without an answer lasts longer.
+        """
+        cell = self._board.lease
+        while not self.should_stop:
+            seen = cell.version
+            left_ms = self._lease_left_ms(cell.get()) - LAST_POLL_LEAD_MS
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    clock_lib.seconds(left_ms) if left_ms > 0 else None
+                ):
+                    await cell.changed(seen)
+                    continue
+            worker = self._worker
+            if worker is not None and not worker.over:
+                self.add_future(self._poll_once(worker, 0))
+            # Nothing is left to extend until the lease is renewed.
+            await cell.changed(seen)
+
     @mode.Service.task
     async def _watch_committed(self) -> None:
         await blackboard.forward(self._board.committed, self._poll_soon)
@@ -176,15 +199,22 @@
                 continue
             await self._poll_once(worker, self._poll_wait_ms(worker))
 
+    def _lease_left_ms(self, lease: board_lib.Lease) -> int:
+        """Returns for how long the runs' lease may still be extended."""
+        if self._worker is None:
+            return 0
+        return lease.left_for(self._worker.name, self._clock.now())
+
     def _poll_wait_ms(self, worker: life_lib.WorkerIncarnation) -> int:
-        if worker.listing is None:
+        # After a call without an answer, it matters how soon there is one.
+        if worker.listing is None or worker.may_have_restarted:
             return 0
         wait_ms = (
             pacing.POLL_WAIT_MS
             if self._pacing.has_fill_runs()
             else POLL_WAIT_MS
         )
-        left_ms = self._board.lease.get().left(self._clock.now())
+        left_ms = self._lease_left_ms(self._board.lease.get())
         if left_ms > LAST_POLL_LEAD_MS:
             wait_ms = min(wait_ms, left_ms - LAST_POLL_LEAD_MS)
         return wait_ms
@@ -232,9 +262,14 @@
         self._publish()
 
     def _lease_end_ms(self, worker: life_lib.WorkerIncarnation) -> int | None:
-        """Returns the new lease end on the worker's clock, or None."""
+        """Returns the new lease end on the worker's clock, or None.
+
+        The leader reckons that runs of a worker that is no longer reported are
+        not extended once the lease of its last report has ended.
+        """
         now = self._clock.now()
-        if worker.listing is None or self._board.lease.get().left(now) == 0:
+        lease = self._board.lease.get()
+        if worker.listing is None or lease.left_for(worker.name, now) == 0:
             return None
         worker.last_extension_ms = now
         return worker.worker_clock(now) + self._cfg.timing.run_lease_ms
--- a/bilberryroute/agent/board.py
+++ b/bilberryroute/agent/board.py
@@ -1,6 +1,7 @@
 """Blackboard of the agent role."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
@@ -18,15 +19,29 @@
       term: Term that granted it.
       expires: Monotonic instant at which it ends, counted from when the
         renewal was sent.
+      workers: The same by worker, counted from the last granted renewal that
+        reported it: the leader counts from there when a worker falls silent.
     """
 
     term: int = 0
     expires: clock_lib.Millis = clock_lib.Millis(0)
+    workers: Mapping[str, clock_lib.Millis] = dataclasses.field(
+        default_factory=dict
+    )
 
     def left(self, now: int) -> int:
         """Returns the milliseconds left, 0 if it has ended."""
         return max(0, self.expires - now)
 
+    def left_for(self, worker: str, now: int) -> int:
+        """Returns the milliseconds in which work on a worker may be extended.
+
+        Args:
+          worker: Its name, for batch workers that of the incarnation.
+          now: Agent's clock.
+        """
+        return max(0, self.workers.get(worker, clock_lib.Millis(0)) - now)
+
 
 @dataclasses.dataclass(slots=True)
 class AgentBoard:
--- a/bilberryroute/agent/lease_keeper.py
+++ b/bilberryroute/agent/lease_keeper.py
@@ -147,7 +147,9 @@
         self._has_renewed = True
         expires = max(self.lease.expires, sent.at + grant.lease_ms)
         self.lease = board_lib.Lease(
-            term=grant.term, expires=clock_lib.Millis(expires)
+            term=grant.term,
+            expires=clock_lib.Millis(expires),
+            workers=self._extend_workers(sent, sent.at + grant.lease_ms),
         )
         if sent.at >= self._newest_answered.at:
             self._newest_answered = sent
@@ -157,6 +159,20 @@
             covered=self._newest_answered.workers,
         )
 
+    def _extend_workers(
+        self, sent: _SentRenewal, expires: int
+    ) -> dict[str, clock_lib.Millis]:
+        """Returns the lease end of each worker, without those long past."""
+        workers = {
+            name: end
+            for name, end in self.lease.workers.items()
+            if end > sent.at
+        }
+        for name in sent.workers:
+            end = max(workers.get(name, 0), expires)
+            workers[name] = clock_lib.Millis(end)
+        return workers
+
     def _lowers_revision(self, desired: wire.Desired | None) -> bool:
         return desired is not None and desired.revision < self.desired.revision
 
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -159,6 +159,11 @@
             return None
         return max(0, down_ms - progress.start_sent_ms)
 
+    @property
+    def name(self) -> str:
+        """Name that is unique to this incarnation."""
+        return incarnation_name(self.announced.name, self.announced.born)
+
     def ref(self, agent: str) -> batch.WorkerRef:
         """Returns the leader's reference to this incarnation."""
         return batch.WorkerRef(
--- a/bilberryroute/agent/worker_view.py
+++ b/bilberryroute/agent/worker_view.py
@@ -32,16 +32,15 @@
         or announcement.failure_domain in desired.evacuated
     )
     may_start = (
-        board.lease.get().left(now) > 0
+        board.lease.get().left_for(worker.name, now) > 0
         and not closed
         and not board.draining.get()
         and not worker.may_have_restarted
     )
-    name = life_lib.incarnation_name(announcement.name, announcement.born)
     return run_plan.RunPlanInput(
         worker=worker.ref(cfg.host),
         desired=desired.runs,
-        covered=name in board.covered.get(),
+        covered=worker.name in board.covered.get(),
         may_start=may_start,
         closed=closed,
         payloads=frozenset(board.payloads.get()),
--- a/bilberryroute/clock.py
+++ b/bilberryroute/clock.py
@@ -5,6 +5,7 @@
 serve people and logs only, never a lease or a timeout.
 """
 
+import math
 import time
 from typing import NewType
 from typing import Protocol
@@ -20,6 +21,15 @@
 DAY = Millis(24 * 3_600 * MS_PER_SECOND)
 
 
+# Two machines' clocks may run apart by this factor; the platform guarantees it.
+MAX_RATE_RATIO = 1.02
+
+
+def longest(duration: int) -> Millis:
+    """Returns how long a duration on another clock may last on this one."""
+    return Millis(math.ceil(duration * MAX_RATE_RATIO))
+
+
 def seconds(duration: int) -> float:
     """Returns a duration in milliseconds as the seconds asyncio expects."""
     return duration / MS_PER_SECOND
--- a/bilberryroute/replica/batch_ends.py
+++ b/bilberryroute/replica/batch_ends.py
@@ -7,10 +7,8 @@
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
 
-# A worker's monotonic clock may be slow by this factor; the platform guarantees
-# the bound.
-MAX_CLOCK_SLOWDOWN = 1.02
-# Margin in ms for a message in flight when a lease is expected to expire.
+# An agent reckons a worker's clock from its last answer, some seconds ago; the
+# clocks may have drifted apart since then.
 FENCE_MARGIN_MS = 500
 
 
@@ -28,11 +26,12 @@
 def run_fence_ms(timing: settings.Timing) -> int:
     """Returns how long a worker must be silent until its runs have ended.
 
-    The agent extends run leases while it holds its own lease, and a run lease
-    lasts longer on a slow clock.
+    The agent extends run leases as long as it holds the lease granted for the
+    last renewal that reported the worker. Both leases last longer on slow
+    clocks.
     """
-    run_lease_ms = int(timing.run_lease_ms * MAX_CLOCK_SLOWDOWN)
-    return timing.agent_lease_ms + run_lease_ms + FENCE_MARGIN_MS
+    leases_ms = timing.agent_lease_ms + timing.run_lease_ms
+    return clock_lib.longest(leases_ms) + FENCE_MARGIN_MS
 
 
 def reported_ends(
--- a/tests/agent/batch_harness.py
+++ b/tests/agent/batch_harness.py
@@ -9,6 +9,7 @@
 from bilberryroute import settings
 from bilberryroute.agent import batch as batch_lib
 from bilberryroute.agent import board as board_lib
+from bilberryroute.agent import worker_life
 from bilberryroute.agent import worker_port
 from bilberryroute.model import batch
 from bilberryroute.model import wire
@@ -128,8 +129,13 @@
         self.lease(FAR_FUTURE)
 
     def lease(self, expires: int) -> None:
+        """Grants a lease for the worker and its later incarnations."""
+        end = clock_lib.Millis(expires)
+        names = (worker_life.incarnation_name("w1", born) for born in (1, 2))
         self.board.lease.set(
-            board_lib.Lease(term=3, expires=clock_lib.Millis(expires))
+            board_lib.Lease(
+                term=3, expires=end, workers=dict.fromkeys(names, end)
+            )
         )
 
     def announce(self, born: int = 1, sequence: int = 1, **more) -> None:
--- a/tests/agent/capacity_site.py
+++ b/tests/agent/capacity_site.py
@@ -198,7 +198,7 @@
     """The agent of one host, from its start to its end."""
 
     def __init__(self, site: "Site", host: str):
-        env = environment.fake_environment(clock=site.clock)
+        env = environment.fake_environment(clock=site.agent_clocks[host])
         env.rng = random.Random(site.rng.getrandbits(32))
         cfg = settings.Settings(
             host=host,
@@ -240,6 +240,7 @@
     """Four hosts in two racks, each with an agent and a worker.
 
     Attributes:
+      agent_clocks: Clocks of the agents by host.
       workers: Workers by host.
       agents: Running agents by host.
       leader: Present leader, or None during a change.
@@ -250,25 +251,31 @@
     def __init__(self, seed: int, loop: virtual_time.VirtualTimeLoop):
         self.rng = random.Random(seed)
         self.clock = virtual_time.VirtualClock(loop)
+        self.agent_clocks = dict.fromkeys(self.HOSTS, self.clock)
         self.log = SharedLog(self.rng)
         self.network = Network(self.rng)
         self.chaos = unguarded_worker.Chaos()
         self.workers = {
-            host: unguarded_worker.UnguardedWorker(
-                host,
-                rack=f"r{index // 2}",
-                capacity=CAPACITIES[0],
-                rng=self.rng,
-                clock=self.clock,
-                chaos=self.chaos,
-                need_of=self._need_of,
-            )
+            host: self._new_worker(host, rack=f"r{index // 2}")
             for index, host in enumerate(self.HOSTS)
         }
         self.agents: dict[str, AgentProcess] = {}
         self.leader: Leader | None = None
         self._tasks: list[asyncio.Task] = []
 
+    def _new_worker(
+        self, host: str, rack: str
+    ) -> unguarded_worker.UnguardedWorker:
+        return unguarded_worker.UnguardedWorker(
+            host,
+            rack=rack,
+            capacity=CAPACITIES[0],
+            rng=self.rng,
+            clock=self.clock,
+            chaos=self.chaos,
+            need_of=self._need_of,
+        )
+
     @property
     def batch_state(self) -> batch.BatchState:
         """State of all jobs."""
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -76,6 +76,28 @@
     )
 
 
+async def test_lease_is_extended_shortly_before_the_end_if_polls_are_unanswered(
+    harness, monkeypatch
+):
+    """An unanswered poll lasts longer than the agent's lease."""
+    harness.announce()
+    await harness.until(lambda: len(harness.port.lease_orders) > 3)
+    sent = []
+
+    async def leave_unanswered(address, order):
+        sent.append((asyncio.get_running_loop().time(), order.until_ms))
+        await asyncio.sleep(10)
+
+    monkeypatch.setattr(harness.port, "extend_lease", leave_unanswered)
+    begun = asyncio.get_running_loop().time()
+    harness.lease(harness.clock.now() + 600)
+    await harness.until(lambda: len(sent) > 1)
+    at_s, until_ms = sent[-1]
+    lead_s = clock_lib.seconds(600 - batch_lib.LAST_POLL_LEAD_MS)
+    assert at_s - begun >= lead_s
+    assert until_ms is not None
+
+
 async def test_regained_lease_is_passed_on_to_the_runs_at_once(harness):
     """Runs whose lease ends within the next long poll would be lost."""
     harness.lease(0)
@@ -281,6 +303,25 @@
     )
 
 
+async def test_lease_of_a_worker_that_is_not_reported_is_not_extended(harness):
+    harness.announce()
+    await harness.until(lambda: len(harness.port.lease_orders) > 3)
+    lease = harness.board.lease.get()
+    harness.board.lease.set(dataclasses.replace(lease, workers={}))
+    harness.port.lease_orders.clear()
+    await harness.until(lambda: len(harness.port.lease_orders) > 3)
+    assert {o.until_ms for o in harness.port.lease_orders[2:]} == {None}
+
+
+async def test_worker_is_asked_in_quick_succession_while_it_is_silent(harness):
+    """The sooner it answers, the more of its runs can go on."""
+    harness.announce()
+    await harness.until(lambda: len(harness.port.lease_orders) > 3)
+    harness.port.mute = True
+    await harness.until(lambda: harness.port.unanswered_polls > 3)
+    assert harness.port.lease_orders[-1].wait_ms == 0
+
+
 async def test_silent_worker_is_not_reported(harness):
     harness.announce()
     await harness.until(lambda: harness.board.batch.get())
--- a/tests/agent/test_capacity_soak.py
+++ b/tests/agent/test_capacity_soak.py
@@ -9,7 +9,6 @@
 import os
 import random
 
-import mode
 import pytest
 
 from bilberryroute import clock as clock_lib
@@ -19,6 +18,8 @@
 from tests.utils import batches
 from tests.utils import virtual_time
 
+pytestmark = pytest.mark.usefixtures("ordered_services")
+
 _FIRST_SEED, _SEED_COUNT = map(
     int, os.environ.get("CAPACITY_SEEDS", "0:4").split(":")
 )
@@ -172,19 +173,6 @@
         return [job.id for job in jobs if job.result is None]
 
 
-@pytest.fixture(autouse=True)
-def ordered_services(monkeypatch):
-    """Starts the tasks of services by name; `mode` keeps the names in a set."""
-    original = mode.Service._get_tasks
-    monkeypatch.setattr(
-        mode.Service,
-        "_get_tasks",
-        lambda service: sorted(
-            original(service), key=lambda task: task.fun.__name__
-        ),
-    )
-
-
 def play(seed: int) -> Soak:
     """Plays a seed and returns what it has found."""
     with asyncio.Runner(loop_factory=virtual_time.VirtualTimeLoop) as runner:
--- a/tests/agent/test_renewal.py
+++ b/tests/agent/test_renewal.py
@@ -88,6 +88,21 @@
     assert keeper.lease.expires == 2_200
 
 
+def test_lease_for_a_worker_ends_although_renewals_without_it_are_granted(
+    keeper,
+):
+    """The leader counts from the last renewal that reported the worker."""
+    for now, names in ((0, {"w1", "w2"}), (700, {"w2"}), (1_400, {"w2"})):
+        sent = keeper.record_renewal(now, frozenset(names))
+        keeper.accept(leader_lib.grant(sent))
+    assert keeper.lease.left_for("w1", 2_199) == 1
+    assert keeper.lease.left_for("w1", 2_200) == 0
+    assert keeper.lease.left_for("w2", 2_200) == 1_400
+    assert keeper.lease.left_for("w3", 0) == 0
+    keeper.accept(leader_lib.grant(keeper.record_renewal(2_300)))
+    assert set(keeper.lease.workers) == {"w2"}
+
+
 def test_grant_covers_the_workers_of_the_renewal_it_answers(keeper):
     first = keeper.record_renewal(0, frozenset())
     second = keeper.record_renewal(10, frozenset({"w1"}))
--- a/tests/agent/unguarded_worker.py
+++ b/tests/agent/unguarded_worker.py
@@ -80,6 +80,7 @@
     Attributes:
       excesses: Descriptions of the starts beyond the capacity.
       start_count: Number of starts carried out.
+      run_ms: Bounds of the duration of a run.
       name: Name of the present incarnation.
       running: Runs by task.
       draining: Whether the worker announces that it is about to end.
@@ -99,6 +100,7 @@
     ):
         self.excesses: list[str] = []
         self.start_count = 0
+        self.run_ms = RUN_MS
         self.announce_to: Callable[
             [worker_port.BatchWorkerAnnouncement], bool
         ] = lambda announcement: False
@@ -310,7 +312,7 @@
         else:
             run.counts_from_ms = self._clock.now() + STRAY_LISTED_MS
         asyncio.get_running_loop().call_later(
-            clock_lib.seconds(self._rng.randint(*RUN_MS)),
+            clock_lib.seconds(self._rng.randint(*self.run_ms)),
             self._finish,
             order.task,
             order.run,
--- a/tests/utils/virtual_time.py
+++ b/tests/utils/virtual_time.py
@@ -37,17 +37,18 @@
 
 
 class VirtualClock:
-    """Clock that follows a `VirtualTimeLoop`."""
+    """Clock that follows a `VirtualTimeLoop`, faster or slower than it."""
 
     _START_MS = 10_000
     _UNIX_OFFSET_MS = 1_700_000_000_000
 
-    def __init__(self, loop: VirtualTimeLoop):
+    def __init__(self, loop: VirtualTimeLoop, rate: float = 1.0):
         self._loop = loop
+        self._ms_per_second = clock_lib.MS_PER_SECOND * rate
 
     def now(self) -> clock_lib.Millis:
         """Returns monotonic milliseconds."""
-        elapsed_ms = round(self._loop.elapsed_s * clock_lib.MS_PER_SECOND)
+        elapsed_ms = round(self._loop.elapsed_s * self._ms_per_second)
         return clock_lib.Millis(self._START_MS + elapsed_ms)
 
     def wall(self) -> clock_lib.Millis:
