Release a job once the leases of a silent host must have ended

Operators saw the accelerators of a job of the project's own stay taken for ten minutes after its host was lost: the job was stopped, but the leader went by the host's last report, in which the task runs, until that report was dropped with the silent agent (10 minutes).

Cause: the time since the worker was last reported was looked at only where there was no report on the task. The last report proves nothing any more once the leases that can follow it have ended, so the time decides first.

Test: test_last_report_of_a_silent_host_does_not_hold_its_accelerators, which failed before (no command at the fence time).

--- a/bilberryroute/replica/progress.py
+++ b/bilberryroute/replica/progress.py
@@ -8,6 +8,8 @@
 from bilberryroute.model import wire
 from bilberryroute.replica import board as board_lib
 
+# An agent reckons a worker's clock from an announcement some seconds ago; the
+# clocks may have drifted apart since then.
 FENCE_MARGIN_MS = 500
 
 ENDED_STATES = frozenset(r.value for r in jobs.TaskResult)
@@ -20,8 +22,8 @@
     Attributes:
       now: Monotonic instant in milliseconds.
       term_began: Instant at which this replica began to lead, same clock.
-      fence_ms: Duration of silence after which no task can still run on a
-        worker, since its leases have expired.
+      fence_ms: Time since the last report of a worker after which no task can
+        still run there, since its leases have expired.
       board: Reports of the agents.
       desired_version: Returns the version of an agent's desired state.
     """
@@ -94,12 +96,12 @@
     record: jobs.JobRecord, worker: str, observed: Observations
 ) -> bool:
     """Returns whether a member has certainly ended."""
-    report = _report(record, worker, observed)
-    if report is not None:
-        return report.state in ENDED_STATES
     last_seen = observed.board.worker_last_seen.get(worker, observed.term_began)
     if observed.now - max(last_seen, observed.term_began) >= observed.fence_ms:
         return True
+    report = _report(record, worker, observed)
+    if report is not None:
+        return report.state in ENDED_STATES
     return _agent_has_no_task(worker, observed)
 
 
--- a/tests/replica/test_progress.py
+++ b/tests/replica/test_progress.py
@@ -110,6 +110,14 @@
     assert isinstance(_next(record, board, now=FENCE_MS), commands.ReleaseJob)
 
 
+def test_last_report_of_a_silent_host_does_not_hold_its_accelerators(board):
+    record = _record(jobs.JobPhase.STOPPING, requeue=True)
+    _report(board, "a1", "w1", "stopped")
+    _report(board, "a2", "w2", "running")
+    assert _next(record, board, now=FENCE_MS - 1) is None
+    assert isinstance(_next(record, board, now=FENCE_MS), commands.ReleaseJob)
+
+
 def test_restarted_agent_proves_no_end_before_the_fence_time(board):
     record = _record(jobs.JobPhase.STOPPING)
     _report(board, "a1", "w1", "stopped")
