Bound how long tasks of jobs go on without answer or report

- An agent renewed tasks, and started reserved ones, while it held any lease.
The leader counts from the last renewal that reported the worker: one that is announced again after a while could be extended, or start a task, under a renewal without it.
Both need the lease for that worker now.
- A worker that announces itself but answers no call had its tasks renewed for good, so that they were neither known to run nor ever over, and a gang with them was held.
Renewals end half a task lease (5 s) after its last answer.
- The agent counted a task as lost the moment its lease ended by its own clock, and the leader after 12.7 s by its own.
The worker's clock may be 2% slow: up to 0.24 s later.

Tests: each in tests/agent/test_tasks.py or test_task_plan.py and tests/replica/test_jobs.py. test_task_on_an_unknown_worker_is_lost_once_its_ lease_has_ended expected the loss 10.0 s after the start; that is wrong by the worker's clock, and it now expects it at the bound and not before.

--- a/bilberryroute/agent/task_plan.py
+++ b/bilberryroute/agent/task_plan.py
@@ -8,6 +8,8 @@
 import enum
 from collections.abc import Mapping
 
+from bilberryroute import clock as clock_lib
+from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import worker_api
 from bilberryroute.model import jobs
 from bilberryroute.model import wire
@@ -18,6 +20,19 @@
 RUNNING = "running"
 STOPPED = "stopped"
 
+# A worker's clock is reckoned from its last announcement, some seconds ago; it
+# may have drifted since then.
+CLOCK_MARGIN_MS = 500
+
+
+def lease_bound_ms(task_lease_ms: int) -> int:
+    """Returns by how much a task may outlast its last renewal, at most.
+
+    Args:
+      task_lease_ms: Length of its lease on the worker's clock.
+    """
+    return clock_lib.longest(task_lease_ms) + CLOCK_MARGIN_MS
+
 
 class TaskPhase(enum.Enum):
     """State of a task that the agent holds."""
@@ -85,7 +100,7 @@
       workers: Workers announced here, by name.
       task_lists: Tasks that each worker listed, by worker; a worker that has
         not been queried yet is missing.
-      lease_left_ms: Remaining time of the agent's lease.
+      lease: The agent's lease.
       started: Agent's clock when the process started.
       now: Agent's clock.
       task_lease_ms: Length of a task's lease.
@@ -96,7 +111,7 @@
     held: Mapping[TaskKey, HeldTask]
     workers: Mapping[str, jobs.Worker]
     task_lists: Mapping[str, Mapping[TaskKey, worker_api.Task]]
-    lease_left_ms: int
+    lease: board_lib.Lease
     started: int
     now: int
     task_lease_ms: int
@@ -187,7 +202,8 @@
 def may_start(plan_input: TaskPlanInput, key: TaskKey) -> bool:
     """Returns whether a reserved task may start now."""
     worker = plan_input.workers.get(key[0])
-    if worker is None or plan_input.lease_left_ms <= 0:
+    lease_left_ms = plan_input.lease.left_for(key[0], plan_input.now)
+    if worker is None or lease_left_ms == 0:
         return False
     if worker.failure_domain not in plan_input.desired.domains_in_service:
         return False
@@ -271,7 +287,8 @@
         return _plan_reservation(plan_input, task, in_use)
     if task.worker in plan_input.task_lists:
         return Fence(key=key, result=_absent_result(task))
-    if plan_input.now - plan_input.started >= plan_input.task_lease_ms:
+    bound_ms = lease_bound_ms(plan_input.task_lease_ms)
+    if plan_input.now - plan_input.started >= bound_ms:
         return End(key=key, result=jobs.TaskResult.LOST)
     return None
 
--- a/bilberryroute/agent/tasks.py
+++ b/bilberryroute/agent/tasks.py
@@ -49,6 +49,7 @@
         self._held: dict[task_plan.TaskKey, task_plan.HeldTask] = {}
         self._task_lists = surveys_lib.WorkerTaskLists()
         self._polling: set[str] = set()
+        self._answered_ms: dict[str, int] = {}
         self._started_ms = env.clock.now()
         self._client: worker_api.WorkerApiClient | None = None
         self._replan = blackboard.Cell(None)
@@ -72,7 +73,7 @@
             held=self._held,
             workers=self.board.workers.get(),
             task_lists=self._task_lists.tasks(),
-            lease_left_ms=self.board.lease.get().left(now),
+            lease=self.board.lease.get(),
             started=self._started_ms,
             now=now,
             task_lease_ms=self._cfg.timing.task_lease_ms,
@@ -82,12 +83,18 @@
     async def _reconcile(self) -> None:
         while not self.should_stop:
             seen = self._replan.version
-            self._task_lists.drop_stale(self._workers.contacts)
+            self._drop_absent_workers()
             for action in task_plan.plan(self.plan_input()):
                 self._execute(action)
             self._publish()
             await self._wait_for_change(seen)
 
+    def _drop_absent_workers(self) -> None:
+        contacts = self._workers.contacts
+        self._task_lists.drop_stale(contacts)
+        for name in self._answered_ms.keys() - contacts.keys():
+            del self._answered_ms[name]
+
     @Service.task
     async def _watch_desired(self) -> None:
         await self._watch(self.board.desired)
@@ -173,7 +180,7 @@
             key=key,
             accelerators=(),
             phase=task_plan.TaskPhase.STOPPING,
-            lease_expires=self._clock.now() + self._cfg.timing.task_lease_ms,
+            lease_expires=self._lease_bound(self._clock.now()),
         )
         self._held[key] = held
         self._begin_stop(held, result, checkpoint=False)
@@ -184,7 +191,7 @@
             accelerators=reported.accelerators,
             phase=task_plan.TaskPhase.RUNNING,
             progress_ms=reported.progress_ms,
-            lease_expires=self._clock.now() + self._cfg.timing.task_lease_ms,
+            lease_expires=self._lease_bound(self._clock.now()),
         )
         self._held[key] = held
         self._apply_report(held, reported)
@@ -198,7 +205,7 @@
             held.phase = task_plan.TaskPhase.RESERVED
             return
         call = self._start_call(held, contact, plan_input)
-        held.lease_expires = plan_input.now + self._cfg.timing.task_lease_ms
+        held.lease_expires = self._lease_bound(plan_input.now)
         try:
             task = await self._client.start(contact, call)
         except worker_api.StartLate as exc:
@@ -231,17 +238,18 @@
         contact: workers_lib.WorkerContact,
         plan_input: task_plan.TaskPlanInput,
     ) -> worker_api.StartTaskRequest:
-        _, job_id, attempt = held.key
+        worker, job_id, attempt = held.key
         until = plan_input.now + self._cfg.timing.task_lease_ms
+        lease_left_ms = plan_input.lease.left_for(worker, plan_input.now)
         return worker_api.StartTaskRequest(
             job_id=job_id,
             attempt=attempt,
             incarnation=contact.incarnation,
             accelerators=held.accelerators,
             progress_ms=held.progress_ms,
-            left_ms=plan_input.lease_left_ms,
+            left_ms=lease_left_ms,
             not_after_ms=contact.to_worker_clock(
-                plan_input.now + plan_input.lease_left_ms
+                plan_input.now + lease_left_ms
             ),
             lease_until_ms=contact.to_worker_clock(until),
         )
@@ -311,16 +319,27 @@
             for held in self._held_on(contact.name)
             if held.phase is task_plan.TaskPhase.RUNNING
         ]
-        if running and self.board.lease.get().left(now):
+        if running and self._may_renew(contact.name, now):
             tasks = await self._renew(contact, running, now)
         elif running or self._task_lists.needs_query(contact):
             tasks = await self._client.tasks(contact)
         else:
             return
+        self._answered_ms[contact.name] = self._clock.now()
         reported = self._task_lists.update(contact, tasks)
         self._apply_reports(reported, running)
         self._replan.touch()
 
+    def _may_renew(self, worker: str, now: int) -> bool:
+        """Returns whether the leases of a worker's tasks may be renewed.
+
+        Those of a worker that announces itself but answers no call would be
+        renewed for good, although nobody knows whether the tasks go on.
+        """
+        answered_ms = self._answered_ms.setdefault(worker, now)
+        silent = now - answered_ms > self._cfg.timing.task_lease_ms // 2
+        return not silent and self.board.lease.get().left_for(worker, now) > 0
+
     async def _renew(
         self,
         contact: workers_lib.WorkerContact,
@@ -329,7 +348,7 @@
     ) -> worker_api.Tasks:
         until = now + self._cfg.timing.task_lease_ms
         for held in running:
-            held.lease_expires = until
+            held.lease_expires = self._lease_bound(now)
         names = tuple(worker_api.TaskName(h.key[1], h.key[2]) for h in running)
         leases = worker_api.Leases(
             tasks=names, until_ms=contact.to_worker_clock(until)
@@ -373,6 +392,11 @@
                 held.end(jobs.TaskResult.LOST)
                 self._replan.touch()
 
+    def _lease_bound(self, now: int) -> int:
+        """Returns when a lease that is renewed at `now` has surely ended."""
+        bound_ms = task_plan.lease_bound_ms(self._cfg.timing.task_lease_ms)
+        return now + bound_ms
+
     def _publish(self) -> None:
         reports = {k: h.report() for k, h in self._held.items()}
         if reports != self.board.tasks.get():
--- a/tests/agent/test_task_plan.py
+++ b/tests/agent/test_task_plan.py
@@ -1,5 +1,7 @@
 import pytest
 
+from bilberryroute import clock as clock_lib
+from bilberryroute.agent import board as board_lib
 from bilberryroute.agent import task_plan
 from bilberryroute.agent import worker_api
 from bilberryroute.model import jobs
@@ -46,7 +48,7 @@
         "held": {held_task.key: held_task} if held_task else {},
         "workers": {"w1": WORKER},
         "task_lists": {"w1": {}},
-        "lease_left_ms": 1_000,
+        "lease": board_lib.Lease(workers={"w1": clock_lib.Millis(2_000)}),
         "started": 0,
         "now": 1_000,
         "task_lease_ms": 10_000,
@@ -97,8 +99,13 @@
 
 @pytest.mark.parametrize(
     "changes",
-    [{"lease_left_ms": 0}, {"domains": ("lekki",)}, {"workers": {}}],
-    ids=["no lease", "domain out", "worker gone"],
+    [
+        {"lease": board_lib.Lease()},
+        {"lease": board_lib.Lease(expires=clock_lib.Millis(2_000))},
+        {"domains": ("lekki",)},
+        {"workers": {}},
+    ],
+    ids=["no lease", "worker not reported", "domain out", "worker gone"],
 )
 def test_start_is_withheld(changes):
     reserved = held(task_plan.TaskPhase.RESERVED)
@@ -129,9 +136,13 @@
 
 def test_task_on_an_unknown_worker_is_lost_once_its_lease_has_ended():
     unknown = {"workers": {}, "task_lists": {}}
-    assert not task_plan.plan(plan_input(task("running"), **unknown, now=9_999))
+    bound_ms = task_plan.lease_bound_ms(10_000)
+    assert bound_ms > clock_lib.longest(10_000)
+    assert not task_plan.plan(
+        plan_input(task("running"), **unknown, now=bound_ms - 1)
+    )
     assert task_plan.plan(
-        plan_input(task("running"), **unknown, now=10_000)
+        plan_input(task("running"), **unknown, now=bound_ms)
     ) == [task_plan.End(key=KEY, result=jobs.TaskResult.LOST)]
 
 
--- a/tests/agent/test_tasks.py
+++ b/tests/agent/test_tasks.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import msgspec
 import pytest
@@ -43,7 +44,9 @@
     def lease(self, duration: int = 60_000) -> None:
         """Grants a lease."""
         expires = clock_lib.Millis(CLOCK.now() + duration)
-        self.board.lease.set(board_lib.Lease(term=1, expires=expires))
+        self.board.lease.set(
+            board_lib.Lease(term=1, expires=expires, workers={"w1": expires})
+        )
 
     def desire(self, state: str, domains=("apapa",), **changes) -> None:
         """Sets the one desired task."""
@@ -308,3 +311,56 @@
     assert harness.board.tasks.get()[KEY].state == "running"
     await harness.until("lost")
     assert CLOCK.now() >= harness.service._held[KEY].lease_expires
+
+
+async def run_task(harness) -> None:
+    harness.desire("reserved")
+    await harness.until("reserved")
+    harness.desire("running")
+    await harness.until("running")
+
+
+async def test_task_on_a_slow_clock_is_not_lost_before_its_lease_ends(harness):
+    await run_task(harness)
+    lease_ms = harness.service._cfg.timing.task_lease_ms
+    left_ms = harness.service._held[KEY].lease_expires - CLOCK.now()
+    assert left_ms > clock_lib.longest(lease_ms)
+
+
+async def test_task_is_not_renewed_for_good_while_its_worker_answers_no_call(
+    harness, monkeypatch
+):
+    await run_task(harness)
+    renewed = []
+
+    async def leave_unanswered(contact, leases=None):
+        renewed.append(leases is not None)
+        raise worker_api.WorkerUnreachable("no answer")
+
+    monkeypatch.setattr(harness.service._client, "renew", leave_unanswered)
+    monkeypatch.setattr(harness.service._client, "tasks", leave_unanswered)
+    while not renewed:
+        await asyncio.sleep(0.02)
+    lease_ms = harness.service._cfg.timing.task_lease_ms
+    harness.service._answered_ms["w1"] = CLOCK.now() - lease_ms // 2 - 1
+    renewed.clear()
+    while len(renewed) < 2:
+        await asyncio.sleep(0.02)
+    assert renewed == [False, False]
+    harness.service._held[KEY].lease_expires = CLOCK.now()
+    await harness.until("lost")
+
+
+async def test_task_is_not_renewed_while_its_worker_is_not_reported(
+    harness, monkeypatch
+):
+    """The leader counts from the last report until the task has ended."""
+    await run_task(harness)
+    lease = harness.board.lease.get()
+    harness.board.lease.set(dataclasses.replace(lease, workers={}))
+    renewed = []
+    monkeypatch.setattr(
+        harness.service._client, "renew", lambda *args: renewed.append(args)
+    )
+    await asyncio.sleep(3 * clock_lib.seconds(tasks_lib.POLL_INTERVAL_MS))
+    assert renewed == []
--- a/tests/replica/test_jobs.py
+++ b/tests/replica/test_jobs.py
@@ -44,3 +44,12 @@
     await asyncio.wait_for(again.wait(), WAIT_SECONDS)
     assert schedulers[1] is not schedulers[0]
     assert controller.crash_reason is None
+
+
+def test_silent_task_is_not_over_before_its_leases_end_on_slow_clocks(
+    controller,
+):
+    timing = controller._cfg.timing
+    leases_ms = timing.agent_lease_ms + timing.task_lease_ms
+    fence_ms = controller._observed_reports().fence_ms
+    assert fence_ms > clock_lib.longest(leases_ms)
