Confirm ends to a worker only while it lists them

Cause: each poll carried the number of the last committed end, for good. A worker that restarts under its name counts its ends anew; a poll that it carries out seconds late, meant for its earlier incarnation, made it forget an end of its own that nobody had seen. The run counted as never begun, and ran again.

Polls now carry the number only while the last listing still has such ends, so outside those moments no late poll can do harm. What remains: a worker that restarts in such a moment.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -275,8 +275,18 @@
         return worker.worker_clock(now) + self._cfg.timing.run_lease_ms
 
     def _last_committed_end(self, worker: life_lib.WorkerIncarnation) -> int:
-        known = self._board.committed.get()
-        return known.get((worker.announced.name, worker.announced.born), 0)
+        """Returns up to which listed end the worker may forget, or 0.
+
+        A poll may be carried out seconds later, by an incarnation that counts
+        its ends anew, so nothing is confirmed that is not listed any more.
+        """
+        if worker.listing is None:
+            return 0
+        announced = worker.announced
+        committed = self._board.committed.get()
+        number = committed.get((announced.name, announced.born), 0)
+        listed = any(end.number <= number for end in worker.listing.ends)
+        return number if listed else 0
 
     def _apply_listing(
         self,
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -9,6 +9,7 @@
 from bilberryroute.agent import worker_port
 from bilberryroute.agent import worker_view
 from bilberryroute.model import batch
+from bilberryroute.model import wire
 from tests.agent import batch_harness
 from tests.utils import batches
 
@@ -281,7 +282,17 @@
     )
 
 
+def done(number: int) -> wire.EndReport:
+    return wire.EndReport(
+        number=number,
+        task=batch_harness.TASK,
+        run=1,
+        outcome=batch.RunOutcome.DONE,
+    )
+
+
 async def test_committed_ends_are_passed_on_to_the_worker(harness):
+    harness.port.ends = [done(7)]
     harness.announce()
     harness.board.committed.set({("w1", 1): 7})
     await harness.until(
@@ -290,6 +301,19 @@
     )
 
 
+async def test_ends_that_are_forgotten_are_not_confirmed_again(harness):
+    """A late poll would have the next incarnation forget ends of its own."""
+    harness.port.ends = [done(7)]
+    harness.announce()
+    harness.board.committed.set({("w1", 1): 7})
+    await harness.until(lambda: harness.port.lease_orders[-1:])
+    harness.port.ends = []
+    await harness.until(lambda: not harness.board.batch.get()[0].ends)
+    harness.port.lease_orders.clear()
+    await harness.until(lambda: len(harness.port.lease_orders) > 2)
+    assert {order.committed for order in harness.port.lease_orders[1:]} == {0}
+
+
 async def test_withdrawn_worker_that_refuses_connections_has_ended(harness):
     harness.announce()
     await harness.until(lambda: harness.board.batch.get())
