Keep a ready worker's runs after a late withdrawal of an earlier incarnation

A withdrawal names a worker, not an incarnation, and may come late.

An announcement that does not drain now takes the mark back; those of a worker that really leaves do.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -93,6 +93,8 @@
                     "worker drains", extra={"worker": announcement.name}
                 )
             worker.announced = announcement
+            # A withdrawal may come late, from an earlier incarnation.
+            worker.withdrawn &= announcement.draining
         self._publish()
         self._wake.set()
 
--- a/tests/agent/test_batch.py
+++ b/tests/agent/test_batch.py
@@ -346,6 +346,22 @@
     assert harness.port.lease_orders[-1].wait_ms == 0
 
 
+async def test_late_withdrawal_does_not_end_the_runs_of_a_worker_that_is_ready(
+    harness,
+):
+    """Its connections may be refused for a while without a restart."""
+    harness.announce(sequence=1)
+    await harness.until(lambda: harness.board.batch.get())
+    harness.agent.withdraw("w1")
+    harness.announce(sequence=2)
+    harness.port.down = True
+    await harness.until(lambda: harness.port.refused > 1)
+    harness.clock.advance(batch_lib.DOWN_MS)
+    refused = harness.port.refused
+    await harness.until(lambda: harness.port.refused > refused + 1)
+    assert harness.board.batch.get() == ()
+
+
 async def test_silent_worker_is_not_reported(harness):
     harness.announce()
     await harness.until(lambda: harness.board.batch.get())
