End a job whose attempts are used up once its queue is back

Cause: when a run ends, a job is looked at only if its queue is in the catalog, and nothing looked at it later, so the waiting task was ready as soon as its queue was back. Lowering max_attempts below the failures so far let a waiting task start beyond it in the same way. Ruled out: a lost end (the case shows that both were taken note of).

Each new catalog now ends the jobs of which a waiting task has no attempt left; a run that is under way may still end as done. The log says which jobs.

--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -77,11 +77,22 @@
         self._first_report_ms = clock_lib.Millis(0)
         self._first_report_term = 0
         self._permits = advice_lib.Permits(advisor, parts.clock, self._wakeup)
+        parts.machine.listeners.append(self._on_applied)
 
     async def on_start(self) -> None:
         """Starts the service that requests permits."""
         await self.add_runtime_dependency(self._permits)
 
+    def _on_applied(
+        self, command: commands.Command, result: commands.Result
+    ) -> None:
+        """Logs the jobs that a new catalog ends."""
+        del result
+        if isinstance(command, batching.ApplyCatalog) and (
+            self._leadership.active()
+        ):
+            batch_log.log_jobs_ended_at(command.at_ms, self._batch_state)
+
     @property
     def _batch_state(self) -> batch.BatchState:
         return self._machine.state.batch
--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -238,6 +238,15 @@
             )
 
 
+def log_jobs_ended_at(at_ms: int, batch_state: batch.BatchState) -> None:
+    """Logs each job that ended at a Unix time, in milliseconds."""
+    known = map(batch_state.jobs.get, batch_state.ended)
+    _log_jobs_ended(
+        {job.id for job in known if job is not None and job.ended_ms == at_ms},
+        batch_state,
+    )
+
+
 def _log_jobs_ended(
     job_ids: Iterable[str], batch_state: batch.BatchState
 ) -> None:
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -103,6 +103,7 @@
     changed = command.catalog.version > batch_state.catalog.version
     if changed:
         batch_state.catalog = command.catalog
+        run_rules.end_exhausted_jobs(batch_state, command.at_ms)
     return batching.CatalogHeld(
         version=batch_state.catalog.version, changed=changed
     )
--- a/bilberryroute/state/batch_runs.py
+++ b/bilberryroute/state/batch_runs.py
@@ -4,6 +4,8 @@
 of the previous one is committed.
 """
 
+from collections.abc import Iterator
+
 from bilberryroute.model import batch
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import commands
@@ -36,6 +38,24 @@
                     task.state = batch.TaskState.STOPPING
 
 
+def end_exhausted_jobs(batch_state: batch.BatchState, at_ms: int) -> None:
+    """Ends the jobs of which a waiting task has no attempt left.
+
+    Its last attempt may have failed while its queue was not in the catalog, or
+    the queue may allow fewer attempts than before.
+    """
+    for record in batch_state.jobs.values():
+        if record.result is not None:
+            continue
+        for task_id in _waiting_tasks(record):
+            failures = _failures_if_exhausted(batch_state, record, task_id)
+            if failures:
+                _end_failed_job(
+                    batch_state, record, task_id.step, failures, at_ms
+                )
+                break
+
+
 def place_runs(
     batch_state: batch.BatchState, command: batching.PlaceRuns
 ) -> commands.Result:
@@ -236,16 +256,9 @@
     step = record.content.steps[task_id.step]
     step_record = steps[task_id.step]
     task = step_record.tasks[task_id.index]
-    failures = step_record.failed if step.gang else task.failed
-    queue = batch_state.catalog.queue(record.queue)
-    exhausted = queue is not None and failures >= queue.max_attempts
-    if (
-        exhausted
-        and not step.long_running
-        and task.state != batch.TaskState.DONE
-    ):
-        reason = f"step {task_id.step} failed {failures} times"
-        end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
+    failures = _failures_if_exhausted(batch_state, record, task_id)
+    if failures and task.state != batch.TaskState.DONE:
+        _end_failed_job(batch_state, record, task_id.step, failures, at_ms)
         return
     # Not the crashes of the whole gang: a guilty member has one in each run.
     if (
@@ -262,3 +275,51 @@
         record.finished_occurrences += 1
         if record.finished_occurrences >= record.occurrence_count:
             end_job(batch_state, record, jobs.JobResult.DONE, "", at_ms)
+
+
+def _waiting_tasks(record: batch.BatchRecord) -> Iterator[batch.TaskId]:
+    for occurrence, steps in record.occurrences.items():
+        for step, step_record in enumerate(steps):
+            for index, task in enumerate(step_record.tasks):
+                if task.state == batch.TaskState.WAITING:
+                    yield batch.TaskId(
+                        job_id=record.id,
+                        occurrence=occurrence,
+                        step=step,
+                        index=index,
+                    )
+
+
+def _failures_if_exhausted(
+    batch_state: batch.BatchState,
+    record: batch.BatchRecord,
+    task_id: batch.TaskId,
+) -> int:
+    """Returns how often a task failed if it has no attempt left, else 0.
+
+    Nothing is decided while its queue is not in the catalog.
+    """
+    queue = batch_state.catalog.queue(record.queue)
+    step = record.content.steps[task_id.step]
+    if queue is None or step.long_running:
+        return 0
+    step_record = record.occurrences[task_id.occurrence][task_id.step]
+    if step_record.done:
+        return 0
+    failures = (
+        step_record.failed
+        if step.gang
+        else step_record.tasks[task_id.index].failed
+    )
+    return failures if failures >= queue.max_attempts else 0
+
+
+def _end_failed_job(
+    batch_state: batch.BatchState,
+    record: batch.BatchRecord,
+    step: int,
+    failures: int,
+    at_ms: int,
+) -> None:
+    reason = f"step {step} failed {failures} times"
+    end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
--- a/tests/replica/test_batch_log.py
+++ b/tests/replica/test_batch_log.py
@@ -1,5 +1,6 @@
 """What the log says of a job that was given up since it crashed its workers."""
 
+import dataclasses
 import logging
 
 import pytest
@@ -86,3 +87,19 @@
         if line.message == "no longer suspect"
     ]
     assert lines == [("g", "0.0.*", ["j1"]), ("j2", "0.0.0", ["j1"])]
+
+
+def test_log_names_the_jobs_that_a_new_catalog_ends(log, caplog):
+    caplog.set_level(logging.INFO)
+    log.now = 2_000
+    log.place(batches.unit("j1"))
+    log.end(batches.task("j1"), 1, batch.RunOutcome.FAILED)
+    queues = tuple(
+        dataclasses.replace(queue, max_attempts=1)
+        for queue in log.held.catalog.queues
+    )
+    catalog = batches.catalog(2, queues=queues)
+    log.apply(batching.ApplyCatalog(catalog=catalog, at_ms=log.now))
+    batch_log.log_jobs_ended_at(log.now, log.held)
+    (line,) = [r for r in caplog.records if r.message == "job ended"]
+    assert (line.job_id, line.reason) == ("j1", "step 0 failed 1 times")
--- a/tests/state/test_batch.py
+++ b/tests/state/test_batch.py
@@ -1,5 +1,7 @@
 """Transitions of batch jobs in the replicated state."""
 
+import dataclasses
+
 import pytest
 
 from bilberryroute import errors
@@ -145,6 +147,71 @@
     assert log.held.jobs["j1"].result is None
 
 
+def change_queues(log, version: int, queues: tuple) -> None:
+    catalog = batches.catalog(version, queues=queues)
+    log.apply(batching.ApplyCatalog(catalog=catalog, at_ms=log.now))
+
+
+def fail_twice_while_the_queue_is_gone(log, *workers) -> tuple:
+    """Returns the queues as they were before."""
+    queues = log.held.catalog.queues
+    for run in (1, 2):
+        log.place(batches.unit("j1", *workers, run=run))
+        if run == 2:
+            change_queues(log, 2, ())
+        log.end(batches.task(), run, Outcome.FAILED)
+    assert log.held.jobs["j1"].result is None
+    return queues
+
+
+def test_task_without_attempts_left_does_not_start_once_its_queue_is_back(log):
+    log.submit("j1", batches.content())
+    change_queues(log, 3, fail_twice_while_the_queue_is_gone(log))
+    record = log.held.jobs["j1"]
+    assert (record.result, record.reason) == ("failed", "step 0 failed 2 times")
+    assert isinstance(log.place(batches.unit(run=3)), commands.Unchanged)
+
+
+def test_task_does_not_start_beyond_a_lowered_number_of_attempts(log):
+    log.submit("j1", batches.content(batches.step(2)))
+    log.place(batches.unit())
+    log.place(batches.unit(first=1))
+    log.end(batches.task(), 1, Outcome.FAILED)
+    queues = log.held.catalog.queues
+    lowered = tuple(dataclasses.replace(q, max_attempts=1) for q in queues)
+    change_queues(log, 2, lowered)
+    assert log.held.jobs["j1"].result == "failed"
+
+
+def test_running_attempt_may_end_although_fewer_are_allowed_meanwhile(log):
+    log.submit("j1", batches.content())
+    log.place(batches.unit())
+    log.end(batches.task(), 1, Outcome.FAILED)
+    log.place(batches.unit(run=2))
+    queues = log.held.catalog.queues
+    lowered = tuple(dataclasses.replace(q, max_attempts=1) for q in queues)
+    change_queues(log, 2, lowered)
+    assert log.held.jobs["j1"].result is None
+    log.end(batches.task(), 2)
+    assert log.held.jobs["j1"].result == "done"
+
+
+@pytest.mark.parametrize(
+    "step",
+    [batches.step(long_running=True), batches.step(2, gang=True)],
+    ids=["lasting", "done gang"],
+)
+def test_new_catalog_does_not_end_what_may_go_on(log, step):
+    log.submit("j1", batches.content(step, batches.step(depends_on=(0,))))
+    log.place(batches.unit("j1", *[batches.ref()] * step.count))
+    for run in (1, 2):
+        log.end(batches.task(), run, Outcome.FAILED)
+    if step.gang:
+        log.end(batches.task(index=1), 1)
+    change_queues(log, 2, log.held.catalog.queues)
+    assert log.held.jobs["j1"].result is None
+
+
 def test_failed_run_of_a_gang_counts_once(log):
     log.submit("j1", batches.content(batches.step(2, gang=True)))
     log.place(batches.unit("j1", batches.ref("w1"), batches.ref("w2")))
