--- a/bilberryroute/state/batch_runs.py
+++ b/bilberryroute/state/batch_runs.py
@@ -253,7 +253,6 @@
 ) -> None:
     """Ends the job if this end of a run makes it fail or completes it."""
     steps = record.occurrences[task_id.occurrence]
-    step = record.content.steps[task_id.step]
     step_record = steps[task_id.step]
     task = step_record.tasks[task_id.index]
     failures = _failures_if_exhausted(batch_state, record, task_id)
