Carry out no evacuation order whose caller has gone

Cause: an order says only which state is wanted, so of two nothing tells which is newer, and an order was carried out however long ago it was sent. Operators give an order up after a second and close the connection; a host that has read the request now gives its event loop the time to read the end of the connection too (5 ms), and answers 503 to nobody instead of proposing the order. What was ruled out: an order that the leader carries out late; the call to it ends 0.9 s after it was read.

Not covered: an operator that leaves a call but keeps its connection open.

--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -1,5 +1,6 @@
 """HTTP API that every replica serves to operators: catalog and evacuations."""
 
+import asyncio
 from collections.abc import Iterable
 
 import mode
@@ -8,6 +9,7 @@
 from bilberryroute import api
 from bilberryroute import clock as clock_lib
 from bilberryroute import context
+from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import batch as entry_batch
@@ -23,6 +25,15 @@
 
 # Operators turn to another host after 1 s without an answer.
 LEADER_WAIT_MS = clock_lib.Millis(900)
+# By then the event loop has also read that an operator has closed a connection
+# whose request it has just read.
+CLOSE_NOTICE_MS = clock_lib.Millis(5)
+
+
+class CallerGone(errors.Unavailable):
+    """The caller of an order has given it up; nothing was changed."""
+
+    kind = "caller_gone"
 
 
 def services(
@@ -106,11 +117,28 @@
         return web.Response(body=held.document, content_type="application/json")
 
     async def _start_evacuation(self, req: web.Request) -> web.Response:
+        await _require_caller(req)
         zone = req.match_info["zone"]
         await self._client.set_evacuated(zone, True, LEADER_WAIT_MS)
         return web.json_response({})
 
     async def _end_evacuation(self, req: web.Request) -> web.Response:
+        await _require_caller(req)
         zone = req.match_info["zone"]
         await self._client.set_evacuated(zone, False, LEADER_WAIT_MS)
         return web.json_response({})
+
+
+async def _require_caller(req: web.Request) -> None:
+    """Checks that the caller still waits for an answer.
+
+    A suspended host reads an order long after its caller has turned to another
+    one, and perhaps has given the opposite order since. Nothing in an order
+    tells which of two is newer.
+
+    Raises:
+      CallerGone: If the caller has closed the connection.
+    """
+    await asyncio.sleep(clock_lib.seconds(CLOSE_NOTICE_MS))
+    if req.transport is None or req.transport.is_closing():
+        raise CallerGone("the caller of the order has gone")
