--- a/bilberryroute/platform/operators.py
+++ b/bilberryroute/platform/operators.py
@@ -23,7 +23,7 @@
 from bilberryroute.replica import service as replica_service
 from bilberryroute.transport import http as http_lib
 
-# Operators turn to another host after 1 s without an answer.
+# Operators try another host after 1 s without a response.
 LEADER_WAIT_MS = clock_lib.Millis(900)
 # By then the event loop has also read that an operator has closed a connection
 # whose request it has just read.
@@ -44,11 +44,11 @@
 ) -> list[mode.Service]:
     """Returns the services behind the operators' API.
 
-    These are its HTTP server, the client of the leader unless the role already
-    runs one, and what follows changes of the seeds.
+    These are its HTTP server, a watcher of the seeds in the settings file, and
+    a client of the leader unless the role already runs one.
     """
     cfg = place.settings
-    control, started = _control_client(cfg, role, env, metrics)
+    control, new_services = _control_client(cfg, role, env, metrics)
     client = entry_batch.BatchClient(control, cfg.timing, env.clock, metrics)
     operators_api = OperatorsApi(client, cfg.limits)
     server = http_lib.HttpServer(
@@ -58,13 +58,13 @@
     if isinstance(role, replica_service.ReplicaRole):
         receivers.append(role.parts.group.set_seeds)
 
-    def pass_on(addresses: Iterable[str]) -> None:
-        for set_seeds in receivers:
-            set_seeds(addresses)
+    def set_seeds(addresses: Iterable[str]) -> None:
+        for receive in receivers:
+            receive(addresses)
 
     if place.path:
-        started.append(seeds.SeedWatcher(place, pass_on))
-    return [*started, server]
+        new_services.append(seeds.SeedWatcher(place, set_seeds))
+    return [*new_services, server]
 
 
 def _control_client(
@@ -73,7 +73,7 @@
     env: context.Environment,
     metrics: metrics_lib.Metrics,
 ) -> tuple[control_client.ControlClient, list[mode.Service]]:
-    """Returns the client of the leader and the services still to be started."""
+    """Returns the client of the leader, and the services to start for it."""
     if isinstance(role, referrals.ReferralRole):
         return role.control, []
     control = control_client.ControlClient(
