Start long-running tasks again 2 s after a crash of their worker

Cause: a suspect of a crash keeps away from guaranteed work for 15 s, and from others for as long too, after two crashes for good, unless half of the pool or a worker is idle. For a task that ends, waiting costs little; one that serves is missed all the time, and where such tasks hold all workers no worker ever gets idle.

A long-running suspect now waits 2 s for a worker of its own, as before, and then starts wherever it fits. Before its last chance (four crashes) it still waits up to 60 s for a worker of its own.

--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -198,7 +198,9 @@
                     run=run,
                     # The host that accepted the job may have another time.
                     due_since_ms=min(due_ms, wall_ms),
-                    suspect=_isolation(step_record, indexes, crashes, wall_ms),
+                    suspect=_isolation(
+                        step, step_record, indexes, crashes, wall_ms
+                    ),
                     crash_count=crash_model.crash_count(crashes),
                     step_runs=any(t.active for t in step_record.tasks)
                     if crashes
@@ -214,6 +216,7 @@
 
 
 def _isolation(
+    step: batch.Step,
     step_record: batch.StepRecord,
     indexes: tuple[int, ...],
     crashes: list[batch.Crash],
@@ -222,7 +225,8 @@
     """Returns how far a unit keeps away from others since a crash.
 
     Most suspects are innocent, so the wait is short, unless one more crash ends
-    the job.
+    the job. A long-running task serves nobody while it waits, so it keeps away
+    from nothing after that.
     """
     if not crash_model.is_suspect(crashes):
         return views.Separation.NONE
@@ -236,7 +240,7 @@
         else ISOLATION_WAIT_MS
     ):
         return views.Separation.WHOLE_WORKER
-    if waited_ms <= GUARANTEED_COMPANY_WAIT_MS:
+    if waited_ms <= GUARANTEED_COMPANY_WAIT_MS and not step.long_running:
         return views.Separation.NOT_BESIDE_GUARANTEED
     return views.Separation.LAST_RESORT
 
--- a/bilberryroute/scheduling/batch/suspects.py
+++ b/bilberryroute/scheduling/batch/suspects.py
@@ -39,10 +39,12 @@
     """Returns whether a unit may run beside other work.
 
     A suspect waits for longer while other tasks of its step run, or while half
-    of its pool is in use.
+    of its pool is in use; a long-running one does not.
     """
     if not unit.suspect:
         return True
+    if unit.step.long_running:
+        return not unit.takes_whole_workers
     last_resort = unit.suspect == views.Separation.LAST_RESORT
     step_runs = unit.step_runs or resources.starts_step(unit)
     if unit.takes_whole_workers or (step_runs and not last_resort):
