--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -22,7 +22,9 @@
 from bilberryroute.agent import crash_log
 from bilberryroute.agent import pacing
 from bilberryroute.agent import run_calls
+from bilberryroute.agent import run_lease
 from bilberryroute.agent import run_plan
+from bilberryroute.agent import silence_log
 from bilberryroute.agent import worker_life as life_lib
 from bilberryroute.agent import worker_port
 from bilberryroute.agent import worker_view
@@ -202,10 +204,7 @@
             await self._poll_once(worker, self._poll_wait_ms(worker))
 
     def _lease_left_ms(self, lease: board_lib.Lease) -> int:
-        """Returns for how long the runs' lease may still be extended."""
-        if self._worker is None:
-            return 0
-        return lease.left_for(self._worker.name, self._clock.now())
+        return run_lease.left_ms(self._worker, lease, self._clock.now())
 
     def _poll_wait_ms(self, worker: life_lib.WorkerIncarnation) -> int:
         # After a call without an answer, it matters how soon there is one.
@@ -241,8 +240,10 @@
     ) -> None:
         order = worker_port.ExtendLeaseOrder(
             fence=self._board.lease.get().term,
-            until_ms=self._lease_end_ms(worker),
-            committed=self._last_committed_end(worker),
+            until_ms=self._extend_lease(worker),
+            committed=run_lease.confirmed_end(
+                worker, self._board.committed.get()
+            ),
             wait_ms=wait_ms,
         )
         # Calls that fail meanwhile may have come after the listing was made.
@@ -263,32 +264,18 @@
             self._apply_listing(worker, listing, unanswered_calls)
         self._publish()
 
-    def _lease_end_ms(self, worker: life_lib.WorkerIncarnation) -> int | None:
-        """Returns the new lease end on the worker's clock, or None.
-
-        The leader reckons that runs of a worker that is no longer reported are
-        not extended once the lease of its last report has ended.
-        """
+    def _extend_lease(self, worker: life_lib.WorkerIncarnation) -> int | None:
+        """Returns the lease end to send now, or None to leave it as it is."""
         now = self._clock.now()
-        lease = self._board.lease.get()
-        if worker.listing is None or lease.left_for(worker.name, now) == 0:
-            return None
-        worker.last_extension_ms = now
-        return worker.worker_clock(now) + self._cfg.timing.run_lease_ms
-
-    def _last_committed_end(self, worker: life_lib.WorkerIncarnation) -> int:
-        """Returns up to which listed end the worker may forget, or 0.
-
-        A poll may be carried out seconds later, by an incarnation that counts
-        its ends anew, so nothing is confirmed that is not listed any more.
-        """
-        if worker.listing is None:
-            return 0
-        announced = worker.announced
-        committed = self._board.committed.get()
-        number = committed.get((announced.name, announced.born), 0)
-        listed = any(end.number <= number for end in worker.listing.ends)
-        return number if listed else 0
+        end_ms = run_lease.extended_end_ms(
+            worker,
+            self._board.lease.get(),
+            now,
+            self._cfg.timing.run_lease_ms,
+        )
+        if end_ms is not None:
+            worker.last_extension_ms = now
+        return end_ms
 
     def _apply_listing(
         self,
@@ -297,7 +284,7 @@
         explained_calls: int,
     ) -> None:
         worker.last_answer_ms = self._clock.now()
-        self._log_silence(worker)
+        silence_log.log_change(worker, worker.last_answer_ms)
         if listing.born and listing.born != worker.announced.born:
             self._handle_restart(worker, listing)
             return
@@ -343,25 +330,6 @@
             )
             run_calls.log_abandoned_stops(worker.progress)
 
-    def _log_silence(self, worker: life_lib.WorkerIncarnation) -> None:
-        """Logs once that a worker is silent, and that it answers again.
-
-        The second line says for how long the lease of its runs was extended
-        meanwhile, counted from the last answer.
-        """
-        now = self._clock.now()
-        silent = worker_view.is_silent(worker, now)
-        fields = {"worker": worker.announced.name}
-        if silent and worker.silent_since_ms is None:
-            worker.silent_since_ms = worker.last_answer_ms
-            logger.info("worker is silent", extra=fields)
-        elif not silent and worker.silent_since_ms is not None:
-            since_ms = worker.silent_since_ms
-            fields["silent_ms"] = now - since_ms
-            fields["extended_ms"] = max(0, worker.last_extension_ms - since_ms)
-            worker.silent_since_ms = None
-            logger.info("worker answers again", extra=fields)
-
     # Planning and calls.
 
     def _execute_plan(self) -> None:
@@ -445,7 +413,7 @@
         self, worker: life_lib.WorkerIncarnation, run: wire.DesiredRun
     ) -> None:
         key = (run.task, run.run)
-        until_ms = self._lease_end_ms(worker)
+        until_ms = self._extend_lease(worker)
         if until_ms is None:
             worker.progress_of(key).call_in_flight = False
             return
@@ -479,10 +447,8 @@
         worker = self._worker
         report = ()
         if worker is not None:
-            if not worker.over:
-                self._log_silence(worker)
-            report = worker_view.reports(
-                worker, self._board, self._cfg, self._clock.now()
-            )
+            now = self._clock.now()
+            silence_log.log_change(worker, now)
+            report = worker_view.reports(worker, self._board, self._cfg, now)
         if report != self._board.batch.get():
             self._board.batch.set(report)
--- a/bilberryroute/agent/task_plan.py
+++ b/bilberryroute/agent/task_plan.py
@@ -31,7 +31,7 @@
     Args:
       task_lease_ms: Length of its lease on the worker's clock.
     """
-    return clock_lib.longest(task_lease_ms) + CLOCK_MARGIN_MS
+    return clock_lib.with_drift(task_lease_ms) + CLOCK_MARGIN_MS
 
 
 class TaskPhase(enum.Enum):
--- a/bilberryroute/clock.py
+++ b/bilberryroute/clock.py
@@ -21,13 +21,14 @@
 DAY = Millis(24 * 3_600 * MS_PER_SECOND)
 
 
-# Two machines' clocks may run apart by this factor; the platform guarantees it.
-MAX_RATE_RATIO = 1.02
+# Clocks of two machines drift apart by this factor at most; the platform
+# guarantees it.
+MAX_DRIFT_FACTOR = 1.02
 
 
-def longest(duration: int) -> Millis:
+def with_drift(duration: int) -> Millis:
     """Returns how long a duration on another clock may last on this one."""
-    return Millis(math.ceil(duration * MAX_RATE_RATIO))
+    return Millis(math.ceil(duration * MAX_DRIFT_FACTOR))
 
 
 def seconds(duration: int) -> float:
--- a/bilberryroute/replica/batch_ends.py
+++ b/bilberryroute/replica/batch_ends.py
@@ -31,7 +31,7 @@
     clocks.
     """
     leases_ms = timing.agent_lease_ms + timing.run_lease_ms
-    return clock_lib.longest(leases_ms) + FENCE_MARGIN_MS
+    return clock_lib.with_drift(leases_ms) + FENCE_MARGIN_MS
 
 
 def reported_ends(
--- a/bilberryroute/replica/jobs.py
+++ b/bilberryroute/replica/jobs.py
@@ -169,7 +169,7 @@
         return progress.Observations(
             now=self._clock.now(),
             term_began=self._board.term.get().began,
-            fence_ms=clock_lib.longest(leases_ms) + progress.FENCE_MARGIN_MS,
+            fence_ms=clock_lib.with_drift(leases_ms) + progress.FENCE_MARGIN_MS,
             board=self._board,
             desired_version=self._desired_version_of,
         )
--- a/bilberryroute/routing/outcomes.py
+++ b/bilberryroute/routing/outcomes.py
@@ -143,7 +143,7 @@
             # This incarnation was up before the claim was proposed, so the
             # claimed one had already ended and never saw the claim. The agent's
             # clock may be faster than the entry's.
-            since_ms = clock_lib.longest(since_claim_ms)
+            since_ms = clock_lib.with_drift(since_claim_ms)
             return claim.first and reply.up_ms > since_ms
         case _:
             return False
--- a/tests/agent/test_task_plan.py
+++ b/tests/agent/test_task_plan.py
@@ -137,7 +137,7 @@
 def test_task_on_an_unknown_worker_is_lost_once_its_lease_has_ended():
     unknown = {"workers": {}, "task_lists": {}}
     bound_ms = task_plan.lease_bound_ms(10_000)
-    assert bound_ms > clock_lib.longest(10_000)
+    assert bound_ms > clock_lib.with_drift(10_000)
     assert not task_plan.plan(
         plan_input(task("running"), **unknown, now=bound_ms - 1)
     )
--- a/tests/agent/test_tasks.py
+++ b/tests/agent/test_tasks.py
@@ -324,7 +324,7 @@
     await run_task(harness)
     lease_ms = harness.service._cfg.timing.task_lease_ms
     left_ms = harness.service._held[KEY].lease_expires - CLOCK.now()
-    assert left_ms > clock_lib.longest(lease_ms)
+    assert left_ms > clock_lib.with_drift(lease_ms)
 
 
 async def test_task_is_not_renewed_for_good_while_its_worker_answers_no_call(
--- a/tests/replica/test_jobs.py
+++ b/tests/replica/test_jobs.py
@@ -52,4 +52,4 @@
     timing = controller._cfg.timing
     leases_ms = timing.agent_lease_ms + timing.task_lease_ms
     fence_ms = controller._observed_reports().fence_ms
-    assert fence_ms > clock_lib.longest(leases_ms)
+    assert fence_ms > clock_lib.with_drift(leases_ms)
