--- a/review/harness2/lost.py
+++ b/review/harness2/lost.py
@@ -48,8 +48,10 @@
     """
     broken = []
     open_jobs = []
-    for job in jobs:
-        status, text = await system.ask("GET", job["queue"], job["id"], job["key"])
+    answers = await asyncio.gather(
+        *(system.ask("GET", job["queue"], job["id"], job["key"]) for job in jobs)
+    )
+    for job, (status, text) in zip(jobs, answers, strict=True):
         job["state"] = text if status == 200 else f"status {status}"
         if status == 410:
             broken.append(f"job {job['id']}: a GET was answered 410")
--- a/review/harness2/system.py
+++ b/review/harness2/system.py
@@ -25,8 +25,11 @@
 HOST = "nony24.example"
 SERVICE = "huvo11a"
 INTERNAL = 7000
+# Internal ports as a host behind proxies sees them.
+PROXIED = 7100
 FRONTEND, READINESS, CONTROL, RUNNER = 8521, 8523, 8526, 8530
 PORTS = (9464, 9465, 9466, *range(INTERNAL, INTERNAL + 16))
+PORTS += tuple(range(PROXIED, PROXIED + 16))
 PORTS += (FRONTEND, READINESS, CONTROL, RUNNER, RUNNER + 1)
 ZONES = ("apapa", "tincan", "lekki")
 DEADLINE_S = 3.0
@@ -198,7 +201,9 @@
             env["BILBERRYROUTE_SETTINGS"] = str(settings)
         return env
 
-    def _add_program(self, name, role, ip, zone, listen, kind, bootstrap=True):
+    def _add_program(
+        self, name, role, ip, zone, listen, kind, bootstrap=True, first=INTERNAL
+    ):
         folder = self.folder / name
         folder.mkdir()
         path = self.folder / f"{name}.toml"
@@ -210,12 +215,12 @@
                 serves=self.roles[role]["serves"][0],
                 ip=ip,
                 zone=zone,
-                first=INTERNAL,
-                last=INTERNAL + 15,
+                first=first,
+                last=first + 15,
                 seeds=",".join(f'"{f}:{CONTROL}"' for f in self.fronts),
                 bootstrap=str(bootstrap).lower(),
                 counted=str(kind == "frontend").lower(),
-                folder=folder if kind == "frontend" else "",
+                folder=folder if ip in self.fronts else "",
                 listen=listen,
             )
         )
@@ -238,6 +243,18 @@
             f'controlPlane = "{ip}:{CONTROL}"', "frontend",
         )
 
+    def add_diskless(self):
+        """Adds a host without a disk that serves operators; returns its address.
+
+        It reaches the replicas at other ports, where a proxy may listen.
+        """
+        ip = f"{self.network}.10"
+        self._add_program(
+            "frontend-diskless-replica", "replica", ip, ZONES[0],
+            f'controlPlane = "{ip}:{CONTROL}"', "frontend", first=PROXIED,
+        )
+        return ip
+
     def add_side(self, number):
         """Adds a host with an agent and a runner."""
         ip, zone = self.sides[number], self.zones[number]
@@ -394,6 +411,9 @@
     """Runs a case and ends the process with its exit status."""
 
     async def run():
+        # Whoever ends a case early gets its processes ended too.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with System(case, **layout) as system:
             trouble = with_trouble()
             system.note(f"case {case}, trouble: {trouble}")
