--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,59 +1,48 @@
-"""A route is replaced at its place; jobs that it accepted are asked for."""
+"""A job of many small tasks is accepted; what others hand in then waits."""
 
 import asyncio
 import sys
-import time
 
+from review.harness2 import lost
 from review.harness2 import system as system_lib
 
 CASE = sys.argv[1]
-KEY = "a" * 20
-STEP = {"count": 1, "cpu": 1000, "memRequestMb": 64, "estimateMs": 2000}
-# The second step's turn comes after the change.
-STEPS = [STEP, {**STEP, "dependsOn": [0]}]
-JOBS = 4
-VISIBLE_S = 3.0
-APPLY_S = 2.0
-WATCHED_S = 14
+KEY_A, KEY_B = "a" * 20, "b" * 20
+SMALL = {"count": 2, "cpu": 500, "memRequestMb": 64, "estimateMs": 1000}
+WIDE = {"count": 400, "cpu": 40, "memRequestMb": 16, "estimateMs": 3000}
+
+
+async def hand_in(system, jobs, queue, key, step, ms):
+    """Hands in a job of one step; adds it to `jobs` if it is accepted."""
+    job = system_lib.new_id()
+    body = {"spec": f"ms={ms}", "steps": [step]}
+    status, _ = await system.ask("POST", queue, job, key, body)
+    if status == 200:
+        jobs.append({"id": job, "queue": queue, "key": key,
+                     "count": step["count"], "cpu": step["cpu"]})
 
 
 async def play(system, trouble):
-    """Hands in jobs, then sends a version with another route at their place."""
+    """Hands in small jobs for 24 s, and after 8 s the wide one."""
     await system.start()
-    tenants = [{"name": "tenant-a", "apiKeys": [KEY]}]
-    old = {"plans": {"priority": 1, "name": "r-3ajwyy7"}}
-    new = {"plans": {"priority": 1, "name": "r-zzyyjsg"}}
-    await system.configure(1, tenants, old)
+    await system.configure(
+        1,
+        [
+            {"name": "tenant-a", "apiKeys": [KEY_A], "guaranteedGpus": {"gpu": 4}},
+            {"name": "tenant-b", "apiKeys": [KEY_B], "guaranteedGpus": {"gpu": 4}},
+        ],
+        {"plans": {"priority": 1}, "tallies": {"priority": 2}},
+    )
     jobs = []
-    for _ in range(JOBS):
-        job = system_lib.new_id()
-        body = {"spec": "ms=2000", "steps": STEPS}
-        status, _ = await system.ask("POST", "plans", job, KEY, body)
-        if status == 200:
-            jobs.append(job)
-    accepted = time.monotonic()
-    if len(jobs) != JOBS:
-        raise system_lib.CannotRun(f"{len(jobs)} of {JOBS} jobs were accepted")
-    await asyncio.sleep(1)
-    changed = await system.configure(2, tenants, new if trouble else old)
-    await asyncio.sleep(max(VISIBLE_S + accepted, APPLY_S + changed) - time.monotonic())
-    broken = []
-    until = time.monotonic() + WATCHED_S
-    while time.monotonic() < until:
-        for job in jobs:
-            status, text = await system.ask("GET", "plans", job, KEY)
-            if status == 410:
-                broken.append(
-                    f"a GET for the accepted job {job} was answered 410"
-                    f" {time.monotonic() - accepted:.1f} s after its"
-                    " acknowledgement; nobody has cancelled it"
-                )
-        await asyncio.sleep(2)
-    events = system.events()
-    for job in jobs:
-        second = [e for e in events if e.get("task", "").startswith(f"{job}.0.1.")]
-        system.note(f"job {job}: its second step {'ran' if second else 'never began'}")
-    return broken
+    for second in range(24):
+        if second == 8 and trouble:
+            await hand_in(system, jobs, "tallies", KEY_B, WIDE, 3000)
+        await hand_in(system, jobs, "plans", KEY_A, SMALL, 1000)
+        await asyncio.sleep(1)
+    if len(jobs) < 20:
+        raise system_lib.CannotRun(f"only {len(jobs)} jobs were accepted")
+    await asyncio.sleep(lost.FINISH_S)
+    return await lost.judge(system, jobs)
 
 
 system_lib.main(play, CASE)
