Refuse an evacuation order that a later one has overtaken

Cause: a host gives up an order after 0.9 s, but what it sent to the leader is still on its way, and nothing in the order says that it is older than others.

Ruled out: a host that sends anew (its retries end after 0.9 s) and the operator.

Change: orders of a failure domain are numbered as they are acknowledged, also those that change nothing. A host reads the last number before it passes an order on; the state machine refuses one that names a lower number and would change something. No clock and no deadline takes part.

--- a/bilberryroute/entry/batch.py
+++ b/bilberryroute/entry/batch.py
@@ -152,15 +152,35 @@
         """Evacuates a failure domain, or ends its evacuation.
 
         The workers of an evacuated failure domain are not used.
+
+        Raises:
+          errors.Unavailable: If no leader carried it out in time.
+          errors.CommitUnknown: If it may or may not have been carried out. It
+            is not once a later order has been acknowledged.
         """
+        deadline = self._clock.now() + within_ms
+        query = queries.GetEvacuation(failure_domain=failure_domain)
+        with self._observed(query, failure_domain):
+            held = await self._control.query(query, within_ms)
         command = batching.SetEvacuated(
-            failure_domain=failure_domain, evacuated=evacuated, at_ms=0
+            failure_domain=failure_domain,
+            evacuated=evacuated,
+            after_order=held.last_order,
+            at_ms=0,
         )
         with self._observed(command, failure_domain):
-            await self._control.propose(command, within_ms)
+            result = await self._control.propose(
+                command, clock_lib.Millis(deadline - self._clock.now())
+            )
+            if isinstance(result, batching.BatchRefused):
+                raise errors.by_kind(result.kind)(result.message)
         logger.info(
             "evacuation",
-            extra={"evacuated": evacuated, "domain": failure_domain},
+            extra={
+                "evacuated": evacuated,
+                "domain": failure_domain,
+                "after_order": held.last_order,
+            },
         )
 
     async def _propose(
--- a/bilberryroute/errors.py
+++ b/bilberryroute/errors.py
@@ -225,6 +225,14 @@
     exit_status = status.ExitStatus.NOT_RUN
 
 
+class Overtaken(Refused):
+    """A later order on the same object was acknowledged before this one."""
+
+    kind = "overtaken"
+    remedy = "Look at the present state, and give the order again if need be."
+    http_status = http.HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class NotRun(Refused):
     """The request was dispatched and is proved not to have run."""
 
--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -390,6 +390,8 @@
     Attributes:
       catalog: Queues and accounts in force.
       evacuated: Failure domains in which nothing may start.
+      evacuation_orders: How many evacuation orders of a failure domain have been
+        acknowledged.
       jobs: Jobs by id; ended ones are dropped after a while.
       ended: Ids of ended jobs, oldest first.
       placed: Tasks that may be on workers, by the name of their agent.
@@ -399,6 +401,7 @@
         default_factory=catalog_model.Catalog
     )
     evacuated: list[str] = dataclasses.field(default_factory=list)
+    evacuation_orders: dict[str, int] = dataclasses.field(default_factory=dict)
     jobs: dict[str, BatchRecord] = dataclasses.field(default_factory=dict)
     ended: list[str] = dataclasses.field(default_factory=list)
     placed: dict[str, list[TaskId]] = dataclasses.field(default_factory=dict)
--- a/bilberryroute/model/batch_commands.py
+++ b/bilberryroute/model/batch_commands.py
@@ -17,11 +17,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SetEvacuated(commands.Command):
-    """Starts or ends the evacuation of a failure domain."""
+    """Starts or ends the evacuation of a failure domain.
+
+    Attributes:
+      after_order: Number of the domain's last order when this one was given. An
+        order that arrives after a later one names a lower number. None in logs
+        of releases that did not number the orders.
+    """
 
     failure_domain: str
     evacuated: bool
     at_ms: int
+    after_order: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/model/queries.py
+++ b/bilberryroute/model/queries.py
@@ -55,6 +55,13 @@
     """Asks for the catalog in force; `Unavailable` if there is none."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GetEvacuation(Query):
+    """Asks for the evacuation of a failure domain, known or not."""
+
+    failure_domain: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GetBatch(Query):
     """Asks for a batch job with its tasks; `Gone` if there is none."""
@@ -116,6 +123,18 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EvacuationView:
+    """The evacuation of a failure domain.
+
+    Attributes:
+      last_order: Number of the last acknowledged order; 0 for none.
+    """
+
+    evacuated: bool
+    last_order: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CatalogView:
     """The catalog in force, as the operator sent it."""
@@ -344,6 +363,7 @@
     | BatchView
     | PendingView
     | CatalogView
+    | EvacuationView
     | BatchDetail
     | BatchList
 )
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -14,6 +14,7 @@
 from bilberryroute.replica import jobs as job_controller
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.state import batch as batch_rules
+from bilberryroute.state import evacuations
 from bilberryroute.state import jobs as job_rules
 
 
@@ -51,6 +52,8 @@
                 return self._look_up(address)
             case queries.GetCatalog():
                 return self._catalog()
+            case queries.GetEvacuation(failure_domain=domain):
+                return self._evacuation(domain)
             case queries.GetBatch(job_id=job_id):
                 return self._batch(job_id)
             case queries.ListBatches():
@@ -87,6 +90,13 @@
             accounts=catalog.accounts,
         )
 
+    def _evacuation(self, failure_domain: str) -> queries.EvacuationView:
+        batch_state = self._machine.state.batch
+        return queries.EvacuationView(
+            evacuated=failure_domain in batch_state.evacuated,
+            last_order=evacuations.last_order(batch_state, failure_domain),
+        )
+
     def _batch(self, job_id: str) -> queries.BatchDetail:
         record = self._machine.state.batch.jobs.get(job_id)
         if record is None:
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -10,10 +10,9 @@
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
 from bilberryroute.state import batch_runs as run_rules
+from bilberryroute.state import evacuations
 from bilberryroute.state import records
 
-_CHANGED = commands.Changed(revision=0)
-
 BatchRefused = batching.BatchRefused
 
 
@@ -26,7 +25,7 @@
         case batching.ApplyCatalog():
             return _apply_catalog(batch_state, command)
         case batching.SetEvacuated():
-            return _set_evacuated(batch_state, command)
+            return evacuations.set_evacuated(batch_state, command)
         case batching.SubmitBatch():
             return _submit(batch_state, command)
         case batching.CancelBatch():
@@ -109,19 +108,6 @@
     )
 
 
-def _set_evacuated(
-    batch_state: batch.BatchState, command: batching.SetEvacuated
-) -> commands.Result:
-    evacuated = command.failure_domain in batch_state.evacuated
-    if evacuated == command.evacuated:
-        return commands.Unchanged(reason="the failure domain is in that state")
-    if command.evacuated:
-        batch_state.evacuated.append(command.failure_domain)
-    else:
-        batch_state.evacuated.remove(command.failure_domain)
-    return _CHANGED
-
-
 def _submit(
     batch_state: batch.BatchState, command: batching.SubmitBatch
 ) -> commands.Result:
--- a/bilberryroute/transport/control.py
+++ b/bilberryroute/transport/control.py
@@ -24,6 +24,7 @@
     queries.GetStatus,
     queries.LookUpBatch,
     queries.GetCatalog,
+    queries.GetEvacuation,
     queries.GetBatch,
     queries.ListBatches,
 )
@@ -36,6 +37,7 @@
     queries.BatchView,
     queries.PendingView,
     queries.CatalogView,
+    queries.EvacuationView,
     queries.BatchDetail,
     queries.BatchList,
 )
