Refuse a submission that arrives after its job was cancelled or dropped

What callers would see: a submission is held up between a host and the leader; the caller cancels the job by another host, is answered 410, and its tasks start when the submission arrives. Likewise a job that has run and is no longer stored runs again.

Cause: the state knows ids only while their job is stored.

A submission of a closed id is answered 410 and never runs.

--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -394,6 +394,8 @@
         acknowledged.
       jobs: Jobs by id; ended ones are dropped after a while.
       ended: Ids of ended jobs, oldest first.
+      closed_ids: Ids that no job may take, with the Unix time in milliseconds
+        until which they are kept, by account and id; oldest first.
       placed: Tasks that may be on workers, by the name of their agent.
     """
 
@@ -404,6 +406,7 @@
     evacuation_orders: dict[str, int] = dataclasses.field(default_factory=dict)
     jobs: dict[str, BatchRecord] = dataclasses.field(default_factory=dict)
     ended: list[str] = dataclasses.field(default_factory=list)
+    closed_ids: dict[str, int] = dataclasses.field(default_factory=dict)
     placed: dict[str, list[TaskId]] = dataclasses.field(default_factory=dict)
 
 
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -10,6 +10,7 @@
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
 from bilberryroute.state import batch_runs as run_rules
+from bilberryroute.state import closed_ids
 from bilberryroute.state import evacuations
 from bilberryroute.state import records
 
@@ -111,7 +112,7 @@
 def _submit(
     batch_state: batch.BatchState, command: batching.SubmitBatch
 ) -> commands.Result:
-    _prune_ended(batch_state, command.at_ms - command.keep_ms)
+    _prune_ended(batch_state, command)
     authorized = authorize(batch_state.catalog, command.address)
     if isinstance(authorized, BatchRefused):
         return authorized
@@ -120,6 +121,13 @@
     existing = batch_state.jobs.get(job_id)
     if existing is not None:
         return _resubmission_result(existing, command)
+    if closed_ids.is_closed(
+        batch_state.closed_ids, account, job_id, command.at_ms
+    ):
+        return BatchRefused(
+            kind=errors.Gone.kind,
+            message="the job was cancelled, or has ended and is not stored",
+        )
     batch_state.jobs[job_id] = batch.BatchRecord(
         id=job_id,
         queue=queue.name,
@@ -141,13 +149,22 @@
     return batching.BatchAccepted(job_id=existing.id, first=False)
 
 
-def _prune_ended(batch_state: batch.BatchState, before_ms: int) -> None:
+def _prune_ended(
+    batch_state: batch.BatchState, command: batching.SubmitBatch
+) -> None:
+    before_ms = command.at_ms - command.keep_ms
     while batch_state.ended:
         record = batch_state.jobs.get(batch_state.ended[0])
         if record is not None:
             if record.ended_ms > before_ms or _has_active_run(record):
                 return
             del batch_state.jobs[record.id]
+            closed_ids.close(
+                batch_state.closed_ids,
+                record.account,
+                record.id,
+                command.at_ms,
+            )
         batch_state.ended.pop(0)
 
 
@@ -165,6 +182,8 @@
 ) -> commands.Result:
     record = find_job(batch_state, command.address)
     if isinstance(record, BatchRefused):
+        if record.kind == errors.Gone.kind:
+            _close_unknown_id(batch_state, command)
         return record
     if record.result is None:
         run_rules.end_job(
@@ -172,3 +191,15 @@
         )
         return batching.BatchAccepted(job_id=record.id, first=True)
     return batching.BatchAccepted(job_id=record.id, first=False)
+
+
+def _close_unknown_id(
+    batch_state: batch.BatchState, command: batching.CancelBatch
+) -> None:
+    """Refuses a submission that was sent before the cancellation.
+
+    The caller has been told that there is no such job.
+    """
+    queue, account = authorize(batch_state.catalog, command.address)
+    job_id = command.address.path.removeprefix(queue.path_prefix)
+    closed_ids.close(batch_state.closed_ids, account, job_id, command.at_ms)
--- a/bilberryroute/state/jobs.py
+++ b/bilberryroute/state/jobs.py
@@ -5,6 +5,7 @@
 from bilberryroute import errors
 from bilberryroute.model import commands
 from bilberryroute.model import jobs
+from bilberryroute.state import closed_ids
 from bilberryroute.state import records
 
 MAX_ENDED_JOBS = 5_000
@@ -23,6 +24,14 @@
     existing = state.jobs.get(job.id)
     if existing is not None:
         return _resubmission_result(job, existing)
+    if closed_ids.is_closed(
+        state.closed_job_ids, job.account, job.id, command.at_ms
+    ):
+        return commands.JobRefused(
+            job_id=job.id,
+            kind=errors.Gone.kind,
+            message="the job has ended and is not stored",
+        )
     if job.account not in state.configuration.accounts:
         return commands.JobRefused(
             job_id=job.id,
@@ -239,4 +248,8 @@
     )
     state.ended.append(record.job.id)
     while len(state.ended) > MAX_ENDED_JOBS:
-        state.jobs.pop(state.ended.pop(0), None)
+        pruned = state.jobs.pop(state.ended.pop(0), None)
+        if pruned is not None:
+            closed_ids.close(
+                state.closed_job_ids, pruned.job.account, pruned.job.id, at_ms
+            )
--- a/bilberryroute/state/records.py
+++ b/bilberryroute/state/records.py
@@ -55,6 +55,7 @@
       workers: Workers that have joined and are not lost, by name.
       jobs: Jobs by id; the oldest ended ones are pruned.
       ended: Ids of ended jobs, oldest first.
+      closed_job_ids: Ids that no job may take (see `state.closed_ids`).
       held: Id of the job that occupies each accelerator, by worker and
         accelerator index.
       claims: Claims by account and request id, oldest first.
@@ -75,6 +76,7 @@
         default_factory=dict
     )
     ended: list[str] = dataclasses.field(default_factory=list)
+    closed_job_ids: dict[str, int] = dataclasses.field(default_factory=dict)
     held: dict[str, dict[int, str]] = dataclasses.field(default_factory=dict)
     claims: dict[str, ClaimRecord] = dataclasses.field(default_factory=dict)
     batch: batch_model.BatchState = dataclasses.field(
--- a/tests/entry/test_late_commands.py
+++ b/tests/entry/test_late_commands.py
@@ -15,6 +15,7 @@
 from bilberryroute.model import config
 from bilberryroute.model import jobs
 from bilberryroute.model import queries
+from bilberryroute.state import jobs as job_rules
 from tests.utils import batches
 from tests.utils import environment
 
@@ -150,6 +151,32 @@
     assert log.apply(stale).kind == errors.Overtaken.kind
 
 
+async def test_late_submission_does_not_run_a_job_cancelled_as_unknown(
+    log, hosts
+):
+    """The caller was told that there is no such job."""
+    cut, sound = hosts
+    await hold_up(cut, cut.submit("j1"))
+    with pytest.raises(errors.Gone):
+        await sound.cancel("j1")
+    cut.path.heal()
+    assert "j1" not in log.held.jobs
+
+
+async def test_cancellation_as_unknown_binds_its_account_only(log, hosts):
+    other = batches.catalog(
+        2,
+        accounts=(
+            *batches.catalog().accounts,
+            catalog_model.BatchAccount(name="other", keys=("o" * 20,)),
+        ),
+    )
+    log.apply(batching.ApplyCatalog(catalog=other, at_ms=log.now))
+    address = batches.address(job_id="j1", key="o" * 20)
+    log.apply(batching.CancelBatch(address=address, at_ms=log.now))
+    assert log.submit("j1", batches.content()).first
+
+
 async def test_late_submission_does_not_revive_a_cancelled_job(log, hosts):
     cut, sound = hosts
     await hold_up(cut, cut.submit("j1"))
@@ -159,6 +186,22 @@
     assert log.held.jobs["j1"].result == jobs.JobResult.CANCELLED
 
 
+async def test_late_submission_does_not_run_a_job_again_that_is_not_stored(
+    log, hosts
+):
+    """Ended jobs are dropped from the state after a while."""
+    cut, sound = hosts
+    await hold_up(cut, cut.submit("j1"))
+    await sound.submit("j1")
+    log.place(batches.unit("j1"))
+    log.end(batches.task("j1"))
+    log.now += batches.KEEP_MS + 1
+    log.submit("j2", batches.content())
+    assert "j1" not in log.held.jobs
+    cut.path.heal()
+    assert "j1" not in log.held.jobs
+
+
 async def test_late_cancellation_changes_nothing_of_an_ended_job(log, hosts):
     cut, sound = hosts
     await sound.submit("j1")
@@ -184,6 +227,17 @@
     assert isinstance(late, commands.TicketAccepted)
 
 
+def test_late_job_does_not_run_again_that_is_not_stored(log, monkeypatch):
+    monkeypatch.setattr(job_rules, "MAX_ENDED_JOBS", 1)
+    _apply_ticket(log, 1)
+    for job_id in ("j1", "j2"):
+        log.apply(commands.SubmitJob(job=_job(job_id), at_ms=log.now))
+        log.apply(commands.CancelJobs(job_ids=(job_id,), at_ms=log.now))
+    late = commands.SubmitJob(job=_job("j1"), at_ms=log.now)
+    assert log.apply(late).kind == errors.Gone.kind
+    assert list(log.machine.state.jobs) == ["j2"]
+
+
 def test_late_claim_does_not_bind_a_request_to_another_agent(log):
     first, late = (
         commands.ClaimRequest(
@@ -210,3 +264,13 @@
     return log.apply(
         commands.ApplyTicket(ticket=ticket, digest=str(number), at_ms=log.now)
     )
+
+
+def _job(job_id):
+    return jobs.Job(
+        id=job_id,
+        account="trust",
+        kind=jobs.JobKind.PLANNED,
+        shape=config.Shape(accelerators=1),
+        declared_ms=1_000,
+    )
