Refuse a change of the group that was decided on an earlier membership

Change: memberships are numbered; an entry reads the number before it passes a change on, and the leader refuses (overtaken, 503) one that names another. The check and the append lie in one turn of the event loop.

Test: test_late_removal_does_not_remove_a_replica_that_was_added_again.

--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -123,6 +123,11 @@
         """Returns the members of the latest membership, committed or not."""
         return self._core.membership.members if self._core else ()
 
+    @property
+    def membership_version(self) -> int:
+        """Number of changes of the group since it was founded."""
+        return self._core.membership.version if self._core else 0
+
     def is_leader(self) -> bool:
         """Returns whether this replica holds the leader lease now."""
         return self._core is not None and self._core.lease_holds(
@@ -188,12 +193,22 @@
         return await self._proposals.outcome(future, timeout_ms)
 
     async def change_members(
-        self, change: changes.Change, timeout_ms: int = PROPOSE_TIMEOUT_MS
+        self,
+        change: changes.Change,
+        timeout_ms: int = PROPOSE_TIMEOUT_MS,
+        after_version: int | None = None,
     ) -> tuple[records.Member, ...]:
         """Adds, promotes or removes one replica; returns all members.
 
+        Args:
+          change: The change.
+          timeout_ms: How long to wait for the commit, in milliseconds.
+          after_version: Version of the membership that the change was decided
+            on; None for any.
+
         Raises:
           errors.NotLeader: If this replica does not lead; nothing changed.
+          errors.Overtaken: If the membership has another version.
           errors.Refused: If the change is unsafe or invalid.
           errors.Unavailable: If another change is in progress, or the replica
             to add does not answer.
@@ -207,6 +222,11 @@
             address = self._cfg.route(change.address.id, change.address.grpc)
             change = await founding.identify(change, address, self._hello())
         now = self._clock.now()
+        if after_version not in (None, self.membership_version):
+            raise errors.Overtaken(
+                f"the group is at version {self.membership_version}, the change"
+                f" was decided on version {after_version}"
+            )
         membership = changes.apply(self._core, change, now)
         outputs = self._core.change_membership(membership, now)
         await self._commit(outputs, timeout_ms)
--- a/bilberryroute/consensus/records.py
+++ b/bilberryroute/consensus/records.py
@@ -57,9 +57,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Membership:
-    """All replicas of the group, in effect from one log entry on."""
+    """All replicas of the group, in effect from one log entry on.
+
+    Attributes:
+      version: Number of changes since the group was founded.
+    """
 
     members: tuple[Member, ...] = ()
+    version: int = 0
 
     @property
     def voters(self) -> tuple[str, ...]:
@@ -78,12 +83,12 @@
     def with_member(self, member: Member) -> "Membership":
         """Returns the membership with a member added or replaced."""
         kept = tuple(m for m in self.members if m.id != member.id)
-        return replace(self, members=(*kept, member))
+        return replace(self, members=(*kept, member), version=self.version + 1)
 
     def without(self, member_id: str) -> "Membership":
         """Returns the membership without a member."""
         kept = tuple(m for m in self.members if m.id != member_id)
-        return replace(self, members=kept)
+        return replace(self, members=kept, version=self.version + 1)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryroute/entry/replicas.py
+++ b/bilberryroute/entry/replicas.py
@@ -1,5 +1,6 @@
 """HTTP API for the membership of the replica group."""
 
+import dataclasses
 from typing import Annotated
 from typing import Protocol
 
@@ -54,7 +55,11 @@
     async def _list(self, req: web.Request) -> web.Response:
         rights_lib.require_operator(req)
         view = await self._control.query(queries.GetStatus())
-        return api.json_response(membership.Members(replicas=view.replicas))
+        return api.json_response(
+            membership.Members(
+                replicas=view.replicas, version=view.membership_version
+            )
+        )
 
     async def _add(self, req: web.Request) -> web.Response:
         rights_lib.require_operator(req)
@@ -81,4 +86,8 @@
     async def _change_members(
         self, change: membership.MembershipChange
     ) -> web.Response:
+        view = await self._control.query(queries.GetStatus())
+        change = dataclasses.replace(
+            change, after_version=view.membership_version
+        )
         return api.json_response(await self._control.change_members(change))
--- a/bilberryroute/model/membership.py
+++ b/bilberryroute/model/membership.py
@@ -1,4 +1,8 @@
-"""Operators' changes of the group of replicas, and the group after them."""
+"""Operators' changes of the group of replicas, and the group after them.
+
+A change names the version of the membership that it was decided on. One that was
+held up on its way and arrives after another change is refused.
+"""
 
 import dataclasses
 
@@ -25,6 +29,7 @@
     grpc: str
     datagram: str
     failure_domain: str = ""
+    after_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,6 +37,7 @@
     """Makes a replica that has caught up a voter."""
 
     id: str
+    after_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,10 +45,16 @@
     """Takes a replica out of the group for good."""
 
     id: str
+    after_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Members:
-    """The group after a change."""
+    """The group after a change.
+
+    Attributes:
+      version: Number of changes since the group was founded.
+    """
 
     replicas: tuple[queries.ReplicaView, ...]
+    version: int = 0
--- a/bilberryroute/model/queries.py
+++ b/bilberryroute/model/queries.py
@@ -331,6 +331,7 @@
     Attributes:
       now_ms: Unix time of the answer in milliseconds.
       revision_since_ms: Unix time of the last ticket, in milliseconds.
+      membership_version: Number of changes of the group of replicas.
       shortfalls: Guarantees that the workers in service cannot hold, each in
         one sentence.
       violations: Invariants that the scheduler finds broken, each in one
@@ -343,6 +344,7 @@
     now_ms: int
     revision_since_ms: int = 0
     replicas: tuple[ReplicaView, ...] = ()
+    membership_version: int = 0
     agents: tuple[AgentView, ...] = ()
     entries: tuple[EntryView, ...] = ()
     failure_domains: tuple[DomainView, ...] = ()
--- a/bilberryroute/replica/control.py
+++ b/bilberryroute/replica/control.py
@@ -101,7 +101,9 @@
 
     async def _change_members(self, payload: bytes) -> bytes:
         change = methods.MEMBER_CHANGES.decode(payload)
-        await self._group.change_members(_group_change(change))
+        await self._group.change_members(
+            _group_change(change), after_version=change.after_version
+        )
         return codec.encode(self._query_handler.members())
 
     def _check_allowed(self, command: commands.Command) -> None:
--- a/bilberryroute/replica/queries.py
+++ b/bilberryroute/replica/queries.py
@@ -109,7 +109,9 @@
 
     def members(self) -> membership.Members:
         """Returns the group of replicas."""
-        return membership.Members(replicas=self._replicas())
+        return membership.Members(
+            replicas=self._replicas(), version=self._group.membership_version
+        )
 
     def _ticket(self, number: int) -> queries.TicketView:
         record = self._machine.state.tickets.get(number)
@@ -183,6 +185,7 @@
             now_ms=self._clock.wall(),
             revision_since_ms=ticket.accepted_ms if ticket else 0,
             replicas=self._replicas(),
+            membership_version=self._group.membership_version,
             agents=self._agents(),
             entries=tuple(
                 queries.EntryView(name=name, revision=entry.revision)
--- a/tests/consensus/test_group.py
+++ b/tests/consensus/test_group.py
@@ -242,6 +242,23 @@
     assert old_id not in [m.id for m in leader.members()]
 
 
+async def test_late_removal_does_not_remove_a_replica_that_was_added_again(
+    make_cluster,
+):
+    """Its operator has repeated it at another entry, and added the replica."""
+    cluster = await make_cluster(3)
+    leader = await cluster.leader()
+    address = await cluster.add_replica("new")
+    await leader.change_members(changes.AddLearner(address=address))
+    added = leader.membership_version
+    late = changes.Remove(id="new")
+    await leader.change_members(late, after_version=added)
+    await leader.change_members(changes.AddLearner(address=address))
+    with pytest.raises(errors.Overtaken):
+        await leader.change_members(late, after_version=added)
+    assert "new" in [m.replica_id for m in leader.members()]
+
+
 async def test_replica_votes_for_one_that_it_does_not_know(make_cluster):
     cluster = await make_cluster(3)
     leader = await cluster.leader()
