Refuse a job with numbers that the log can't hold

What a caller saw: 500 for a job with a number of 64 bits or more, as the command could not be encoded (OverflowError). Numbers beyond 2^53, which JSON doesn't carry exactly, are now malformed (400).

--- a/bilberryroute/platform/jobs.py
+++ b/bilberryroute/platform/jobs.py
@@ -1,5 +1,7 @@
 """Wire form of callers' jobs."""
 
+from typing import Annotated
+
 import msgspec
 
 from bilberryroute import errors
@@ -15,6 +17,11 @@
 }
 
 
+# JSON numbers beyond are not exact, and the log can't hold them.
+_MAX_NUMBER = 1 << 53
+_Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+
+
 class _Step(msgspec.Struct, rename="camel"):
     """One step; a field that is 0, false or empty is left out.
 
@@ -26,24 +33,24 @@
       target_ms: Bound of the tail latency of tasks that serve.
     """
 
-    count: int = 0
-    cpu: int = 0
-    mem_request_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    depends_on: tuple[int, ...] = ()
+    count: _Number = 0
+    cpu: _Number = 0
+    mem_request_mb: _Number = 0
+    gpu: _Number = 0
+    estimate_ms: _Number = 0
+    depends_on: tuple[_Number, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    anti_affinity: int = 0
+    anti_affinity: _Number = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: _Number = 0
     fills: bool = False
-    max_unavailable: int = 0
+    max_unavailable: _Number = 0
 
 
 class _Job(msgspec.Struct, rename="camel"):
@@ -56,9 +63,9 @@
 
     steps: tuple[_Step, ...]
     spec: str = ""
-    run_count: int = 0
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    run_count: _Number = 0
+    first_run_ms: _Number = 0
+    interval_ms: _Number = 0
 
 
 _jobs = msgspec.json.Decoder(_Job)
