--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -450,7 +450,7 @@
             self._typical.by_queue,
             waited_ms=self._wait_times.waited_ms(self._now),
         )
-        self._wait_times.update(plan.waiting_units, self._now)
+        self._wait_times.update(plan, self._now)
         if plan.stops:
             self._apply(batching.StopRuns(runs=plan.stops, at_ms=self._now))
             self.outcome.stopped += len(plan.stops)
--- a/bilberryroute/cli/batches.py
+++ b/bilberryroute/cli/batches.py
@@ -121,6 +121,16 @@
                     task.failed,
                     task.saved or "-",
                 )
+            if len(step.tasks) < step.count:
+                yield (
+                    f"{number}.{step_number}.{len(step.tasks)}"
+                    f"-{step.count - 1}",
+                    batch.TaskState.WAITING,
+                    0,
+                    "-",
+                    0,
+                    "-",
+                )
 
 
 @client.command
--- a/bilberryroute/model/batch.py
+++ b/bilberryroute/model/batch.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import sys
+from collections.abc import Iterator
 
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import jobs
@@ -129,6 +130,11 @@
     max_unavailable: int = 0
 
 
+def largest_gang(content: "Content") -> int:
+    """Returns the number of tasks of the largest gang, 0 without any."""
+    return max((step.count for step in content.steps if step.gang), default=0)
+
+
 def task_demand(step: Step) -> Resources:
     """Returns the resources that a task of a step is counted with.
 
@@ -307,8 +313,15 @@
 class StepRecord:
     """The tasks of one step of one occurrence.
 
+    A step may have far more tasks than ever run at once, so it only has records
+    of those that were placed, and of those before them.
+
     Attributes:
-      tasks: In the order of their indexes.
+      tasks: The first tasks, in the order of their indexes. Those beyond have
+        never been placed.
+      count: Number of all tasks; below 0 in states of earlier releases, which
+        have a record of each.
+      first_open: Index of the first task that is not done.
       failed: Runs of the gang that ended by a failure.
       failed_run: The last run counted in `failed`.
       saved: Newest checkpoint of any member of the gang.
@@ -316,14 +329,57 @@
     """
 
     tasks: list[TaskRecord]
+    count: int = -1
+    first_open: int = 0
     failed: int = 0
     failed_run: int = 0
     saved: str = ""
     done: bool = False
 
+    def __post_init__(self):
+        """Completes a record of an earlier release."""
+        if self.count < 0:
+            self.count = len(self.tasks)
+            self._skip_done_tasks()
+
     def finished(self) -> bool:
         """Says whether every task is done."""
-        return self.done or all(t.state == TaskState.DONE for t in self.tasks)
+        return self.done or self.first_open >= self.count
+
+    def open(self, index: int) -> TaskRecord:
+        """Returns the record of a task, created if it was never placed."""
+        while len(self.tasks) <= index:
+            self.tasks.append(TaskRecord())
+        return self.tasks[index]
+
+    def task_or_new(self, index: int) -> TaskRecord:
+        """Returns the record of a task, a separate one if it has none."""
+        return self.tasks[index] if index < len(self.tasks) else TaskRecord()
+
+    def mark_done(self, task: TaskRecord) -> None:
+        """Marks one of the tasks as done."""
+        task.state = TaskState.DONE
+        self._skip_done_tasks()
+
+    def _skip_done_tasks(self) -> None:
+        while (
+            self.first_open < len(self.tasks)
+            and self.tasks[self.first_open].state == TaskState.DONE
+        ):
+            self.first_open += 1
+
+    def open_tasks(self) -> Iterator[tuple[int, TaskRecord]]:
+        """Yields index and record of the placed tasks that are not done."""
+        for index in range(self.first_open, len(self.tasks)):
+            if self.tasks[index].state != TaskState.DONE:
+                yield index, self.tasks[index]
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any task waits for a run."""
+        return len(self.tasks) < self.count or any(
+            task.state == TaskState.WAITING for _, task in self.open_tasks()
+        )
 
     def crashes(self, index: int, *, gang: bool) -> list[Crash]:
         """Returns the crashes under a task, or under any member of a gang."""
@@ -345,6 +401,9 @@
       begun: Whether a task was ever placed.
       occurrences: Those that were opened, by number.
       finished_occurrences: How many have all their steps done.
+      first_open_steps: Lowest unfinished step of the occurrences that have
+        finished some, by number.
+      first_open_occurrence: Lowest occurrence with an unfinished step.
     """
 
     id: str
@@ -360,6 +419,8 @@
         default_factory=dict
     )
     finished_occurrences: int = 0
+    first_open_steps: dict[int, int] = dataclasses.field(default_factory=dict)
+    first_open_occurrence: int = 0
 
     def task(self, task: TaskId) -> TaskRecord | None:
         """Returns the record of a task, or None if it was never opened."""
@@ -369,6 +430,21 @@
         tasks = steps[task.step].tasks
         return tasks[task.index] if task.index < len(tasks) else None
 
+    def skip_finished(self, occurrence: int) -> bool:
+        """Moves on to the first unfinished step; returns whether none is left."""
+        steps = self.occurrences[occurrence]
+        number = self.first_open_steps.get(occurrence, 0)
+        while number < len(steps) and steps[number].finished():
+            number += 1
+        self.first_open_steps[occurrence] = number
+        while self._is_finished(self.first_open_occurrence):
+            self.first_open_occurrence += 1
+        return number == len(steps)
+
+    def _is_finished(self, occurrence: int) -> bool:
+        first_open = self.first_open_steps.get(occurrence, 0)
+        return first_open == len(self.content.steps)
+
     def due_ms(self, occurrence: int) -> int:
         """Returns the Unix time from which an occurrence may start."""
         schedule = self.content.schedule
@@ -412,7 +488,4 @@
 
 def new_step_records(content: Content) -> list[StepRecord]:
     """Returns the records of an occurrence that has not started."""
-    return [
-        StepRecord(tasks=[TaskRecord() for _ in range(step.count)])
-        for step in content.steps
-    ]
+    return [StepRecord(tasks=[], count=step.count) for step in content.steps]
--- a/bilberryroute/replica/batch.py
+++ b/bilberryroute/replica/batch.py
@@ -26,6 +26,8 @@
 from bilberryroute.replica import forecasts as forecasts_lib
 from bilberryroute.replica import leases as lease_lib
 from bilberryroute.replica import parts as parts_lib
+from bilberryroute.replica import turns
+from bilberryroute.scheduling.batch import paths
 from bilberryroute.scheduling.batch import planner
 from bilberryroute.scheduling.batch import readiness
 from bilberryroute.scheduling.batch import views
@@ -72,6 +74,7 @@
         self._forecasts = forecasts_lib.Forecasts()
         self._run_times = forecasts_lib.AverageRunTimes()
         self._wait_times = wait_times.WaitTimes()
+        self._paths = paths.PathCache()
         self._explained_ms: dict[str, clock_lib.Millis] = {}
         self._wakeup = asyncio.Event()
         self._first_report_ms = clock_lib.Millis(0)
@@ -166,8 +169,12 @@
         forced_stops = batch_upkeep.required_stops(
             self._batch_state, self._reports, left_ms
         )
-        plan = self._plan(left_ms)
-        self._permits.retain(set(plan.permit_candidates))
+        await asyncio.sleep(0)
+        plan = await self._plan(left_ms)
+        if plan is None:
+            return
+        if plan.complete:
+            self._permits.retain(set(plan.permit_candidates))
         for key, workers in plan.permit_candidates.items():
             self._permits.request(key, workers)
         self._log_plan(plan, forced_stops)
@@ -206,22 +213,33 @@
             )
             if (end.task, end.run) not in reported
         ]
-        if ends:
-            before = batch_log.before_ends(ends, self._batch_state)
-            command = batching.EndRuns(ends=tuple(ends), at_ms=0)
-            if await self._proposer.try_propose(command) is None:
+        for part in batch_ends.divide(ends, self._batch_state):
+            if not await self._commit_together(part):
                 return
-            for end in ends:
-                self._metrics.run_ends.inc(
-                    {"outcome": end.cause or end.outcome}
-                )
-            batch_log.log_ended(ends, before, self._batch_state)
         agents = batch_ends.update_committed_ends(
             self._batch_state, self._board
         )
         if agents:
             self._leases.push_to(agents)
 
+    async def _commit_together(self, ends: list[batching.RunEnd]) -> bool:
+        """Commits ends in one command, unless they have been committed."""
+        ends = [
+            end
+            for end in ends
+            if batch_ends.active_task(self._batch_state, end.task, end.run)
+        ]
+        if not ends:
+            return True
+        before = batch_log.before_ends(ends, self._batch_state)
+        command = batching.EndRuns(ends=tuple(ends), at_ms=0)
+        if await self._proposer.try_propose(command) is None:
+            return False
+        for end in ends:
+            self._metrics.run_ends.inc({"outcome": end.cause or end.outcome})
+        batch_log.log_ended(ends, before, self._batch_state)
+        return True
+
     def _record_end(
         self, worker: str, end: wire.EndReport, task: batch.TaskRecord
     ) -> batching.RunEnd:
@@ -243,11 +261,15 @@
             down_after_ms=end.down_after_ms,
         )
 
-    def _plan(
+    async def _plan(
         self, left_ms: dict[forecasts_lib.RunKey, int]
-    ) -> views.BatchPlan:
+    ) -> views.BatchPlan | None:
+        """Plans a round, or returns None if this replica leads no more.
+
+        Elections, leases and callers have their turns meanwhile.
+        """
         began = self._clock.now()
-        plan = planner.plan(
+        slices = planner.plan_in_slices(
             self._batch_state,
             self._worker_snapshots(),
             left_ms,
@@ -257,8 +279,13 @@
             batch_upkeep.serving_runs(self._reports),
             self._recently_explained(),
             self._wait_times.waited_ms(began),
+            self._paths,
         )
-        self._wait_times.update(plan.waiting_units, began)
+        plan = await turns.run(slices, self._leadership.active, self._clock)
+        if plan is None:
+            return None
+        self._paths.retain(self._batch_state)
+        self._wait_times.update(plan, began)
         self._metrics.round_ms.add({}, self._clock.now() - began)
         return plan
 
@@ -317,11 +344,15 @@
             if job_id not in self._explained_ms:
                 self._metrics.waited(str(wait.reason))
             self._explained_ms[job_id] = now
+        if not plan.complete:
+            return
         for job_id in self._explained_ms.keys() - plan.waiting_jobs:
             del self._explained_ms[job_id]
 
     def _record_first_start(self, unit: batching.Unit) -> None:
-        record = self._batch_state.jobs[unit.job_id]
+        record = self._batch_state.jobs.get(unit.job_id)
+        if record is None:
+            return
         if not record.begun and record.content.schedule is None:
             waited_ms = self._clock.wall() - record.accepted_ms
             self._metrics.first_start_ms.add(
--- a/bilberryroute/replica/batch_ends.py
+++ b/bilberryroute/replica/batch_ends.py
@@ -12,6 +12,11 @@
 FENCE_MARGIN_MS = 500
 
 
+# Ends that one command records at most, unless one worker has more. Applying them
+# takes about 20 us each.
+MAX_ENDS = 500
+
+
 def active_task(
     batch_state: batch.BatchState, task_id: batch.TaskId, run: int
 ) -> batch.TaskRecord | None:
@@ -137,6 +142,26 @@
     return None if known is not None and known.born in reported else known
 
 
+def divide(
+    ends: list[batching.RunEnd], batch_state: batch.BatchState
+) -> list[list[batching.RunEnd]]:
+    """Divides ends into parts that are committed one after another.
+
+    Those of one worker stay together, as they tell who ran beside whom when it
+    crashed.
+    """
+    by_worker: dict[batch.WorkerRef, list[batching.RunEnd]] = {}
+    for end in ends:
+        task = batch_state.jobs[end.task.job_id].task(end.task)
+        by_worker.setdefault(task.worker, []).append(end)
+    parts: list[list[batching.RunEnd]] = []
+    for worker_ends in by_worker.values():
+        if not parts or len(parts[-1]) + len(worker_ends) > MAX_ENDS:
+            parts.append([])
+        parts[-1] += worker_ends
+    return parts
+
+
 def update_committed_ends(
     batch_state: batch.BatchState, board: board_lib.ReplicaBoard
 ) -> set[str]:
--- a/bilberryroute/replica/batch_log.py
+++ b/bilberryroute/replica/batch_log.py
@@ -29,7 +29,7 @@
                 "tasks": [_task_label(unit.task(m)) for m in unit.members],
                 "run": unit.run,
                 "workers": [m.worker.name for m in unit.members],
-                "waiting": len(plan.waiting_units),
+                "waiting": plan.waiting_count,
             },
         )
 
@@ -52,8 +52,10 @@
 ) -> None:
     """Logs each run that is stopped to make room, and for which job."""
     for run, job_id in plan.stopped_for.items():
-        record = batch_state.jobs[run.task.job_id]
-        task = record.task(run.task)
+        record = batch_state.jobs.get(run.task.job_id)
+        task = record.task(run.task) if record is not None else None
+        if task is None or not task.active:
+            continue  # It has ended since it was chosen.
         step = record.content.steps[run.task.step]
         logger.info(
             "stopped to make room",
@@ -77,14 +79,16 @@
 ) -> None:
     """Logs why jobs wait, for those that the plan explains."""
     for job_id, wait in sorted(plan.waits.items()):
-        record = batch_state.jobs[job_id]
+        record = batch_state.jobs.get(job_id)
+        if record is None:
+            continue  # It was dropped since the plan was made.
         logger.info(
             "waits for room",
             extra={
                 "job_id": job_id,
                 "reason": str(wait.reason),
                 "rank": wait.rank,
-                "waiting": len(plan.waiting_units),
+                "waiting": plan.waiting_count,
                 "workers": worker_count,
                 "accepted_ms_ago": wall_ms - record.accepted_ms,
                 "tasks": wait.tasks,
--- a/bilberryroute/replica/batch_upkeep.py
+++ b/bilberryroute/replica/batch_upkeep.py
@@ -70,11 +70,17 @@
 def _broken_gangs(batch_state: batch.BatchState) -> list[batching.TaskRun]:
     """Returns the runs of gangs that have lost a member."""
     selected = []
+    whole: dict[tuple[str, int, int, int], bool] = {}
     for task_id, task, record in _placed_runs(batch_state):
         step_record = record.occurrences[task_id.occurrence][task_id.step]
         if not record.content.steps[task_id.step].gang or step_record.done:
             continue
-        if not all(t.active and t.run == task.run for t in step_record.tasks):
+        key = (task_id.job_id, task_id.occurrence, task_id.step, task.run)
+        if key not in whole:
+            whole[key] = all(
+                t.active and t.run == task.run for t in step_record.tasks
+            )
+        if not whole[key]:
             selected.append(batching.TaskRun(task=task_id, run=task.run))
     return selected
 
@@ -87,17 +93,18 @@
     Their worker drains, or its failure domain is evacuated.
     """
     selected = []
+    begun: dict[str, set[tuple[batch.TaskId, int]]] = {}
     for task_id, task, _ in _placed_runs(batch_state):
         worker = workers.get(task.worker.name)
         if worker is None or worker.report.born != task.worker.born:
             continue
         report = worker.report
         evacuated = report.failure_domain in batch_state.evacuated
-        begun = any(
-            run.task == task_id and run.run == task.run
-            for run in report.running
-        )
-        if (report.draining or evacuated) and not begun:
+        if not (report.draining or evacuated):
+            continue
+        if report.name not in begun:
+            begun[report.name] = {(run.task, run.run) for run in report.running}
+        if (task_id, task.run) not in begun[report.name]:
             selected.append(batching.TaskRun(task=task_id, run=task.run))
     return selected
 
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -268,6 +268,7 @@
             if self._leadership.active():
                 for name in sorted(agents):
                     self._push(name)
+                    await asyncio.sleep(0)
 
     def _push(self, name: str) -> None:
         agent = self._board.agents.get().get(name)
--- a/bilberryroute/scheduling/batch/deadlines.py
+++ b/bilberryroute/scheduling/batch/deadlines.py
@@ -9,6 +9,7 @@
 
 from bilberryroute.model import batch
 from bilberryroute.model import catalog as catalog_model
+from bilberryroute.scheduling.batch import paths as paths_lib
 from bilberryroute.scheduling.batch import room as room_lib
 from bilberryroute.scheduling.batch import views
 
@@ -20,15 +21,6 @@
     return int(queue.slack_factor * path_ms) + queue.target_ms
 
 
-def _finish_times(durations: list[int], content: batch.Content) -> list[int]:
-    """Returns the finish time of each step, counted from the job's start."""
-    finish_times: list[int] = []
-    for step, duration in zip(content.steps, durations, strict=True):
-        start = max((finish_times[each] for each in step.depends_on), default=0)
-        finish_times.append(start + duration)
-    return finish_times
-
-
 class Prospect(enum.IntEnum):
     """What a job earns if its waiting unit starts now; lower is better."""
 
@@ -46,6 +38,7 @@
         typical_ms: Mapping[str, int],
         remaining_ms: Mapping[room_lib.RunKey, int],
         wall_ms: int,
+        paths: paths_lib.PathCache,
     ):
         """Stores the inputs of the round.
 
@@ -54,11 +47,14 @@
           typical_ms: Typical measured duration of a task, by queue.
           remaining_ms: Forecast remaining time of each run, in milliseconds.
           wall_ms: Unix time in milliseconds.
+          paths: What is known of the jobs' steps.
         """
         self._state = state
         self._typical_ms = typical_ms
         self._remaining_ms = remaining_ms
         self._wall_ms = wall_ms
+        self._paths = paths
+        self._waiting_steps: dict[views.StepKey, bool] = {}
 
     def run_ms(self, unit: views.ReadyUnit) -> int:
         """Returns the expected duration of a unit."""
@@ -66,12 +62,10 @@
 
     def waiting_slack_ms(self, unit: views.ReadyUnit) -> int:
         """Returns how much later a unit may start and meet its objective."""
-        finish_times = self._step_finish_times(unit.record)
-        start = finish_times[unit.step_number] - self.run_ms(unit)
-        deadline_ms = unit.due_since_ms + _objective_ms(
-            unit.queue, max(finish_times)
-        )
-        return deadline_ms - self._wall_ms - (max(finish_times) - start)
+        finish_ms, path_ms = self._finish_ms(unit.record, unit.step_number)
+        start = finish_ms - self.run_ms(unit)
+        deadline_ms = unit.due_since_ms + _objective_ms(unit.queue, path_ms)
+        return deadline_ms - self._wall_ms - (path_ms - start)
 
     def prospect(self, unit: views.ReadyUnit) -> Prospect:
         """Returns what the unit's job earns if the unit starts now."""
@@ -88,8 +82,8 @@
         return unit.due_since_ms + self._job_objective_ms(unit)
 
     def _job_objective_ms(self, unit: views.ReadyUnit) -> int:
-        finish_times = self._step_finish_times(unit.record)
-        return _objective_ms(unit.queue, max(finish_times))
+        _, path_ms = self._finish_ms(unit.record, unit.step_number)
+        return _objective_ms(unit.queue, path_ms)
 
     def running_slack_ms(self, task_id: batch.TaskId) -> int:
         """Returns how much a running task's job may be delayed.
@@ -101,11 +95,11 @@
         queue = self._state.catalog.queue(record.queue)
         if queue is None:
             return 0
-        finish_times = self._step_finish_times(record)
+        finish_ms, path_ms = self._finish_ms(record, task_id.step)
         due_since_ms = record.due_ms(task_id.occurrence)
-        objective_ms = _objective_ms(queue, max(finish_times))
+        objective_ms = _objective_ms(queue, path_ms)
         job_remaining_ms = self._step_remaining_ms(record, task_id)
-        job_remaining_ms += max(finish_times) - finish_times[task_id.step]
+        job_remaining_ms += path_ms - finish_ms
         slack_ms = (
             due_since_ms + objective_ms - self._wall_ms - job_remaining_ms
         )
@@ -125,16 +119,21 @@
         remaining_ms = self._remaining_ms.get(
             (task_id, task.run), duration_ms - ran_ms
         )
-        any_waiting = any(
-            t.state == batch.TaskState.WAITING for t in step_record.tasks
-        )
+        key = (task_id.job_id, task_id.occurrence, task_id.step)
+        if key not in self._waiting_steps:
+            self._waiting_steps[key] = step_record.has_waiting
+        any_waiting = self._waiting_steps[key]
         return max(0, remaining_ms, duration_ms if any_waiting else 0)
 
-    def _step_finish_times(self, record: batch.BatchRecord) -> list[int]:
-        durations = [
-            self._duration_ms(record, step) for step in record.content.steps
-        ]
-        return _finish_times(durations, record.content)
+    def _finish_ms(
+        self, record: batch.BatchRecord, step: int
+    ) -> tuple[int, int]:
+        """Returns when a step finishes after the job's start, and the last one."""
+        paths = self._paths.of(record)
+        typical_ms = self._typical_ms.get(record.queue)
+        if typical_ms is None:
+            return paths.estimated_finish_ms[step], paths.estimated_length_ms
+        return paths.depths[step] * typical_ms, paths.depth * typical_ms
 
     def _duration_ms(self, record: batch.BatchRecord, step: batch.Step) -> int:
         return self._typical_ms.get(record.queue, step.estimate_ms)
--- a/bilberryroute/scheduling/batch/placing.py
+++ b/bilberryroute/scheduling/batch/placing.py
@@ -132,21 +132,21 @@
             break
     else:
         return None
-    names = []
-    for _ in unit.indexes:
-        fitting = [
-            n for n in free if remaining_spread[n] > 0 and free[n].holds(need)
-        ]
-        best = min(
-            fitting,
-            key=lambda n: (
-                badness[n],
-                free[n].accelerators - need.accelerators,
-                free[n].cpu_millis - need.cpu_millis,
-                n,
-            ),
-        )
-        free[best] = free[best].minus(need)
-        remaining_spread[best] -= 1
-        names.append(best)
+    # Each task makes its worker a better fit for the next one, so one worker is
+    # filled after the other.
+    order = sorted(
+        free,
+        key=lambda n: (
+            badness[n],
+            free[n].accelerators - need.accelerators,
+            free[n].cpu_millis - need.cpu_millis,
+            n,
+        ),
+    )
+    names: list[str] = []
+    for name in order:
+        missing = len(unit.indexes) - len(names)
+        spread = max(0, remaining_spread[name])
+        fitting = min(spread, free[name].multiple_of(need), missing)
+        names += [name] * fitting
     return tuple(names)
--- a/bilberryroute/scheduling/batch/planner.py
+++ b/bilberryroute/scheduling/batch/planner.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import types
+from collections.abc import Generator
 from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -15,6 +16,7 @@
 from bilberryroute.scheduling.batch import avoiding
 from bilberryroute.scheduling.batch import deadlines
 from bilberryroute.scheduling.batch import idling
+from bilberryroute.scheduling.batch import paths as paths_lib
 from bilberryroute.scheduling.batch import placing
 from bilberryroute.scheduling.batch import preempting
 from bilberryroute.scheduling.batch import readiness
@@ -45,7 +47,22 @@
 MAX_EXPLAINED_JOBS = 8
 
 
-def plan(
+# Tasks that one round starts at most. The next round follows as soon as they are
+# committed; a command of more would take long to apply and to pass on.
+MAX_STARTS = 256
+
+
+def plan(*args, **kwargs) -> views.BatchPlan:
+    """Returns what `plan_in_slices` does, in one go."""
+    slices = plan_in_slices(*args, **kwargs)
+    while True:
+        try:
+            next(slices)
+        except StopIteration as stop:
+            return stop.value
+
+
+def plan_in_slices(
     state: batch.BatchState,
     workers: Iterable[views.WorkerSnapshot],
     remaining_ms: Mapping[room_lib.RunKey, int],
@@ -57,9 +74,13 @@
     available_runs: Set[room_lib.RunKey] = frozenset(),
     explained: Set[str] = frozenset(),
     waited_ms: Mapping[views.UnitKey, int] = types.MappingProxyType({}),
-) -> views.BatchPlan:
+    paths: paths_lib.PathCache | None = None,
+) -> Generator[None, None, views.BatchPlan]:
     """Returns the units to place now and the runs to preempt for them.
 
+    Yields after each unit. Commands may be applied to the state meanwhile; the
+    state machine leaves out what no longer applies when the plan is committed.
+
     Args:
       state: State of the batch jobs.
       workers: Workers that are present.
@@ -70,26 +91,34 @@
       available_runs: Long-running runs that their workers report as serving.
       explained: Ids of jobs for which the plan need not say why they wait.
       waited_ms: For how long units that waited after the last round have done
-        so, in milliseconds.
+        so, in milliseconds, by wait key.
+      paths: What earlier rounds have derived from the jobs' steps.
     """
-    guaranteed = readiness.guaranteed_jobs(state)
+    if paths is None:
+        paths = paths_lib.PathCache()
+    guaranteed = readiness.guaranteed_jobs(state, paths)
     resources = room_lib.AvailableResources(
         state, workers, remaining_ms, wall_ms, permits, guaranteed
     )
     job_deadlines = deadlines.Deadlines(
-        state, typical_ms, remaining_ms, wall_ms
+        state, typical_ms, remaining_ms, wall_ms, paths
+    )
+    yield
+    ready = yield from readiness.ready_units(
+        state, guaranteed, wall_ms, job_deadlines, paths
+    )
+    return (
+        yield from _PlanningRound(
+            state,
+            resources,
+            guaranteed,
+            job_deadlines,
+            wall_ms,
+            available_runs,
+            explained,
+            waited_ms,
+        ).run(ready)
     )
-    ready = readiness.ready_units(state, guaranteed, wall_ms, job_deadlines)
-    return _PlanningRound(
-        state,
-        resources,
-        guaranteed,
-        job_deadlines,
-        wall_ms,
-        available_runs,
-        explained,
-        waited_ms,
-    ).run(ready)
 
 
 class _Attempt(enum.Enum):
@@ -127,7 +156,9 @@
         self._stopped_for: dict[batching.TaskRun, str] = {}
         self._preemptible: list[preempting.PreemptibleUnit] | None = None
         self._reservation_count = 0
+        self._started_tasks = 0
         self._waiting_units: set[views.UnitKey] = set()
+        self._waiting_count = 0
         self._waiting_jobs: set[str] = set()
         self._explained = explained
         self._waited_ms = waited_ms
@@ -135,33 +166,51 @@
         self._fits: dict[Hashable, views.FutureFit | None] = {}
         self._permit_candidates: dict[views.StepKey, list[str]] = {}
 
-    def run(self, ready: list[views.ReadyUnit]) -> views.BatchPlan:
+    def run(
+        self, ready: readiness.ReadyUnits
+    ) -> Generator[None, None, views.BatchPlan]:
         """Tries to place each unit, in the given order."""
         blocked: set[Hashable] = set()
+        complete = True
         for unit in ready:
+            yield
+            if self._started_tasks >= MAX_STARTS:
+                complete = False
+                break
             key = (self._placement_key(unit), unit.crash_count)
             if key in blocked:
-                self._waiting_units.add(unit.key)
+                self._count_waiting(unit, ready)
                 continue
             attempt = self._try_place(unit)
             if attempt == _Attempt.STARTS:
                 continue
-            self._waiting_units.add(unit.key)
-            self._note_waiting(unit)
             if attempt == _Attempt.WAITS:
                 blocked.add(key)
+                self._count_waiting(unit, ready)
             else:
                 self._fits.pop(self._placement_key(unit), None)
+                self._waiting_units.add(unit.wait_key)
+                self._waiting_count += 1
+            self._note_waiting(unit)
         return views.BatchPlan(
             units=tuple(self._units),
             stops=tuple(self._stopped_for),
             stopped_for=self._stopped_for,
             waiting_units=frozenset(self._waiting_units),
+            waiting_count=self._waiting_count,
+            complete=complete,
             waiting_jobs=frozenset(self._waiting_jobs),
             waits=self._waits,
             permit_candidates=self._permit_candidates,
         )
 
+    def _count_waiting(
+        self, unit: views.ReadyUnit, ready: readiness.ReadyUnits
+    ) -> None:
+        """Counts a unit and the new ones of its step, which are like it."""
+        self._waiting_units.add(unit.wait_key)
+        self._waiting_count += 1 + ready.drop_further()
+
     def _note_waiting(self, unit: views.ReadyUnit) -> None:
         """Explains why a job waits, by the first of its units that does."""
         job_id = unit.record.id
@@ -190,6 +239,10 @@
         choices = suspects.choices(unit, self._resources)
         if unit.guaranteed:
             return self._try_place_guaranteed(unit, choices)
+        if not self._resources.may_hold(unit, self._state.evacuated):
+            if choices:
+                self._reserve_or_preempt(choices[-1])
+            return _Attempt.WAITS
         for each in choices:
             if self._place_on(each, self._resources.unreserved_for(each)):
                 return _Attempt.STARTS
@@ -270,7 +323,7 @@
             unit,
             self._resources,
             self._state.evacuated,
-            self._waited_ms.get(unit.key, 0),
+            self._waited_ms.get(unit.wait_key, 0),
             job_runs=unit.job_runs or unit.record.id in self._started_jobs,
         ):
             case idling.Start.UNRESERVED:
@@ -308,6 +361,7 @@
         permits = self._resources.permits(unit)
         self._units.append(unit.to_command(refs, permits))
         self._started_jobs.add(unit.record.id)
+        self._started_tasks += len(unit.indexes)
         self._resources.start(unit, names)
         return True
 
--- a/bilberryroute/scheduling/batch/readiness.py
+++ b/bilberryroute/scheduling/batch/readiness.py
@@ -1,12 +1,16 @@
 """Selects the units that are ready to start, and ranks them."""
 
 import dataclasses
+import heapq
+from collections.abc import Generator
 from collections.abc import Iterator
+from collections.abc import Set
 
 from bilberryroute.model import batch
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import crashes as crash_model
 from bilberryroute.scheduling.batch import deadlines
+from bilberryroute.scheduling.batch import paths as paths_lib
 from bilberryroute.scheduling.batch import views
 
 # Added to the due time of scheduled occurrences: host clocks differ by some
@@ -24,8 +28,81 @@
 # placement, and beyond that until a run has succeeded there.
 AVOID_FAILED_MS = 10_000
 
+# New occurrences of a job that one round starts at most. All are alike, and the
+# next round follows as soon as these have started.
+MAX_NEW_OCCURRENCES = 32
+
 # Worker that crashed last under a suspect, and whether it is within a guarantee.
 _SuspectGroup = tuple[batch.WorkerRef, bool]
+# Job id and number of an occurrence.
+_Occurrence = tuple[str, int]
+
+
+class ReadyUnits:
+    """Units that are ready to start, in order of rank.
+
+    Tasks of a step that were never placed differ by their index only. There may
+    be far more of them than fit, so they are made one after another.
+    """
+
+    def __init__(self, heads: list["Head"]):
+        """Sorts the units.
+
+        Args:
+          heads: Units that were placed before, and the first new one of each
+            step, in the order in which jobs were accepted.
+        """
+        queue = [
+            (head.unit.rank, number, head) for number, head in enumerate(heads)
+        ]
+        queue.sort(key=lambda entry: entry[:2])
+        ordered = _newest_suspects_first([head for _, _, head in queue])
+        self._queue = [
+            (rank, number, head)
+            for (rank, number, _), head in zip(queue, ordered, strict=True)
+        ]
+        self._further = range(0)
+
+    def __iter__(self) -> Iterator[views.ReadyUnit]:
+        """Yields the units; `drop_further` leaves out some."""
+        while self._queue:
+            _, number, head = heapq.heappop(self._queue)
+            self._further = head.further
+            yield head.unit
+            if self._further:
+                following = head.following()
+                entry = (following.unit.rank, number, following)
+                heapq.heappush(self._queue, entry)
+
+    def drop_further(self) -> int:
+        """Leaves out the new units that follow the last one of its step.
+
+        Returns:
+          Their number.
+        """
+        dropped = len(self._further)
+        self._further = range(0)
+        return dropped
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """A ready unit, and the new tasks of its step that follow it.
+
+    Attributes:
+      further: Their indexes; empty for a unit that was placed before.
+    """
+
+    unit: views.ReadyUnit
+    further: range = range(0)
+
+    def following(self) -> "Head":
+        """Returns the head with the next of the new tasks as its unit."""
+        index = self.further[0]
+        unit = dataclasses.replace(
+            self.unit, indexes=(index,), rank=(*self.unit.rank[:-1], index)
+        )
+        return Head(unit=unit, further=self.further[1:])
 
 
 def ready_units(
@@ -33,32 +110,46 @@
     guaranteed: set[str],
     wall_ms: int,
     job_deadlines: deadlines.Deadlines,
-) -> list[views.ReadyUnit]:
-    """Returns all units that are ready to start, in order of rank.
+    paths: paths_lib.PathCache,
+) -> Generator[None, None, ReadyUnits]:
+    """Returns all units that are ready to start.
+
+    Yields again and again, so that the caller may do other work meanwhile.
 
     Args:
       state: State of the batch jobs.
       guaranteed: Ids of the jobs within their accounts' guarantees.
       wall_ms: Unix time in milliseconds.
       job_deadlines: Objectives and expected durations of the jobs.
+      paths: What is known of the jobs' steps.
     """
-    ranked = []
-    for record in state.jobs.values():
+    heads = []
+    running = _running_occurrences(state)
+    for record in list(state.jobs.values()):
         queue = state.catalog.queue(record.queue)
         if record.result is not None or queue is None:
             continue
-        for unit in _ready_units_of(record, queue, wall_ms):
-            rank = _rank(unit, guaranteed, job_deadlines)
-            ranked.append((rank, unit))
-    ranked.sort(key=lambda pair: pair[0])
-    return _newest_suspects_first(
-        [dataclasses.replace(unit, rank=rank) for rank, unit in ranked]
-    )
+        job_paths = paths.of(record)
+        for head in ready_heads(record, queue, wall_ms, running, job_paths):
+            rank = _rank(head.unit, guaranteed, job_deadlines)
+            unit = dataclasses.replace(head.unit, rank=rank)
+            heads.append(Head(unit=unit, further=head.further))
+            yield
+    return ReadyUnits(heads)
+
+
+def _running_occurrences(state: batch.BatchState) -> set[_Occurrence]:
+    """Returns the occurrences of which a task is placed, by job and number."""
+    return {
+        (task_id.job_id, task_id.occurrence)
+        for task_ids in state.placed.values()
+        for task_id in task_ids
+        if state.jobs[task_id.job_id].task(task_id).state
+        == batch.TaskState.PLACED
+    }
 
 
-def _newest_suspects_first(
-    ready: list[views.ReadyUnit],
-) -> list[views.ReadyUnit]:
+def _newest_suspects_first(ready: list[Head]) -> list[Head]:
     """Lets the suspects of a crash that started last before it run first.
 
     Few workers are idle for suspects, and those that ran for longer are less
@@ -66,17 +157,19 @@
     the suspects of one crash do not overtake more urgent ones of another. Those
     within a guarantee come before all others, which they may stop.
     """
-    by_crash: dict[_SuspectGroup, list[views.ReadyUnit]] = {}
-    for unit in ready:
-        if unit.suspect:
-            by_crash.setdefault(_suspect_group(unit), []).append(unit)
+    by_crash: dict[_SuspectGroup, list[Head]] = {}
+    for head in ready:
+        if head.unit.suspect:
+            by_crash.setdefault(_suspect_group(head.unit), []).append(head)
     ordered = {
-        group: iter(sorted(units, key=_unit_placed_ms, reverse=True))
-        for group, units in by_crash.items()
+        group: iter(
+            sorted(heads, key=lambda h: _unit_placed_ms(h.unit), reverse=True)
+        )
+        for group, heads in by_crash.items()
     }
     return [
-        next(ordered[_suspect_group(unit)]) if unit.suspect else unit
-        for unit in ready
+        next(ordered[_suspect_group(head.unit)]) if head.unit.suspect else head
+        for head in ready
     ]
 
 
@@ -104,8 +197,11 @@
     return unit.record.occurrences[unit.occurrence][unit.step_number]
 
 
-def guaranteed_jobs(state: batch.BatchState) -> set[str]:
+def guaranteed_jobs(
+    state: batch.BatchState, paths: paths_lib.PathCache | None = None
+) -> set[str]:
     """Returns ids of priority-0 jobs within their accounts' guarantees."""
+    paths = paths or paths_lib.PathCache()
     remaining = {a.name: a.guaranteed for a in state.catalog.accounts}
     priority_0_queues = {
         q.name for q in state.catalog.queues if q.priority == 0
@@ -113,31 +209,37 @@
     job_ids = set()
     for record in state.jobs.values():
         if record.result is None and record.queue in priority_0_queues:
-            need = max_accelerators(record.content)
+            need = paths.of(record).max_accelerators
             if 0 < need <= remaining.get(record.account, 0):
                 remaining[record.account] -= need
                 job_ids.add(record.id)
     return job_ids
 
 
-def max_accelerators(content: batch.Content) -> int:
-    """Returns the most accelerators that any single step uses at once."""
-    return max(step.count * step.need.accelerators for step in content.steps)
-
-
 def next_due_ms(state: batch.BatchState, wall_ms: int) -> int | None:
     """Returns the Unix time when the next occurrence is due, or None."""
     due = []
     for record in state.jobs.values():
         if record.result is None and record.content.schedule is not None:
-            for number in range(record.occurrence_count):
-                at_ms = record.due_ms(number) + DUE_MARGIN_MS
-                if number not in record.occurrences and at_ms > wall_ms:
-                    due.append(at_ms)
-                    break
+            number = _due_count(record, wall_ms)
+            if number < record.occurrence_count:
+                due.append(record.due_ms(number) + DUE_MARGIN_MS)
     return min(due, default=None)
 
 
+def _due_count(record: batch.BatchRecord, wall_ms: int) -> int:
+    """Returns how many occurrences of a job are due, the first ones."""
+    schedule = record.content.schedule
+    if schedule is None:
+        return 1
+    since_first_ms = wall_ms - schedule.first_ms - DUE_MARGIN_MS
+    if since_first_ms < 0:
+        return 0
+    if schedule.interval_ms <= 0:
+        return schedule.count
+    return min(schedule.count, since_first_ms // schedule.interval_ms + 1)
+
+
 def _rank(
     unit: views.ReadyUnit,
     guaranteed: set[str],
@@ -162,57 +264,118 @@
     )
 
 
-def _ready_units_of(
-    record: batch.BatchRecord, queue: catalog_model.Queue, wall_ms: int
-) -> Iterator[views.ReadyUnit]:
-    for number in range(record.occurrence_count):
+def ready_heads(
+    record: batch.BatchRecord,
+    queue: catalog_model.Queue,
+    wall_ms: int,
+    running: Set[_Occurrence],
+    paths: paths_lib.JobPaths,
+) -> Iterator[Head]:
+    """Yields the ready units of a job, of each step the first of the new ones.
+
+    Args:
+      record: The job.
+      queue: Its queue.
+      wall_ms: Unix time in milliseconds.
+      running: Occurrences of which a task is placed.
+      paths: What is known of the job's steps.
+    """
+    new_occurrences = 0
+    for number in range(
+        record.first_open_occurrence, _due_count(record, wall_ms)
+    ):
+        if new_occurrences == MAX_NEW_OCCURRENCES:
+            return
+        new_occurrences += number not in record.occurrences
         due_ms = record.due_ms(number)
         if record.content.schedule is not None:
             due_ms += DUE_MARGIN_MS
-            if due_ms > wall_ms:
-                return
-        step_records = record.occurrences.get(number)
-        if step_records is None:
-            step_records = batch.new_step_records(record.content)
-        job_runs = any(
-            task.state == batch.TaskState.PLACED
-            for step_record in step_records
-            for task in step_record.tasks
-        )
-        for step_number, step in enumerate(record.content.steps):
-            if not all(
-                step_records[each].finished() for each in step.depends_on
-            ):
-                continue
-            step_record = step_records[step_number]
-            for indexes, run in _waiting_units(step, step_record):
-                failed_on = _failed_on(step_record, indexes)
-                crashes = step_record.crashes(indexes[0], gang=step.gang)
-                yield views.ReadyUnit(
+        for step_number, step_record in _ready_steps(record, number, paths):
+            yield from _step_heads(
+                views.ReadyUnit(
                     record=record,
                     queue=queue,
                     occurrence=number,
                     step_number=step_number,
-                    step=step,
-                    indexes=indexes,
-                    run=run,
+                    step=record.content.steps[step_number],
+                    indexes=(),
+                    run=0,
                     # The host that accepted the job may have another time.
                     due_since_ms=min(due_ms, wall_ms),
-                    suspect=_isolation(
-                        step, step_record, indexes, crashes, wall_ms
-                    ),
-                    crash_count=crash_model.crash_count(crashes),
-                    step_runs=any(t.active for t in step_record.tasks)
-                    if crashes
-                    else False,
-                    job_runs=job_runs,
-                    failed_on=failed_on,
-                    failed_recently=bool(failed_on)
-                    and _placed_recently(step_record, indexes, wall_ms),
-                    last_attempt=_is_last_attempt(
-                        queue, step, step_record, indexes
-                    ),
-                )
+                    job_runs=(record.id, number) in running,
+                ),
+                step_record,
+                wall_ms,
+            )
+
+
+def _ready_steps(
+    record: batch.BatchRecord, number: int, paths: paths_lib.JobPaths
+) -> Iterator[tuple[int, batch.StepRecord]]:
+    """Yields the unfinished steps of an occurrence that wait for no other."""
+    steps = record.content.steps
+    step_records = record.occurrences.get(number)
+    if step_records is None:
+        for each in paths.first_steps:
+            yield each, batch.StepRecord(tasks=[], count=steps[each].count)
+        return
+    first_open = record.first_open_steps.get(number, 0)
+    for each in range(first_open, len(steps)):
+        if not step_records[each].finished() and all(
+            step_records[other].finished() for other in steps[each].depends_on
+        ):
+            yield each, step_records[each]
+
+
+def _step_heads(
+    unit: views.ReadyUnit, step_record: batch.StepRecord, wall_ms: int
+) -> Iterator[Head]:
+    """Yields the waiting units of a step.
+
+    Args:
+      unit: A unit with what all units of the step share.
+      step_record: Tasks of the step.
+      wall_ms: Unix time in milliseconds.
+    """
+    step = unit.step
+    for indexes, run in _placed_before(step, step_record):
+        crashes = step_record.crashes(indexes[0], gang=step.gang)
+        failed_on = _failed_on(step_record, indexes)
+        yield Head(
+            unit=dataclasses.replace(
+                unit,
+                indexes=indexes,
+                run=run,
+                suspect=_isolation(
+                    step, step_record, indexes, crashes, wall_ms
+                ),
+                crash_count=crash_model.crash_count(crashes),
+                step_runs=any(t.active for _, t in step_record.open_tasks())
+                if crashes
+                else False,
+                failed_on=failed_on,
+                failed_recently=bool(failed_on)
+                and _placed_recently(step_record, indexes, wall_ms),
+                last_attempt=_is_last_attempt(
+                    unit.queue, step, step_record, indexes
+                ),
+            )
+        )
+    first_new = len(step_record.tasks)
+    if first_new == step_record.count:
+        return
+    # The tasks of a gang are placed together.
+    indexes = range(step.count) if step.gang else (first_new,)
+    yield Head(
+        unit=dataclasses.replace(
+            unit,
+            indexes=tuple(indexes),
+            run=1,
+            new=True,
+            last_attempt=not step.long_running and unit.queue.max_attempts <= 1,
+        ),
+        further=range(0) if step.gang else range(first_new + 1, step.count),
+    )
 
 
 def _isolation(
@@ -273,17 +436,16 @@
     return failures + 1 >= queue.max_attempts
 
 
-def _waiting_units(
+def _placed_before(
     step: batch.Step, step_record: batch.StepRecord
 ) -> Iterator[tuple[tuple[int, ...], int]]:
-    """Yields the task indexes and next run number of each waiting unit."""
-    if step_record.done:
-        return
+    """Yields indexes and next run number of the waiting units with a record."""
     if step.gang:
-        if all(t.state == batch.TaskState.WAITING for t in step_record.tasks):
-            run = 1 + max(task.run for task in step_record.tasks)
+        tasks = step_record.tasks
+        if tasks and all(t.state == batch.TaskState.WAITING for t in tasks):
+            run = 1 + max(task.run for task in tasks)
             yield tuple(range(step.count)), run
         return
-    for index, task in enumerate(step_record.tasks):
+    for index, task in step_record.open_tasks():
         if task.state == batch.TaskState.WAITING:
             yield (index,), task.run + 1
--- a/bilberryroute/scheduling/batch/room.py
+++ b/bilberryroute/scheduling/batch/room.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -21,6 +22,9 @@
 # Lower bound of a forecast: a run that is overdue may still last, unlike one that
 # is being stopped.
 MIN_FORECAST_MS = 1
+# Runs that a worker is given at most: its agent sends a call for each, and lists
+# all of them in each renewal.
+MAX_RUNS_PER_WORKER = 2_000
 # Remaining time of a long-running task, which ends only when it is stopped.
 NEVER_ENDS_MS = 1 << 40
 
@@ -84,6 +88,8 @@
         self._free_within: dict[int, dict[str, batch.Resources]] = {}
         self._task_counts: dict[str, collections.Counter[views.StepKey]] = {}
         self._started_steps: set[views.StepKey] = set()
+        self._run_counts: collections.Counter[str] = collections.Counter()
+        self._may_hold: dict[Hashable, bool] = {}
         for name, worker in self.workers.items():
             self._count_worker(state, name, worker, remaining_ms, wall_ms)
         self._surplus = self._surplus_by_pool()
@@ -126,6 +132,7 @@
         self.free_when_idle[name] = free_when_idle
         self._allocations[name] = allocations
         self._task_counts[name] = task_counts
+        self._run_counts[name] = len(allocations)
 
     def _withhold_rest(self, name: str) -> None:
         """Allocates what is left of a worker until its runs end."""
@@ -194,12 +201,32 @@
         fitting.sort(key=lambda w: not self.free[w.ref.name].holds(need))
         return [worker.ref.name for worker in fitting]
 
+    def may_hold(self, unit: views.ReadyUnit, evacuated: list[str]) -> bool:
+        """Returns whether any worker has what a task of a unit needs.
+
+        Counts what is set aside or kept for others, so that a unit for which
+        this is false starts nowhere now. The same for all units with these
+        needs until something starts.
+        """
+        step = unit.step
+        need = batch.task_demand(step)
+        key = (unit.queue.pool, step.required_label, need, tuple(evacuated))
+        if key not in self._may_hold:
+            usable = self.free_beside_runs()
+            self._may_hold[key] = any(
+                usable[name].holds(need)
+                and meets_constraints(unit, worker, evacuated)
+                for name, worker in self.workers.items()
+            )
+        return self._may_hold[key]
+
     def remaining_spread(self, unit: views.ReadyUnit, name: str) -> int:
         """Returns how many more tasks of the unit's step a worker may run."""
         limit = unit.step.spread_limit
-        if not limit:
-            return unit.step.count
-        return limit - self._task_counts[name][unit.step_key]
+        spread = unit.step.count
+        if limit:
+            spread = limit - self._task_counts[name][unit.step_key]
+        return min(spread, MAX_RUNS_PER_WORKER - self._run_counts[name])
 
     def free_after(self, delay_ms: int) -> dict[str, batch.Resources]:
         """Returns the resources that are free once runs due by then end."""
@@ -362,11 +389,13 @@
             self._claim_whole(names)
         elif unit.suspect:
             self.isolation.note_start(names)
+        self._may_hold.clear()
         need = batch.task_demand(unit.step)
         for name in names:
             if not unit.takes_whole_workers:
                 self.free[name] = self.free[name].minus(need)
             self._task_counts[name][unit.step_key] += 1
+            self._run_counts[name] += 1
 
     def _claim_whole(self, names: Iterable[str]) -> None:
         """Subtracts the capacity of workers, as nothing may start there."""
--- a/bilberryroute/scheduling/batch/views.py
+++ b/bilberryroute/scheduling/batch/views.py
@@ -13,6 +13,10 @@
 # Job id, occurrence, step and first task of a unit.
 UnitKey = tuple[str, int, int, int]
 
+# Stands for the first task in the key of all new units of a step, which have
+# waited since the same time.
+NEW_UNITS = -1
+
 # Second element of a unit's rank (see `readiness._rank`) from which on the unit
 # may only preempt runs that lose no work. Making others lose work is justified
 # only for jobs within an account's guarantee.
@@ -105,6 +109,7 @@
       step_runs: Whether other tasks of its step run; false if no run of it
         ended by a crash.
       job_runs: Whether any task of its occurrence is placed.
+      new: Whether none of its tasks was ever placed.
       failed_on: Names of workers on which the last runs of the unit failed.
       failed_recently: Whether the unit was placed last a short time ago.
       last_attempt: Whether one more failure ends the job.
@@ -125,6 +130,7 @@
     crash_count: int = 0
     step_runs: bool = False
     job_runs: bool = False
+    new: bool = False
     failed_on: frozenset[str] = frozenset()
     failed_recently: bool = False
     last_attempt: bool = False
@@ -140,6 +146,11 @@
         """Key of the unit, the same in each round."""
         return (*self.step_key, self.indexes[0])
 
+    @property
+    def wait_key(self) -> UnitKey:
+        """Key by which its wait is known, one for all new units of a step."""
+        return (*self.step_key, NEW_UNITS) if self.new else self.key
+
     def placement_key(self, avoided: frozenset[str]) -> Hashable:
         """Returns a key, equal for units of a step that may use the same workers.
 
@@ -262,7 +273,9 @@
       units: Units to place, in order.
       stops: Runs to preempt for units of a better rank.
       stopped_for: Job that each of them is preempted for.
-      waiting_units: Ready units that could not be placed.
+      waiting_units: Wait keys of the ready units that could not be placed.
+      waiting_count: Number of these units.
+      complete: Whether all units were considered. If not, the next round goes on.
       waiting_jobs: Ids of the jobs with such units.
       waits: Why some of these jobs wait, by job id.
       permit_candidates: Steps that need permits, with the names of the workers
@@ -275,6 +288,8 @@
         default_factory=dict
     )
     waiting_units: frozenset[UnitKey] = frozenset()
+    waiting_count: int = 0
+    complete: bool = True
     waiting_jobs: frozenset[str] = frozenset()
     waits: dict[str, Wait] = dataclasses.field(default_factory=dict)
     permit_candidates: dict[StepKey, list[str]] = dataclasses.field(
--- a/bilberryroute/scheduling/batch/wait_times.py
+++ b/bilberryroute/scheduling/batch/wait_times.py
@@ -1,7 +1,5 @@
 """Remembers since when units wait."""
 
-from collections.abc import Set
-
 from bilberryroute.scheduling.batch import views
 
 
@@ -15,14 +13,19 @@
     def __init__(self):
         self._since: dict[views.UnitKey, int] = {}
 
-    def update(self, waiting: Set[views.UnitKey], now_ms: int) -> None:
+    def update(self, plan: views.BatchPlan, now_ms: int) -> None:
         """Takes account of a round.
 
+        Units that an incomplete round did not reach wait on.
+
         Args:
-          waiting: All units that wait after the round.
+          plan: What was decided in the round.
           now_ms: Instant of the round on a monotonic clock, in milliseconds.
         """
-        self._since = {key: self._since.get(key, now_ms) for key in waiting}
+        since = {
+            key: self._since.get(key, now_ms) for key in plan.waiting_units
+        }
+        self._since = since if plan.complete else self._since | since
 
     def waited_ms(self, now_ms: int) -> dict[views.UnitKey, int]:
         """Returns for how long each unit has waited, in milliseconds."""
--- a/bilberryroute/state/batch.py
+++ b/bilberryroute/state/batch.py
@@ -14,6 +14,10 @@
 from bilberryroute.state import evacuations
 from bilberryroute.state import records
 
+# Twice as many tasks as a whole deployment runs at once; they would have to run
+# together.
+MAX_GANG_TASKS = 10_000
+
 BatchRefused = batching.BatchRefused
 
 
@@ -128,6 +132,11 @@
             kind=errors.Gone.kind,
             message="the job was cancelled, or has ended and is not stored",
         )
+    if batch.largest_gang(command.content) > MAX_GANG_TASKS:
+        return BatchRefused(
+            kind=errors.ImpossibleJob.kind,
+            message=f"a gang has more than {MAX_GANG_TASKS} tasks",
+        )
     batch_state.jobs[job_id] = batch.BatchRecord(
         id=job_id,
         queue=queue.name,
@@ -173,7 +182,7 @@
         task.active
         for steps in record.occurrences.values()
         for step_record in steps
-        for task in step_record.tasks
+        for _, task in step_record.open_tasks()
     )
 
 
--- a/bilberryroute/state/batch_runs.py
+++ b/bilberryroute/state/batch_runs.py
@@ -33,7 +33,7 @@
     batch_state.ended.append(record.id)
     for steps in record.occurrences.values():
         for step_record in steps:
-            for task in step_record.tasks:
+            for _, task in step_record.open_tasks():
                 if task.state == batch.TaskState.PLACED:
                     task.state = batch.TaskState.STOPPING
 
@@ -78,15 +78,16 @@
         return False
     if unit.occurrence >= record.occurrence_count:
         return False
-    steps = record.occurrences.setdefault(
-        unit.occurrence, batch.new_step_records(record.content)
-    )
+    steps = record.occurrences.get(unit.occurrence)
+    if steps is None:
+        steps = batch.new_step_records(record.content)
+        record.occurrences[unit.occurrence] = steps
     if not _can_start(record.content, steps, unit):
         return False
     step_record = steps[unit.step]
     gang = record.content.steps[unit.step].gang
     for member in unit.members:
-        task = step_record.tasks[member.index]
+        task = step_record.open(member.index)
         task.permit = member.permit
         task.resumed = step_record.saved if gang else task.saved
         task.state = batch.TaskState.PLACED
@@ -111,7 +112,9 @@
     step_record = steps[unit.step]
     if step_record.done:
         return False
-    tasks = [step_record.tasks[member.index] for member in unit.members]
+    if any(member.index >= step_record.count for member in unit.members):
+        return False
+    tasks = [step_record.task_or_new(member.index) for member in unit.members]
     return all(
         task.state == batch.TaskState.WAITING and task.run < unit.run
         for task in tasks
@@ -209,13 +212,13 @@
         _record_checkpoint(record, task, end.task, end.saved)
     match end.outcome:
         case batch.RunOutcome.DONE if not step.long_running:
-            task.state = batch.TaskState.DONE
+            step_record.mark_done(task)
             # The first member that is done completes the step of its gang.
             step_record.done = step_record.done or step.gang
         case batch.RunOutcome.FAILED:
             _count_failure(task, step_record, end.run, worker_name)
     if step_record.done:
-        task.state = batch.TaskState.DONE
+        step_record.mark_done(task)
     if record.result is None:
         _end_job_if_decided(batch_state, record, end.task, at_ms)
 
@@ -268,18 +271,32 @@
         reason = f"step {task_id.step} crashed its worker {count} times"
         end_job(batch_state, record, jobs.JobResult.FAILED, reason, at_ms)
         return
-    if task.state == batch.TaskState.DONE and all(
-        s.finished() and not any(t.active for t in s.tasks) for s in steps
+    if (
+        task.state == batch.TaskState.DONE
+        and record.skip_finished(task_id.occurrence)
+        and not _has_active_member(record, steps)
     ):
         record.finished_occurrences += 1
         if record.finished_occurrences >= record.occurrence_count:
             end_job(batch_state, record, jobs.JobResult.DONE, "", at_ms)
 
 
+def _has_active_member(
+    record: batch.BatchRecord, steps: list[batch.StepRecord]
+) -> bool:
+    """Returns whether any gang of finished steps still has an active run."""
+    return any(
+        task.active
+        for step, step_record in zip(record.content.steps, steps, strict=True)
+        if step.gang
+        for _, task in step_record.open_tasks()
+    )
+
+
 def _waiting_tasks(record: batch.BatchRecord) -> Iterator[batch.TaskId]:
     for occurrence, steps in record.occurrences.items():
         for step, step_record in enumerate(steps):
-            for index, task in enumerate(step_record.tasks):
+            for index, task in step_record.open_tasks():
                 if task.state == batch.TaskState.WAITING:
                     yield batch.TaskId(
                         job_id=record.id,
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -13,6 +13,7 @@
 from bilberryroute.platform import jobs
 from bilberryroute.platform import settings as platform_settings
 from bilberryroute.platform import workers
+from bilberryroute.transport import codec
 
 
 def body(**fields) -> bytes:
@@ -286,3 +287,15 @@
     path.write_text("zone = 3")
     with pytest.raises(errors.SettingsError, match="BILBERRYROUTE_SETTINGS"):
         platform_settings.load(str(path), settings.ProcessRole.ENTRY)
+
+
+@pytest.mark.parametrize("number", [2**53 + 1, 2**64, 10**30])
+def test_number_that_the_log_cannot_hold_is_malformed(number):
+    body = b'{"steps":[{"count":%d}]}' % number
+    with pytest.raises(errors.MalformedInput):
+        jobs.decode(body)
+
+
+def test_largest_count_can_be_encoded():
+    content = jobs.decode(b'{"steps":[{"count":%d}]}' % 2**53)
+    assert codec.encode(content)
--- a/tests/replica/test_wait_log.py
+++ b/tests/replica/test_wait_log.py
@@ -1,5 +1,6 @@
 """What the leader's log and metrics say of jobs that wait for room."""
 
+import asyncio
 import logging
 
 import pytest
@@ -34,12 +35,13 @@
 
 
 @pytest.fixture
-def plan_round(parts, metrics):
+def plan_round(parts, metrics, monkeypatch):
     """Plans a round of the leader and logs it."""
     controller = batch_lib.BatchController(parts, None, metrics)
+    monkeypatch.setattr(parts.leadership, "active", lambda: True)
 
     def plan_and_log():
-        controller._log_plan(controller._plan({}), [])
+        controller._log_plan(asyncio.run(controller._plan({})), [])
 
     return plan_and_log
 
--- a/tests/scheduling/idle_pool_model.py
+++ b/tests/scheduling/idle_pool_model.py
@@ -14,7 +14,6 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import wire
 from bilberryroute.replica import batch_health
-from bilberryroute.scheduling.batch import readiness
 from bilberryroute.scheduling.batch import views
 from tests.scheduling import idle_pool_jobs as jobs
 from tests.utils import batches
@@ -448,7 +447,7 @@
             if record.result is not None:
                 continue
             queue = self.log.held.catalog.queue(record.queue)
-            for unit in readiness._ready_units_of(record, queue, self.log.now):
+            for unit in batches.ready_units_of(record, queue, self.log.now):
                 lasts = unit.step.long_running and self._is_long_down(unit)
                 if job_id in running and not lasts:
                     continue
--- a/tests/scheduling/test_idle_exploration.py
+++ b/tests/scheduling/test_idle_exploration.py
@@ -10,7 +10,6 @@
 
 from bilberryroute.model import batch
 from bilberryroute.scheduling.batch import planner
-from bilberryroute.scheduling.batch import readiness
 from tests.scheduling import crash_model
 from tests.scheduling import failing_model
 from tests.utils import batches
@@ -88,7 +87,7 @@
     def _fits(self, record: batch.BatchRecord, free) -> bool:
         """Returns whether a step that waits would fit twice over."""
         queue = self.log.held.catalog.queue(record.queue)
-        units = readiness._ready_units_of(record, queue, self.log.now)
+        units = batches.ready_units_of(record, queue, self.log.now)
         for unit in units:
             step = unit.step
             fitting = sum(
--- a/tests/utils/batches.py
+++ b/tests/utils/batches.py
@@ -6,7 +6,9 @@
 from bilberryroute.model import batch_commands as batching
 from bilberryroute.model import catalog as catalog_model
 from bilberryroute.model import commands
+from bilberryroute.scheduling.batch import paths as paths_lib
 from bilberryroute.scheduling.batch import planner
+from bilberryroute.scheduling.batch import readiness
 from bilberryroute.scheduling.batch import views
 from bilberryroute.scheduling.batch import wait_times
 from bilberryroute.state import machine as machine_lib
@@ -178,10 +180,20 @@
             waited_ms=self._wait_times.waited_ms(now_ms),
             **more,
         )
-        self._wait_times.update(decided.waiting_units, now_ms)
+        self._wait_times.update(decided, now_ms)
         return decided
 
 
+def ready_units_of(record, queue, wall_ms: int):
+    """Yields the ready units of a job, the new ones of each step too."""
+    paths = paths_lib.JobPaths(record.content)
+    for head in readiness.ready_heads(record, queue, wall_ms, set(), paths):
+        yield head.unit
+        while head.further:
+            head = head.following()
+            yield head.unit
+
+
 def unit(
     job_id: str = "j1",
     *workers: batch.WorkerRef,
