Send messages beyond one datagram in parts, and notice failed sends

Cause: a grant carries the whole desired state and the lease in one datagram. From about 300 runs on it exceeds 65,507 bytes, and the send fails, which was logged at debug level only.

Ruled out: the planner (18 ms a round) and the agent's renewals (none failed).

Change: a message beyond one datagram is compressed and sent in parts, both ways; desired states of 2,000 runs, which is all that a worker is given, take 6 to 26 KB, renewals with checkpoints 48 to 129 KB. A grant beyond all limits goes without the desired state and a renewal without checkpoints, so that the lease is kept. Failed sends are logged and counted: datagrams, and messages to replicas, which were dropped in silence.

--- a/benchmarks/consensus_cluster.py
+++ b/benchmarks/consensus_cluster.py
@@ -9,6 +9,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
 from tests.utils import relay
@@ -105,6 +106,7 @@
             CountingApplier(),
             clock_lib.SystemClock(),
             random.Random(self._rng.random()),
+            metrics_lib.Metrics(),
         )
         group.register(server)
         await server.start()
--- a/bilberryroute/agent/renewal.py
+++ b/bilberryroute/agent/renewal.py
@@ -24,6 +24,7 @@
 from bilberryroute.agent import worker_life
 from bilberryroute.model import wire
 from bilberryroute.transport import codec
+from bilberryroute.transport import datagrams
 
 # Changes within this time are reported in one renewal.
 COALESCE_MS = 10
@@ -31,7 +32,9 @@
 # Without an answer in this fraction of the renewal interval, the next replica
 # is tried.
 ANSWER_TIMEOUT_DIVISOR = 3
-DATAGRAM_BYTES = 65_507
+# Ends of each worker in a renewal that would be too large with all of them. The
+# others follow once these are committed.
+SHORT_ENDS = 200
 EPOCH_BITS = 50
 ANY_ADDRESS = "0.0.0.0:0"
 
@@ -60,19 +63,6 @@
     return cfg.listen.datagram
 
 
-class _GrantReceiver(asyncio.DatagramProtocol):
-    """Passes received datagrams to the service."""
-
-    def __init__(self, service: "RenewalService"):
-        self._service = service
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._service.receive(data)
-
-    def error_received(self, exc: OSError) -> None:
-        logger.debug("datagram was not delivered: %s", exc)
-
-
 class RenewalService(Service):
     """Keeps the lease renewed and the desired state current.
 
@@ -111,20 +101,17 @@
         self._answered = True
         self._leader = ""
         self._wake = asyncio.Event()
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket = datagrams.DatagramSocket(
+            lambda message, _: self.receive(message), metrics
+        )
 
     async def on_start(self) -> None:
         """Opens the datagram socket."""
-        host, port = split_address(_local_address(self._cfg))
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _GrantReceiver(self), local_addr=(host, port)
-        )
+        await self._socket.open(split_address(_local_address(self._cfg)))
 
     async def on_stop(self) -> None:
         """Closes the datagram socket."""
-        if self._transport is not None:
-            self._transport.close()
+        self._socket.close()
 
     @Service.task
     async def _renew(self) -> None:
@@ -185,14 +172,12 @@
                 self._wake.set()
 
     def _send(self) -> None:
-        payload = codec.encode(self.renewal())
-        if len(payload) > DATAGRAM_BYTES:
-            logger.error("renewal of %d bytes exceeds a datagram", len(payload))
-            return
-        target = self._addresses[self._target_id()]
+        renewal = self.renewal()
+        target = split_address(self._addresses[self._target_id()])
         self._answered = False
         self.sent += 1
-        self._transport.sendto(payload, split_address(target))
+        if not self._socket.send(codec.encode(renewal), target):
+            self._socket.send(codec.encode(_shortened(renewal)), target)
 
     def renewal(self) -> wire.Renewal:
         """Returns the renewal to send now and records its echo."""
@@ -227,7 +212,7 @@
         return frozenset(names)
 
     def receive(self, payload: bytes) -> None:
-        """Handles one datagram."""
+        """Handles one message."""
         try:
             grant = self._decoder.decode(payload)
         except errors.MalformedInput:
@@ -340,6 +325,26 @@
         self._wake.set()
 
 
+def _shortened(renewal: wire.Renewal) -> wire.Renewal:
+    """Returns a renewal that keeps the lease where a whole one is too large.
+
+    Checkpoints and ends are reported again in the next one.
+    """
+    return dataclasses.replace(
+        renewal,
+        batch=tuple(
+            dataclasses.replace(
+                report,
+                running=tuple(
+                    dataclasses.replace(run, saved="") for run in report.running
+                ),
+                ends=report.ends[:SHORT_ENDS],
+            )
+            for report in renewal.batch
+        ),
+    )
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Returns host and port of `ip:port`."""
     host, _, port = address.rpartition(":")
--- a/bilberryroute/consensus/group.py
+++ b/bilberryroute/consensus/group.py
@@ -11,6 +11,7 @@
 from bilberryroute import blackboard
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.consensus import changes
 from bilberryroute.consensus import config
 from bilberryroute.consensus import core as core_lib
@@ -57,6 +58,7 @@
         applier: Applier,
         clock: clock_lib.Clock,
         rng: random.Random,
+        metrics: metrics_lib.Metrics,
         store: storage.LogStorage | None = None,
     ):
         super().__init__()
@@ -71,7 +73,7 @@
         self._proposals = proposals.Proposals()
         self._batch: list[tuple[bytes, asyncio.Future[proposals.Applied]]] = []
         self._senders = senders.Senders(
-            cfg.address.grpc, self._address_of, clock, rng
+            cfg.address.grpc, self._address_of, clock, rng, metrics
         )
         self._writer = writer.Writer(store, self._senders.send)
         self._timer_wakeup = asyncio.Event()
--- a/bilberryroute/consensus/peers.py
+++ b/bilberryroute/consensus/peers.py
@@ -1,11 +1,11 @@
 """Transport between replicas: one gRPC stream per direction, and a greeting.
 
 A stream carries envelopes one way. Messages that cannot be queued or sent are
-dropped, because Raft repeats those that matter.
+dropped and counted; Raft repeats those that matter.
 """
 
 import asyncio
-import contextlib
+import logging
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
@@ -17,6 +17,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.consensus import fragments
 from bilberryroute.consensus import greeting
 from bilberryroute.consensus import messages
@@ -37,6 +38,8 @@
     ("grpc.use_local_subchannel_pool", 1),
 )
 
+logger = logging.getLogger(__name__)
+
 _bodies = codec.Union(
     messages.VoteRequest,
     messages.VoteReply,
@@ -173,8 +176,11 @@
         address: str,
         clock: clock_lib.Clock,
         rng: random.Random,
+        metrics: metrics_lib.Metrics,
     ):
         self.address = address
+        self._metrics = metrics
+        self._dropped = 0
         self._own_address = own_address
         self._clock = clock
         self._rng = rng
@@ -187,8 +193,10 @@
 
     def send(self, envelope: messages.Envelope) -> None:
         """Queues an envelope, or drops it if the queue is full."""
-        with contextlib.suppress(asyncio.QueueFull):
+        try:
             self._queue.put_nowait(encode(envelope, self._own_address))
+        except asyncio.QueueFull:
+            self._count_drop("peer_queue_full")
 
     def record_heard(self) -> None:
         """Ends the pause before the next attempt, as the receiver is up."""
@@ -199,10 +207,15 @@
     async def run(self) -> None:
         """Keeps a stream open and sends the queued messages."""
         while True:
-            with contextlib.suppress(
-                grpc.RpcError, asyncio.InvalidStateError, TimeoutError
-            ):
+            try:
                 await self._run_channel()
+            except (
+                grpc.RpcError,
+                asyncio.InvalidStateError,
+                TimeoutError,
+            ):
+                # Logged with the messages that it cost, once connected again.
+                self._metrics.failed("peer_unreachable")
             await self._pause()
 
     async def _pause(self) -> None:
@@ -226,6 +239,7 @@
                 await channel.channel_ready()
             self._backoff_ms = FIRST_BACKOFF_MS
             self._unacked_since_ms = None
+            self._log_dropped()
             path = f"/{greeting.SERVICE}/{STREAM}"
             await self._run_call(channel.stream_stream(path)())
 
@@ -281,3 +295,16 @@
     def _drop_queue(self) -> None:
         while not self._queue.empty():
             self._queue.get_nowait()
+            self._count_drop("peer_unreachable")
+
+    def _count_drop(self, reason: str) -> None:
+        self._metrics.dropped(reason)
+        self._dropped += 1
+
+    def _log_dropped(self) -> None:
+        if self._dropped:
+            logger.info(
+                "messages to a replica were dropped",
+                extra={"address": self.address, "dropped": self._dropped},
+            )
+            self._dropped = 0
--- a/bilberryroute/consensus/senders.py
+++ b/bilberryroute/consensus/senders.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import peers
 
@@ -18,20 +19,24 @@
         address_of: Callable[[str, str | None], str | None],
         clock: clock_lib.Clock,
         rng: random.Random,
+        metrics: metrics_lib.Metrics,
     ):
         self._own_address = own_address
         self._address_of = address_of
         self._learned: dict[str, str] = {}
         self._clock = clock
         self._rng = rng
+        self._metrics = metrics
         self._peers: dict[str, peers.Peer] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def send(self, envelope: messages.Envelope) -> None:
         """Sends an envelope, or drops it if its receiver is unknown."""
         peer = self._peer(envelope.receiver)
-        if peer is not None:
-            peer.send(envelope)
+        if peer is None:
+            self._metrics.dropped("peer_unknown")
+            return
+        peer.send(envelope)
 
     def address(self, member_id: str) -> str | None:
         """Returns the gRPC address of a member, or None if it is unknown."""
@@ -69,6 +74,7 @@
                 address=address,
                 clock=self._clock,
                 rng=self._rng,
+                metrics=self._metrics,
             )
             self._peers[member_id] = peer
             self._tasks[member_id] = asyncio.create_task(peer.run())
--- a/bilberryroute/entry/referrals.py
+++ b/bilberryroute/entry/referrals.py
@@ -5,7 +5,6 @@
 answers what a replica that does not lead would answer.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 
 import grpc
@@ -25,6 +24,7 @@
 from bilberryroute.model import wire
 from bilberryroute.transport import codec
 from bilberryroute.transport import control as methods
+from bilberryroute.transport import datagrams
 
 GRPC_STOP_SECONDS = 1.0
 _SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
@@ -54,7 +54,7 @@
             cfg, self.board, env.clock, env.rng, metrics
         )
         self._server: grpc.aio.Server | None = None
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket = datagrams.DatagramSocket(self._on_renewal, metrics)
 
     async def on_start(self) -> None:
         """Opens the replica's ports and follows the leader."""
@@ -63,16 +63,12 @@
         self._server.add_insecure_port(self._cfg.listen.grpc)
         await self._server.start()
         ip, port = self._cfg.listen.datagram.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _DatagramProtocol(self), local_addr=(ip, int(port))
-        )
+        await self._socket.open((ip, int(port)))
         await self.add_runtime_dependency(self.control)
 
     async def on_stop(self) -> None:
         """Closes the ports."""
-        if self._transport is not None:
-            self._transport.close()
+        self._socket.close()
         if self._server is not None:
             await self._server.stop(GRPC_STOP_SECONDS)
 
@@ -93,6 +89,11 @@
             revision=self.board.configuration.get().revision,
         )
 
+    def _on_renewal(self, payload: bytes, address: tuple[str, int]) -> None:
+        reply = self.redirect(payload)
+        if reply is not None:
+            self._socket.send(reply, address)
+
     def redirect(self, payload: bytes) -> bytes | None:
         """Returns a grant without a lease that names the leader, or None."""
         try:
@@ -186,19 +187,3 @@
             leader=self._leader().leader_address,
         )
         return codec.encode(hello)
-
-
-class _DatagramProtocol(asyncio.DatagramProtocol):
-    """Answers the renewals of agents."""
-
-    def __init__(self, role: ReferralRole):
-        self._role = role
-        self._transport: asyncio.DatagramTransport | None = None
-
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
-        self._transport = transport
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        reply = self._role.redirect(data)
-        if reply is not None:
-            self._transport.sendto(reply, addr)
--- a/bilberryroute/replica/leases.py
+++ b/bilberryroute/replica/leases.py
@@ -1,6 +1,7 @@
 """Answers agents' lease renewals and pushes changes to them, by datagram."""
 
 import asyncio
+import dataclasses
 import logging
 from collections.abc import Iterable
 
@@ -14,8 +15,9 @@
 from bilberryroute.replica import board as board_lib
 from bilberryroute.replica import parts as parts_lib
 from bilberryroute.transport import codec
+from bilberryroute.transport import datagrams
 
-# Space for payloads next to the desired state in one datagram of 64 KB.
+# Payloads in one message. The agent asks for the next ones once it has them.
 MAX_PAYLOAD_BYTES = 24_000
 
 logger = logging.getLogger(__name__)
@@ -40,7 +42,8 @@
         self._clock = parts.clock
         self._desired = parts.desired
         self._leadership = parts.leadership
-        self._transport: asyncio.DatagramTransport | None = None
+        self._metrics = parts.metrics
+        self._socket = datagrams.DatagramSocket(self.on_datagram, parts.metrics)
         self._agents_to_push: set[str] = set()
         self._push_requested = asyncio.Event()
         parts.machine.listeners.append(self._on_applied)
@@ -48,24 +51,20 @@
     async def on_start(self) -> None:
         """Opens the datagram socket."""
         ip, port = self._cfg.listen.datagram.rsplit(":", 1)
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _DatagramProtocol(self.on_datagram),
-            local_addr=(ip, int(port)),
-        )
+        await self._socket.open((ip, int(port)))
 
     async def on_stop(self) -> None:
         """Closes the datagram socket."""
-        if self._transport is not None:
-            self._transport.close()
+        self._socket.close()
 
     def on_datagram(
         self, payload: bytes, address: board_lib.DatagramAddress
     ) -> None:
-        """Handles one datagram from an agent."""
+        """Handles one message from an agent."""
         try:
             renewal = _renewal_decoder.decode(payload)
         except errors.MalformedInput as exc:
+            self._metrics.dropped("malformed_renewal")
             logger.warning("malformed renewal from %s: %s", address[0], exc)
             return
         if not self._leadership.active():
@@ -170,8 +169,8 @@
     ) -> dict[str, str]:
         """Returns payloads that an agent needs and does not have.
 
-        Limited to what fits into a datagram; the agent renews once it has
-        them and then receives the next ones.
+        Limited, as the loss of one datagram loses all of them; the agent renews
+        once it has them and then receives the next ones.
         """
         jobs = self._machine.state.batch.jobs
         selected: dict[str, str] = {}
@@ -294,21 +293,15 @@
     def _send(
         self, grant: wire.Grant, address: board_lib.DatagramAddress
     ) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(codec.encode(grant), address)
-
-
-class _DatagramProtocol(asyncio.DatagramProtocol):
-    """Passes received datagrams to a callback."""
+        """Sends a grant; without the desired state if that is too large.
 
-    def __init__(self, callback):
-        self._callback = callback
-
-    def datagram_received(self, data: bytes, addr: tuple) -> None:
-        self._callback(data, addr)
-
-    def error_received(self, exc: Exception) -> None:
-        logger.debug("datagram error: %s", exc)
+        The agent then keeps its lease and what runs there, and starts nothing
+        new.
+        """
+        sent = self._socket.send(codec.encode(grant), address)
+        if not sent and grant.desired is not None and grant.lease_ms:
+            lease_only = dataclasses.replace(grant, desired=None, payloads={})
+            self._socket.send(codec.encode(lease_only), address)
 
 
 def _is_older(renewal: wire.Renewal, previous: wire.Renewal) -> bool:
--- a/bilberryroute/replica/parts.py
+++ b/bilberryroute/replica/parts.py
@@ -26,6 +26,7 @@
       machine: The state machine that the log drives.
       desired: Desired states of agents, versioned.
       proposer: Commits commands to the log.
+      metrics: Metrics of the process.
     """
 
     cfg: settings.Settings
@@ -35,6 +36,7 @@
     machine: machine_lib.StateMachine
     desired: desired_lib.DesiredStates
     proposer: proposer_lib.Proposer
+    metrics: metrics_lib.Metrics
     clock: clock_lib.Clock
     rng: random.Random
 
@@ -49,7 +51,9 @@
     board = board_lib.new_board()
     machine = machine_lib.StateMachine()
     desired = desired_lib.DesiredStates()
-    group = group_lib.ReplicaGroup(_group_config(cfg), machine, clock, rng)
+    group = group_lib.ReplicaGroup(
+        _group_config(cfg), machine, clock, rng, metrics
+    )
     return ReplicaParts(
         cfg=cfg,
         board=board,
@@ -58,6 +62,7 @@
         machine=machine,
         desired=desired,
         proposer=proposer_lib.Proposer(group, clock, metrics),
+        metrics=metrics,
         clock=clock,
         rng=rng,
     )
--- a/bilberryroute/transport/datagrams.py
+++ b/bilberryroute/transport/datagrams.py
@@ -9,10 +9,12 @@
 import itertools
 import logging
 import random
+import socket
 import struct
 import zlib
 from collections.abc import Callable
 
+from bilberryroute import clock as clock_lib
 from bilberryroute import errors
 from bilberryroute import metrics as metrics_lib
 
@@ -20,9 +22,13 @@
 
 # What UDP over IPv4 carries at most.
 DATAGRAM_BYTES = 65_507
-# A message has at most so many parts, about 1.9 MB when compressed. The desired
-# state of a worker with 2,000 runs takes about 60 KB.
+# A message has at most so many parts, about 2 MB when compressed. The renewal of
+# an agent with 2,000 runs takes two.
 MAX_PARTS = 32
+# Between two parts. By default Linux buffers 208 KB for a socket, about three
+# datagrams of this size, and drops those beyond.
+PART_PAUSE_MS = clock_lib.Millis(2)
+RECEIVE_BUFFER_BYTES = 1024 * 1024
 # Bounds what a malicious message may unpack to.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 # Incomplete messages of all senders that a receiver keeps at most. The oldest
@@ -155,6 +161,10 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=address
         )
+        # The system grants less if its own limit is lower.
+        self._transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
 
     def close(self) -> None:
         """Closes the socket; sends nothing any more."""
@@ -173,10 +183,23 @@
             self._metrics.failed("datagram_too_large")
             logger.error("message not sent to %s: %s", address[0], exc.message)
             return False
-        for datagram in datagrams:
-            self._transport.sendto(datagram, address)
+        loop = asyncio.get_running_loop()
+        for number, datagram in enumerate(datagrams):
+            delay_ms = number * PART_PAUSE_MS
+            if delay_ms:
+                loop.call_later(
+                    clock_lib.seconds(delay_ms), self._send, datagram, address
+                )
+            else:
+                self._send(datagram, address)
         return True
 
+    def _send(self, datagram: bytes, address: Address) -> None:
+        if self._transport.is_closing():
+            self._metrics.failed("datagram_socket_closed")
+            return
+        self._transport.sendto(datagram, address)
+
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Passes on the message that a datagram completes."""
         try:
--- a/tests/agent/capacity_site.py
+++ b/tests/agent/capacity_site.py
@@ -61,18 +61,19 @@
             loop.call_later(delay_s, receive, *arguments)
 
 
-class _Transport:
-    """The sending side of a datagram socket."""
+class _Socket:
+    """The sending side of a socket that always takes a message."""
 
     def __init__(self, send):
-        self.sendto = send
+        self._send = send
+
+    def send(self, message, address) -> bool:
+        self._send(message, address)
+        return True
 
     def close(self) -> None:
         pass
 
-    def is_closing(self) -> bool:
-        return False
-
 
 class SharedLog:
     """A replicated log without replicas; one leader at a time writes it.
@@ -140,23 +141,23 @@
 class _Leases(leases.LeaseService):
     """Lease service on the simulated network."""
 
-    def __init__(self, parts, transport: _Transport):
+    def __init__(self, parts, transport: _Socket):
         super().__init__(parts)
         self._link = transport
 
     async def on_start(self) -> None:
-        self._transport = self._link
+        self._socket = self._link
 
 
 class _Renewals(renewal.RenewalService):
     """Renewals on the simulated network."""
 
-    def __init__(self, *arguments, transport: _Transport):
+    def __init__(self, *arguments, transport: _Socket):
         super().__init__(*arguments)
         self._link = transport
 
     async def on_start(self) -> None:
-        self._transport = self._link
+        self._socket = self._link
 
 
 class Leader:
@@ -180,7 +181,7 @@
         parts.board.term.set(
             board_lib.LeaderTerm(number=site.log.term, began=site.clock.now())
         )
-        self.leases = _Leases(self.parts, _Transport(site.send_grant))
+        self.leases = _Leases(self.parts, _Socket(site.send_grant))
         self.controller = replica_batch.BatchController(
             self.parts, self.leases, metrics_lib.Metrics(), _Advisor()
         )
@@ -222,7 +223,7 @@
             board,
             identity,
             metrics,
-            transport=_Transport(
+            transport=_Socket(
                 lambda payload, address: site.send_renewal(host, payload)
             ),
         )
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -8,6 +8,7 @@
 
 from bilberryroute import clock as clock_lib
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import group as group_lib
 from bilberryroute.consensus import storage
@@ -115,6 +116,7 @@
             ListApplier(),
             clock_lib.SystemClock(),
             random.Random(name),
+            metrics_lib.Metrics(),
             self.stores.get(name),
         )
         group.register(server)
--- a/tests/consensus/test_peers.py
+++ b/tests/consensus/test_peers.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import messages
 from bilberryroute.consensus import peers
@@ -30,7 +31,11 @@
     monkeypatch.setattr(peers.Peer, "_next_backoff", lambda peer: LONG_PAUSE_MS)
     address = ports.free_address()
     senders = senders_lib.Senders(
-        "here", lambda member_id, learned: address, CLOCK, random.Random(0)
+        "here",
+        lambda member_id, learned: address,
+        CLOCK,
+        random.Random(0),
+        metrics_lib.Metrics(),
     )
     senders.send(ENVELOPE)
     await asyncio.sleep(clock_lib.seconds(10 * CONNECT_TIMEOUT_MS))
@@ -64,6 +69,7 @@
         address="there",
         clock=CLOCK,
         rng=random.Random(0),
+        metrics=metrics_lib.Metrics(),
     )
     pauses = [peer._next_backoff() for _ in range(200)]
     assert max(pauses) < settings.Timing().election_ms
--- a/tests/consensus/test_rejoining.py
+++ b/tests/consensus/test_rejoining.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bilberryroute import clock as clock_lib
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.consensus import changes
 from bilberryroute.consensus import group as group_lib
@@ -47,6 +48,7 @@
             cluster_lib.ListApplier(),
             CLOCK,
             random.Random(self.name),
+            metrics_lib.Metrics(),
         )
         self.group.register(self._server)
         await self._server.start()
