Leave alone what runs in an evacuated domain when its agent restarts

Cause: in a closed domain an agent bars runs that have not begun, and a new process knew of none that it had begun, though its worker lists them as running.

Change: a run that the worker lists has begun.

--- a/bilberryroute/agent/run_plan.py
+++ b/bilberryroute/agent/run_plan.py
@@ -122,7 +122,7 @@
         if state.call_in_flight or key in ended:
             continue
         if (
-            _must_stop(run, state, plan_input)
+            _must_stop(run, state, running, plan_input)
             and state.phase != RunPhase.BARRED
         ):
             calls.append(StopRun(key=key))
@@ -210,11 +210,17 @@
 
 
 def _must_stop(
-    run: wire.DesiredRun, state: RunProgress, plan_input: RunPlanInput
+    run: wire.DesiredRun,
+    state: RunProgress,
+    running: set[RunKey],
+    plan_input: RunPlanInput,
 ) -> bool:
     if run.stop or state.phase == RunPhase.REFUSED:
         return True
-    return plan_input.closed and state.phase == RunPhase.PENDING
+    # One that is listed was started by a call without an answer, or by an
+    # earlier process of the agent.
+    begun = state.phase != RunPhase.PENDING or (run.task, run.run) in running
+    return plan_input.closed and not begun
 
 
 def _may_start_run(
--- a/tests/agent/test_run_plan.py
+++ b/tests/agent/test_run_plan.py
@@ -95,6 +95,17 @@
     ]
 
 
+def test_run_that_is_listed_is_not_stopped_on_a_closed_worker():
+    """A restarted agent does not remember that it has started it."""
+    plan = plan_input(
+        desired(),
+        closed=True,
+        may_start=False,
+        listing=listing(running=[KEY]),
+    )
+    assert run_plan.actions(plan) == []
+
+
 def test_run_that_has_not_begun_is_barred_on_a_closed_worker():
     calls = run_plan.actions(
         plan_input(desired(), closed=True, may_start=False)
