Bar starts without an answer on a worker that has come back

Cause: a new life of a worker refuses no call that was meant for the one before, and the agent barred there only what the leader still wanted.

Evidence: the record of the case; between the return of the worker and the late start, which is answered 200, the agent sends no stop of that run.

Change: an agent remembers starts without an answer for 60 s, and bars them on a new life before it reports that life. Tests: tests/agent/test_crashed_workers.py, the first of the two new ones failed before.

--- a/bilberryroute/agent/batch.py
+++ b/bilberryroute/agent/batch.py
@@ -119,6 +119,9 @@
         self._worker = life_lib.WorkerIncarnation(
             announced=announcement,
             last_answer_ms=self._clock.now(),
+            unanswered_starts=previous.starts_still_under_way(self._clock.now())
+            if previous is not None
+            else {},
             crashed_runs=crashed_runs,
         )
         self._poll_soon.set()
@@ -382,16 +385,20 @@
     def _bar_earlier_runs(self, worker: life_lib.WorkerIncarnation) -> bool:
         """Bars the runs that were meant for earlier incarnations.
 
-        A start sent to an earlier incarnation may arrive late. Returns whether
-        all are barred, so that this incarnation may be reported.
+        A start sent to an earlier incarnation may arrive late, also of a run
+        that has ended since. Returns whether all are barred, so that this
+        incarnation may be reported.
         """
         if worker.earlier_runs_barred:
             return True
         if self._board.lease.get().left(self._clock.now()) == 0:
             return False
-        earlier = run_plan.runs_of_earlier_incarnations(
-            worker.ref(self._cfg.host), self._board.desired.get().runs
-        )
+        earlier = {
+            *run_plan.runs_of_earlier_incarnations(
+                worker.ref(self._cfg.host), self._board.desired.get().runs
+            ),
+            *worker.unanswered_starts,
+        }
         open_keys = [
             key
             for key in earlier
--- a/bilberryroute/agent/run_calls.py
+++ b/bilberryroute/agent/run_calls.py
@@ -47,9 +47,10 @@
           The worker's verdict, or None if it did not answer: the run may have
           started.
         """
-        state = worker.progress_of((run.task, run.run))
+        key = (run.task, run.run)
+        state = worker.progress_of(key)
         fence = self._board.lease.get().term
-        fields = run_plan.key_fields((run.task, run.run))
+        fields = run_plan.key_fields(key)
         order = worker_port.StartOrder(
             worker=worker.announced.name,
             task=run.task,
@@ -62,13 +63,22 @@
         )
         sent_before_ms = state.start_sent_ms
         state.start_sent_ms = self._clock.now()
+        unanswered_before_ms = worker.unanswered_starts.get(key)
+        worker.unanswered_starts[key] = state.start_sent_ms
         try:
             answer = await self._port.start_run(worker.announced.address, order)
         except errors.BilberryrouteError as exc:
             worker.unanswered_calls += 1
+            worker.unanswered_starts = worker.starts_still_under_way(
+                self._clock.now()
+            )
             self._metrics.retried("start_unanswered")
             logger.info("start unanswered: %s", exc, extra=fields)
             return None
+        if unanswered_before_ms is None:
+            worker.unanswered_starts.pop(key, None)
+        else:
+            worker.unanswered_starts[key] = unanswered_before_ms
         run_plan.apply_start_answer(state, answer)
         logger.info("start: %s", answer.verdict, extra=fields | {"term": fence})
         if answer.verdict != worker_port.StartVerdict.STARTED:
--- a/bilberryroute/agent/worker_life.py
+++ b/bilberryroute/agent/worker_life.py
@@ -4,11 +4,16 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from bilberryroute import clock as clock_lib
 from bilberryroute.agent import run_plan
 from bilberryroute.agent import worker_port
 from bilberryroute.model import batch
 from bilberryroute.model import wire
 
+# How long after its sending a call may be carried out. Workers were seen to take
+# up to 12 s.
+LATE_CALL_MS = clock_lib.Millis(60_000)
+
 # Sequence number of an incarnation that was found before it announced itself;
 # lower than any announced one.
 UNANNOUNCED = -1
@@ -35,6 +40,8 @@
       over: Whether the incarnation has ended, and all its runs with it.
       earlier_runs_barred: Whether the runs meant for earlier incarnations
         are barred here.
+      unanswered_starts: Runs of which a start was sent, to this incarnation or
+        an earlier one, and not answered, with the agent's clock when it was.
       crashed_runs: Runs of earlier incarnations that a crash has ended, with
         the time from their start until the worker was down, in milliseconds;
         None for those that an earlier process of the agent had started.
@@ -55,6 +62,9 @@
     withdrawn: bool = False
     over: bool = False
     earlier_runs_barred: bool = False
+    unanswered_starts: dict[run_plan.RunKey, int] = dataclasses.field(
+        default_factory=dict
+    )
     crashed_runs: Mapping[run_plan.RunKey, int | None] = dataclasses.field(
         default_factory=dict
     )
@@ -123,6 +133,17 @@
             if key not in referenced and not state.call_in_flight
         }
 
+    def starts_still_under_way(self, now: int) -> dict[run_plan.RunKey, int]:
+        """Returns the unanswered starts that may still be carried out.
+
+        Also by a later incarnation that has the same name.
+        """
+        return {
+            key: sent_ms
+            for key, sent_ms in self.unanswered_starts.items()
+            if now - sent_ms < LATE_CALL_MS
+        }
+
     def runs_ended_by_crash(
         self, now: int
     ) -> Mapping[run_plan.RunKey, int | None]:
--- a/tests/agent/test_crashed_workers.py
+++ b/tests/agent/test_crashed_workers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from bilberryroute import errors
+from bilberryroute.agent import worker_life
 from bilberryroute.agent import worker_port
 from tests.agent import batch_harness
 
@@ -104,3 +105,44 @@
     released.set()
     await asyncio.sleep(0.3)
     assert starts == [1]
+
+
+async def test_late_start_of_an_ended_run_is_barred_on_a_restarted_worker(
+    harness,
+):
+    """Its first call got no answer; the second one ran the task to its end."""
+    port = harness.port
+    port.unanswered = {"start"}
+    harness.announce()
+    harness.desire(batch_harness.desired())
+    await harness.until(lambda: port.attempts)
+    port.unanswered = set()
+    await harness.until(lambda: port.calls)
+    harness.desire()
+    await asyncio.sleep(0.3)
+    port.calls.clear()
+    port.unanswered = {"stop"}
+    await batch_harness.restart_worker(harness)
+    await asyncio.sleep(0.3)
+    assert harness.board.batch.get() == ()
+    port.unanswered = set()
+    await harness.until(lambda: harness.board.batch.get())
+    assert ("stop", batch_harness.TASK, 1) in port.calls
+
+
+async def test_unanswered_start_is_forgotten_once_it_cannot_arrive_any_more(
+    harness,
+):
+    port = harness.port
+    port.unanswered = {"start"}
+    harness.announce()
+    harness.desire(batch_harness.desired())
+    await harness.until(lambda: port.attempts)
+    harness.desire()
+    await asyncio.sleep(0.3)
+    harness.clock.advance(worker_life.LATE_CALL_MS)
+    harness.lease(harness.clock.now() + 100_000)
+    port.calls.clear()
+    await batch_harness.restart_worker(harness)
+    await harness.until(lambda: harness.board.batch.get())
+    assert ("stop", batch_harness.TASK, 1) not in port.calls
