Fail a call that exceeds what a channel carries at once

It is now refused as too large (413).

Tests: test_message_beyond_the_limit_of_a_channel_is_not_tried_again; two rows of the table that had none got one.

--- a/bilberryroute/entry/call_errors.py
+++ b/bilberryroute/entry/call_errors.py
@@ -16,6 +16,11 @@
             )
         case tries_lib.UNREACHED:
             return errors.Unavailable("the replica cannot be reached")
+        case tries_lib.TOO_LARGE:
+            # It would not get through in the next try either.
+            return errors.TooLarge(
+                "the call or its answer exceeds what a channel carries"
+            )
     return errors.CommitUnknown(f"the replica did not answer: {exc.code()}")
 
 
@@ -24,6 +29,8 @@
     match exc.code():
         case grpc.StatusCode.UNIMPLEMENTED:
             return tries_lib.UNSERVED
+        case grpc.StatusCode.RESOURCE_EXHAUSTED:
+            return tries_lib.TOO_LARGE
         case grpc.StatusCode.DEADLINE_EXCEEDED:
             return tries_lib.SILENT
         case grpc.StatusCode.UNAVAILABLE if _never_sent(exc):
--- a/bilberryroute/entry/tries.py
+++ b/bilberryroute/entry/tries.py
@@ -6,6 +6,7 @@
 UNSERVED = "unserved"
 SILENT = "silent"
 BROKEN = "broken"
+TOO_LARGE = "too_large"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -17,7 +18,8 @@
       failure: Kind of the error that it replied. `UNREACHED`: not connected;
         `UNSERVED`: the process there does not serve this call; `SILENT`:
         nothing came back in the time for one try; `BROKEN`: the connection or
-        call ended without a reply.
+        call ended without a reply; `TOO_LARGE`: the call or its answer exceeds
+        the limit of a message.
       named: Leader that the replica named, if any.
       times: Number of tries.
       took_ms: Time that they took together.
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -10,6 +10,7 @@
 from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.entry import board as board_lib
+from bilberryroute.entry import connections
 from bilberryroute.entry import control as control_lib
 from bilberryroute.model import commands
 from bilberryroute.model import control
@@ -33,6 +34,7 @@
       leader_address: Address that it reports for that leader.
       silent: Whether it never answers proposals.
       delay_ms: How long it waits before it answers a proposal.
+      answer: What it answers if it leads.
       proposals_received: Number of proposals received.
       event: Event sent to a watch, if any.
       repeat_ms: Interval at which the event is sent again; 0 if it is not.
@@ -43,6 +45,7 @@
         self.leader_address = ""
         self.silent = silent
         self.delay_ms = 0
+        self.answer = DONE
         self.proposals_received = 0
         self.event: wire.WatchEvent | None = None
         self.repeat_ms = 0
@@ -81,7 +84,7 @@
             await asyncio.sleep(60)
         await asyncio.sleep(clock_lib.seconds(self.delay_ms))
         if not self.leader_id:
-            return codec.encode(control.Reply(payload=DONE))
+            return codec.encode(control.Reply(payload=self.answer))
         error = control.ErrorReply(
             kind="not_leader",
             message="",
@@ -139,6 +142,38 @@
     assert replicas[0].proposals_received == 1
 
 
+@pytest.mark.parametrize("too_large", ["call", "answer"])
+async def test_message_beyond_the_limit_of_a_channel_is_not_tried_again(
+    monkeypatch, too_large
+):
+    limit = 10_000
+    options = (
+        ("grpc.max_receive_message_length", limit),
+        ("grpc.max_send_message_length", limit),
+    )
+    monkeypatch.setattr(connections, "_CHANNEL_OPTIONS", options)
+    replica = FakeReplica()
+    await replica.start()
+    command = COMMAND
+    if too_large == "call":
+        command = commands.CancelJobs(job_ids=("j" * limit,), at_ms=0)
+    else:
+        replica.answer = bytes(limit)
+    metrics = metrics_lib.Metrics()
+    client = control_lib.ControlClient(
+        _settings_with_seed(replica),
+        board_lib.new_board(),
+        CLOCK,
+        random.Random(1),
+        metrics,
+    )
+    with pytest.raises(errors.TooLarge):
+        await client.propose(command)
+    await client.on_stop()
+    await replica.stop()
+    assert replica.proposals_received == (too_large == "answer")
+
+
 def _settings_with_seed(seed: FakeReplica) -> settings.Settings:
     return settings.Settings(
         host="e1",
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -3,12 +3,15 @@
 import json
 
 import pytest
+from aiohttp import test_utils
 
 from bilberryroute import errors
+from bilberryroute import metrics as metrics_lib
 from bilberryroute import settings
 from bilberryroute.agent import worker_port
 from bilberryroute.model import batch
 from bilberryroute.model import jobs as job_model
+from bilberryroute.platform import announcements
 from bilberryroute.platform import catalog
 from bilberryroute.platform import jobs
 from bilberryroute.platform import settings as platform_settings
@@ -299,3 +302,12 @@
 def test_largest_count_can_be_encoded():
     content = jobs.decode(b'{"steps":[{"count":%d}]}' % 2**53)
     assert codec.encode(content)
+
+
+async def test_announcement_beyond_its_limit_is_refused():
+    app = announcements.WorkerApi(None).application(metrics_lib.Metrics())
+    async with test_utils.TestClient(test_utils.TestServer(app)) as worker:
+        path = "/bilberryroute/instances/i-1"
+        too_large = bytes(announcements.ANNOUNCEMENT_BYTES + 1)
+        async with worker.put(path, data=too_large) as resp:
+            assert resp.status == 413
--- a/tests/replica/test_advice.py
+++ b/tests/replica/test_advice.py
@@ -86,6 +86,16 @@
     assert permits.valid_permits() == {KEY: {"w2": "p-w2"}}
 
 
+async def test_many_workers_are_asked_about_in_several_calls(
+    permits, advisor, clock
+):
+    names = [f"w{number}" for number in range(70)]
+    for _ in range(3):
+        await request(permits, *names)
+        clock.advance(advice_lib.REQUEST_PAUSE_MS)
+    assert [len(call) for call in advisor.calls] == [30, 30, 10]
+
+
 async def test_failed_call_is_repeated(permits, advisor, clock):
     advisor.error = errors.Unavailable("busy")
     await request(permits, "w1")
