--- a/tests/agent/test_run_plan.py
+++ b/tests/agent/test_run_plan.py
@@ -1,11 +1,15 @@
 """Tests of the calls that an agent plans and the ends that it infers."""
 
+import time
+
 import pytest
 
+from bilberryroute import settings
 from bilberryroute.agent import run_plan
 from bilberryroute.agent import worker_port
 from bilberryroute.model import batch
 from bilberryroute.model import wire
+from bilberryroute.scheduling.batch import room
 from tests.utils import batches
 
 KEY = (batches.task(), 1)
@@ -244,3 +248,22 @@
     )
     run_plan.apply_start_answer(state, answer)
     assert state.phase == phase
+
+
+@pytest.mark.serial
+def test_agent_of_a_full_worker_plans_in_a_fraction_of_its_lease():
+    """Renewals and lease extensions share the event loop with it."""
+    count = room.MAX_RUNS_PER_WORKER
+    begun = [(batches.task(index=index), 1) for index in range(count // 2)]
+    plan = plan_input(
+        *[desired(index=index) for index in range(count)],
+        listing=listing(running=begun),
+        progress={
+            key: run_plan.RunProgress(phase=Phase.STARTED) for key in begun
+        },
+    )
+    began = time.perf_counter()
+    assert len(run_plan.actions(plan)) == count // 2
+    run_plan.inferred_ends(plan)
+    took_ms = 1_000 * (time.perf_counter() - began)
+    assert took_ms < settings.Timing().agent_lease_ms / 10
--- a/tests/state/test_batch.py
+++ b/tests/state/test_batch.py
@@ -12,6 +12,7 @@
 from bilberryroute.model import jobs
 from bilberryroute.state import batch_runs
 from bilberryroute.state import machine as machine_lib
+from bilberryroute.transport import codec
 from tests.utils import batches
 
 Outcome = batch.RunOutcome
@@ -321,3 +322,13 @@
     log.place(batches.unit("j1", *workers, run=2))
     tasks = log.held.jobs["j1"].occurrences[0][0].tasks
     assert {task.resumed for task in tasks} == {"c2"}
+
+
+def test_state_of_an_earlier_release_has_a_record_of_each_task():
+    """It names neither the number of tasks nor the first open one."""
+    stored = {"tasks": [{"state": "done"}, {"state": "waiting"}]}
+    step_record = codec.Decoder(batch.StepRecord).decode(codec.encode(stored))
+    assert (step_record.count, step_record.first_open) == (2, 1)
+    assert not step_record.finished()
+    step_record.mark_done(step_record.tasks[1])
+    assert step_record.finished()
