--- a/benchmarks/consensus_cluster.py
+++ b/benchmarks/consensus_cluster.py
@@ -14,6 +14,7 @@
 from bilberryroute.consensus import group as group_lib
 from tests.utils import relay
 
+# Longest wait for a leader or for replicas to catch up.
 WAIT_S = 30
 
 
@@ -33,7 +34,7 @@
         return b"%d" % self.count
 
     def restore(self, payload: bytes) -> None:
-        """Takes over a count."""
+        """Restores the count."""
         self.count = int(payload)
 
 
--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -25,9 +25,12 @@
 from bilberryroute.state import batch as batch_rules
 from bilberryroute.state import records
 
+# Simulated time between two rounds, from a stop to the end of the run, and from a
+# placement to the start.
 ROUND_MS = 100
 STOP_MS = 200
 START_MS = 50
+# How much longer a task takes away from its data or its gang's rack.
 REMOTE_FACTOR = 3
 # After this multiple of its objective a job has no value.
 LATE_FACTOR = 3
--- a/bilberryroute/cli/batches.py
+++ b/bilberryroute/cli/batches.py
@@ -198,17 +198,17 @@
     Args:
       session: Connection to the entry.
     """
-    said = (await session.call("GET", "/v1/catalog")).decode()
+    catalog = (await session.call("GET", "/v1/catalog")).decode()
     if session.output.as_json:
-        session.output.json(said)
+        session.output.json(catalog)
         return status.ExitStatus.SUCCESS
-    session.output.fields(("version", said["version"]))
+    session.output.fields(("version", catalog["version"]))
     session.output.line()
     session.output.table(
         ("queue", "host", "path", "pool", "priority"),
         [
             (q["name"], q["host"], q["path_prefix"], q["pool"], q["priority"])
-            for q in said["queues"]
+            for q in catalog["queues"]
         ],
     )
     session.output.line()
@@ -216,17 +216,17 @@
         ("client account", "guaranteed", "keys"),
         [
             (a["name"], a["guaranteed"], len(a["keys"]))
-            for a in said["accounts"]
+            for a in catalog["accounts"]
         ],
     )
     return status.ExitStatus.SUCCESS
 
 
 def _print(
-    session: client.Session, said: dict, *fields: tuple[str, str]
+    session: client.Session, body: dict, *fields: tuple[str, str]
 ) -> status.ExitStatus:
     if session.output.as_json:
-        session.output.json(said)
+        session.output.json(body)
     else:
-        session.output.fields(*((name, said[key]) for name, key in fields))
+        session.output.fields(*((name, body[key]) for name, key in fields))
     return status.ExitStatus.SUCCESS
--- a/bilberryroute/platform/jobs.py
+++ b/bilberryroute/platform/jobs.py
@@ -8,7 +8,7 @@
 from bilberryroute.model import batch
 from bilberryroute.model import jobs
 
-# The states that callers are told, from the ends of jobs.
+# States on the wire, by how a job ended.
 _RESULTS = {
     jobs.JobResult.DONE: "completed",
     jobs.JobResult.FAILED: "failed",
@@ -72,7 +72,7 @@
 
 
 def decode(body: bytes) -> batch.Content:
-    """Returns what a caller asks to have run.
+    """Decodes the content of a submitted job.
 
     Raises:
       errors.MalformedInput: If the body is no job.
@@ -136,7 +136,7 @@
 
 
 def state_of(result: jobs.JobResult | None, *, begun: bool) -> str:
-    """Returns the word that callers know for where a job stands."""
+    """Returns the state of a job as callers read it."""
     if result is not None:
         return _RESULTS[result]
     return "running" if begun else "queued"
