--- a/benchmarks/consensus_cluster.py
+++ b/benchmarks/consensus_cluster.py
@@ -14,7 +14,7 @@
 from bilberryroute.consensus import group as group_lib
 from tests.utils import relay
 
-# Longest wait for a leader or for replicas to catch up.
+# Longest wait for a leader.
 WAIT_S = 30
 
 
