--- a/bilberryroute/scheduling/batch/paths.py
+++ b/bilberryroute/scheduling/batch/paths.py
@@ -10,7 +10,7 @@
 
 
 class JobPaths:
-    """The steps of one job as a graph. Computed in the time that it is read."""
+    """The steps of one job as a graph; each property is computed once."""
 
     def __init__(self, content: batch.Content):
         self.content = content
